--- /dev/null
+++ b/cmd/catkinctl/main.go
@@ -0,0 +1,4 @@
+// Command catkinctl is the operators' tool.
+package main
+
+func main() {}
