--- /dev/null
+++ b/internal/call/core.go
@@ -0,0 +1,318 @@
+package call
+
+import (
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// kind says by which rules a request is sent.
+type kind uint8
+
+const (
+	// kindIdempotent may run any number of times.
+	kindIdempotent kind = iota
+	// kindOnce may run once and has no key.
+	kindOnce
+	// kindHome may run once and this entry is its key's home.
+	kindHome
+	// kindForward may run once and another entry is its key's home.
+	kindForward
+	// kindClaim may run once under a key that the caller chose.
+	kindClaim
+)
+
+// attempt is one try to send a request.
+type attempt struct {
+	try    int
+	server ident.BackendServer
+	sentAt time.Duration
+	// sent is set once Send was emitted, ended once its result is in.
+	sent, ended bool
+}
+
+// request is a Request in progress.
+type request struct {
+	Request
+	kind     kind
+	accepted time.Duration
+	answered bool
+	// mayHaveRun is set once a send may have reached a backend server.
+	mayHaveRun bool
+	tries      []attempt
+	hedged     bool
+	lastCause  verdict.Cause
+
+	forward forwarding
+	claim   claiming
+	// waiters are forwards of the same attempt, repeated by their entry.
+	waiters []RequestID
+}
+
+// Core is one entry's calls.
+type Core struct {
+	cfg      Config
+	open     map[RequestID]*request
+	timers   timers
+	budget   budget
+	latency  map[ident.Service]time.Duration
+	home     *homeTable
+	clocks   map[ident.Instance]reading
+	asking   map[ident.Instance]time.Duration
+	revision uint64
+	out      []Action
+}
+
+// New returns a core without requests.
+func New(cfg Config) (*Core, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &Core{
+		cfg: cfg, open: map[RequestID]*request{},
+		budget:  budget{share: cfg.RetryShare, most: cfg.RetryBurst, saved: cfg.RetryBurst},
+		latency: map[ident.Service]time.Duration{},
+		home:    newHomeTable(cfg),
+		clocks:  map[ident.Instance]reading{}, asking: map[ident.Instance]time.Duration{},
+	}, nil
+}
+
+// Open is the number of requests in progress.
+func (c *Core) Open() int { return len(c.open) }
+
+// Keys is the number of keys that this home remembers.
+func (c *Core) Keys() int { return len(c.home.keys) }
+
+// Next is when a Tick is due; false while nothing waits for time to pass.
+func (c *Core) Next() (time.Duration, bool) { return c.timers.next() }
+
+// Step takes one event. The actions are valid until the next Step.
+func (c *Core) Step(now time.Duration, ev Event) []Action {
+	c.out = nil
+	switch ev := ev.(type) {
+	case Request:
+		c.begin(now, ev)
+	case Picked:
+		c.picked(now, ev)
+	case NonePicked:
+		c.nonePicked(now, ev)
+	case SendEnded:
+		c.sendEnded(now, ev)
+	case HomeClock:
+		c.homeClock(now, ev)
+	case HomeReply:
+		c.homeReply(now, ev)
+	case HomeUnreachable:
+		c.homeUnreachable(now, ev)
+	case HomeGone:
+		c.homeGone(ev.Home)
+	case ClaimEnded:
+		c.claimEnded(now, ev)
+	case OutcomeRecorded:
+		c.outcomeRecorded(now, ev)
+	case RevisionSeen:
+		c.revision = max(c.revision, ev.Revision)
+	case CallerGone:
+		c.callerGone(now, ev.ID)
+	case Tick:
+		c.tick(now)
+	}
+	return c.out
+}
+
+func (c *Core) emit(action Action) { c.out = append(c.out, action) }
+
+func (c *Core) begin(now time.Duration, ev Request) {
+	if _, ok := c.open[ev.ID]; ok {
+		return
+	}
+	r := &request{Request: ev, accepted: now, kind: c.classify(ev)}
+	if fault := c.unfit(now, r); fault != nil {
+		c.emit(Refuse{ID: ev.ID, Refusal: *fault})
+		return
+	}
+	c.open[ev.ID] = r
+	c.timers.add(ev.Deadline, ev.ID, timerDeadline)
+	switch r.kind {
+	case kindIdempotent, kindOnce:
+		c.budget.earn()
+		c.pick(r)
+	case kindHome:
+		c.beginHome(now, r)
+	case kindForward:
+		c.beginForward(now, r)
+	case kindClaim:
+		r.claim.seen = c.revision
+		c.pick(r)
+	}
+}
+
+func (c *Core) classify(ev Request) kind {
+	if ev.Idempotent {
+		return kindIdempotent
+	}
+	if ev.Key == "" {
+		return kindOnce
+	}
+	key, issued := ParseKey(ev.Key)
+	if !issued {
+		return kindClaim
+	}
+	if key.Home == c.cfg.Self {
+		return kindHome
+	}
+	return kindForward
+}
+
+// unfit refuses what can't be taken on at all.
+func (c *Core) unfit(now time.Duration, r *request) *verdict.Refusal {
+	refuse := func(cause verdict.Cause, retryAfter time.Duration, detail string) *verdict.Refusal {
+		refusal := verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: retryAfter, Detail: detail}
+		if r.kind >= kindHome {
+			refusal = Unsettled(refusal)
+		}
+		return &refusal
+	}
+	switch {
+	case len(r.Key) > MaxKeyBytes:
+		return refuse(verdict.CauseBadRequest, 0, "the idempotency key is longer than 256 bytes")
+	case r.Forwarded != nil && r.kind != kindHome:
+		return refuse(verdict.CauseKeyHomeGone, 0, "this VM is not the home of the key")
+	case now >= r.Deadline:
+		return refuse(verdict.CauseDeadline, 0, "the deadline had passed on arrival")
+	case len(c.open) >= c.cfg.MaxOpen:
+		return refuse(verdict.CauseQueueFull, c.cfg.BusyRetryAfter, "too many requests in progress")
+	}
+	return nil
+}
+
+// Unsettled is the refusal of a request with a key by an entry that did not ask
+// the key's single sender: another entry may have sent the key before.
+func Unsettled(refusal verdict.Refusal) verdict.Refusal {
+	refusal.Verdict = verdict.Worse(refusal.Verdict, verdict.MayHaveRun)
+	return refusal
+}
+
+// answer gives the caller, and whoever waits for the same attempt, the reply.
+func (c *Core) answer(r *request, status int, body BodyRef, stored bool) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	for _, id := range r.listeners() {
+		c.emit(Answer{ID: id, Status: status, Body: body, Stored: stored})
+	}
+}
+
+// refuse gives the caller, and whoever waits for the same attempt, a refusal.
+func (c *Core) refuse(r *request, refusal verdict.Refusal) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	for _, id := range r.listeners() {
+		c.emit(Refuse{ID: id, Refusal: refusal})
+	}
+}
+
+func (r *request) listeners() []RequestID {
+	return append([]RequestID{r.ID}, r.waiters...)
+}
+
+// forget drops a request once nothing of it is in progress.
+func (c *Core) forget(r *request) {
+	if !r.answered || r.inFlight() > 0 || r.claim.pending() {
+		return
+	}
+	c.drop(r)
+}
+
+func (c *Core) drop(r *request) {
+	delete(c.open, r.ID)
+	for _, id := range r.waiters {
+		delete(c.open, id)
+	}
+}
+
+// inFlight counts the sends that have not ended.
+func (r *request) inFlight() int {
+	n := 0
+	for _, a := range r.tries {
+		if a.sent && !a.ended {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *request) attempt(try int) *attempt {
+	if try < 1 || try > len(r.tries) {
+		return nil
+	}
+	return &r.tries[try-1]
+}
+
+// picking reports whether a replica is being chosen.
+func (r *request) picking() bool {
+	n := len(r.tries)
+	return n > 0 && r.tries[n-1].server == ""
+}
+
+func (c *Core) callerGone(now time.Duration, id RequestID) {
+	r := c.open[id]
+	if r == nil || r.answered || r.ID != id {
+		return
+	}
+	c.giveUp(now, r, verdict.CauseCallerGone)
+}
+
+func (c *Core) tick(now time.Duration) {
+	for {
+		t, ok := c.timers.due(now)
+		if !ok {
+			break
+		}
+		r := c.open[t.id]
+		if r == nil || r.ID != t.id {
+			continue
+		}
+		c.fire(now, r, t.what)
+	}
+	c.home.expire(now, c.emit)
+}
+
+func (c *Core) fire(now time.Duration, r *request, what timerKind) {
+	switch what {
+	case timerDeadline:
+		if !r.answered {
+			c.giveUp(now, r, verdict.CauseDeadline)
+		}
+	case timerHedge:
+		c.hedge(r)
+	case timerForward:
+		c.forwardAgain(now, r)
+	case timerClaim:
+		c.claimAgain(now, r)
+	case timerLinger:
+		c.drop(r)
+	}
+}
+
+// giveUp gives a request its final answer now.
+func (c *Core) giveUp(now time.Duration, r *request, cause verdict.Cause) {
+	c.timers.add(now+lingerFor+c.cfg.CleanupFor, r.ID, timerLinger)
+	switch r.kind {
+	case kindIdempotent:
+		c.endIdempotent(r, cause)
+	case kindForward:
+		c.refuse(r, verdict.Refusal{Verdict: verdict.MayHaveRun, Cause: cause, RetryAfter: c.cfg.BusyRetryAfter,
+			Detail: "the home of the key has not answered in time"})
+		c.drop(r)
+	default:
+		c.endOnce(now, r, cause)
+	}
+}
+
+// lingerFor bounds how long a request is kept for a result that the shell owes.
+const lingerFor = time.Minute
