--- /dev/null
+++ b/internal/adminapi/handler_test.go
@@ -0,0 +1,105 @@
+package adminapi
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/audit"
+	"github.com/catkinstair/catkinstair/internal/config"
+	"github.com/catkinstair/catkinstair/internal/ident"
+)
+
+const sheetText = "day,team,service,limit,unit\n2026-12-04,clubs,skrivar,40,tokens/s\n"
+
+type fakeBackend struct{ calls []string }
+
+func (f *fakeBackend) Config(context.Context) (config.Snapshot, error) {
+	f.calls = append(f.calls, "config")
+	return config.Snapshot{Head: config.Head{Version: 3}}, nil
+}
+
+func (f *fakeBackend) Apply(_ context.Context, sheet config.Sheet, operator string) (config.Outcome, error) {
+	f.calls = append(f.calls, "apply by "+operator+" of "+sheet.File)
+	return config.Outcome{Kind: config.OutcomeAccepted, Version: 4}, nil
+}
+
+func (f *fakeBackend) ConfigStatus(context.Context) (ConfigStatus, error) {
+	return ConfigStatus{}, errors.New("no peers")
+}
+
+func (f *fakeBackend) VMs(context.Context) ([]VM, error)                 { return nil, nil }
+func (f *fakeBackend) Backends(context.Context) ([]BackendServer, error) { return nil, nil }
+func (f *fakeBackend) Orders(context.Context) ([]Order, error)           { return nil, nil }
+
+func (f *fakeBackend) Drain(_ context.Context, vm ident.VM, operator string) error {
+	f.calls = append(f.calls, "drain of "+string(vm)+" by "+operator)
+	return nil
+}
+
+func (f *fakeBackend) Audit(context.Context, time.Time, int) ([]audit.Record, error) { return nil, nil }
+
+func do(t *testing.T, backend Backend, method, path, key, body string) (int, string) {
+	keys, err := ParseKeys("kari=0123456789abcdef, ola=fedcba9876543210")
+	require.NoError(t, err)
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod(method)
+	ctx.Request.SetRequestURI(path)
+	ctx.Request.SetBodyString(body)
+	if key != "" {
+		ctx.Request.Header.Set("Authorization", "Bearer "+key)
+	}
+	Handler(backend, keys)(&ctx)
+	return ctx.Response.StatusCode(), string(ctx.Response.Body())
+}
+
+func TestNothingWithoutAKey(t *testing.T) {
+	backend := &fakeBackend{}
+	for _, key := range []string{"", "0123456789abcdeg", "0123456789abcde", "kari=0123456789abcdef"} {
+		for path, r := range routes {
+			status, _ := do(t, backend, r.method, PathPrefix+path, key, sheetText)
+			require.Equal(t, 401, status, path)
+		}
+		status, _ := do(t, backend, "GET", "/nowhere", key, "")
+		require.Equal(t, 401, status)
+	}
+	require.Empty(t, backend.calls)
+}
+
+func TestOperatorIsNamedByTheKey(t *testing.T) {
+	backend := &fakeBackend{}
+	status, body := do(t, backend, "POST", "/admin/v1/sheet/apply?file=monday.csv", "fedcba9876543210", sheetText)
+	require.Equal(t, 200, status, body)
+	do(t, backend, "POST", "/admin/v1/drain", "0123456789abcdef", `{"vm":"bergen-a-1"}`)
+	require.Equal(t, []string{"apply by ola of monday.csv", "drain of bergen-a-1 by kari"}, backend.calls)
+}
+
+func TestDiffNamesFaultsAndChanges(t *testing.T) {
+	status, body := do(t, &fakeBackend{}, "POST", "/admin/v1/sheet/diff", "0123456789abcdef", sheetText)
+	require.Equal(t, 200, status)
+	var result SheetAnswer
+	require.NoError(t, json.Unmarshal([]byte(body), &result))
+	require.Equal(t, uint64(3), result.Version)
+	require.Equal(t, uint64(40), result.Changes[0].After)
+	_, body = do(t, &fakeBackend{}, "POST", "/admin/v1/sheet/diff", "0123456789abcdef", "day\n")
+	require.Contains(t, body, "want")
+}
+
+func TestErrors(t *testing.T) {
+	for path, want := range map[string]int{"nothing": 404, "drain": 405, "config/status": 503, "audit?since=yesterday": 400, "audit?max=0": 400} {
+		status, body := do(t, &fakeBackend{}, "GET", PathPrefix+path, "0123456789abcdef", "")
+		require.Equal(t, want, status, path)
+		require.Contains(t, body, "message")
+	}
+}
+
+func TestKeysNameEveryFault(t *testing.T) {
+	_, err := NewKeys(map[string]string{"": "0123456789abcdef", "ola": "short"})
+	require.ErrorContains(t, err, "name")
+	require.ErrorContains(t, err, "16 or more")
+}
