--- /dev/null
+++ b/internal/call/failure_test.go
@@ -0,0 +1,144 @@
+package call
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/memnet"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// fault happens at a time, to one entry or server, for a while.
+type fault struct {
+	at, lasts time.Duration
+	kind      string
+	entry     int
+	other     int
+}
+
+var faultKinds = []string{"none", "kill", "pause", "cut", "cut-kv", "cut-server", "server-dead", "server-leaving", "kv-down", "kv-silent"}
+
+func (w *world) plan(f fault) {
+	e := w.entries[f.entry%len(w.entries)]
+	other := w.entries[f.other%len(w.entries)].host()
+	id := ident.BackendServer(fmt.Sprintf("s%d", f.other%len(w.servers)))
+	begin, end := func() {}, func() {}
+	cut := func(to memnet.Host) (func(), func()) {
+		return func() { w.net.Cut(e.host(), to, true) }, func() { w.net.Cut(e.host(), to, false) }
+	}
+	switch f.kind {
+	case "kill":
+		begin, end = e.kill, e.restart
+	case "pause":
+		begin, end = e.pause, e.thaw
+	case "cut":
+		begin, end = cut(other)
+	case "cut-kv":
+		begin, end = cut("kv")
+	case "cut-server":
+		begin, end = cut(memnet.Host(id))
+	case "server-dead":
+		begin, end = func() { w.servers[id].dead = true }, func() { w.servers[id].dead = false }
+	case "server-leaving":
+		begin, end = func() { w.servers[id].leaving = true }, func() { w.servers[id].leaving = false }
+	case "kv-down":
+		begin, end = func() { w.kv.down = true }, func() { w.kv.down = false }
+	case "kv-silent":
+		begin, end = func() { w.kv.silent = true }, func() { w.kv.silent = false }
+	}
+	w.net.At(f.at, begin)
+	w.net.At(f.at+f.lasts, end)
+}
+
+// load makes n calls over the given time, with issued or chosen keys.
+func (w *world) load(n int, over time.Duration, issued bool, tries int, giveUp bool) {
+	for i := range n {
+		w.net.At(over*time.Duration(i)/time.Duration(n), func() {
+			key := fmt.Sprintf("order-%d", i)
+			if issued {
+				e := w.entries[w.net.Rand().IntN(len(w.entries))]
+				key = KeyPrefix(e.self, int64(e.now()/time.Second)) + key
+			}
+			w.call(key, tries, giveUp)
+		})
+	}
+}
+
+// TestAtMostOnceAndNoWrongNotRun mixes failures, together and twice, over
+// callers who repeat the same key through other entries.
+func TestAtMostOnceAndNoWrongNotRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loss := rapid.SampledFrom([]float64{0, 0.02, 0.15}).Draw(t, "loss")
+		delay := rapid.SampledFrom([]time.Duration{3 * ms, 200 * ms, 2 * time.Second}).Draw(t, "delay")
+		small := rapid.Bool().Draw(t, "small bounds")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "entries"), loss, delay, func(c *Config) {
+			if small {
+				c.MaxKeys, c.MaxTombstones, c.KeyLife, c.Retention, c.MaxAge = 5, 2, 4*time.Second, 5*time.Second, 6*time.Second
+			}
+		})
+		for range rapid.IntRange(0, 6).Draw(t, "faults") {
+			w.plan(fault{
+				at:    time.Duration(rapid.IntRange(0, 8000).Draw(t, "at")) * ms,
+				lasts: time.Duration(rapid.IntRange(1, 6000).Draw(t, "lasts")) * ms,
+				kind:  rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+				entry: rapid.IntRange(0, 4).Draw(t, "entry"), other: rapid.IntRange(0, 4).Draw(t, "other"),
+			})
+		}
+		tries := rapid.IntRange(1, 5).Draw(t, "tries")
+		giveUp := rapid.Bool().Draw(t, "give up at not-run")
+		w.load(40, 8*time.Second, rapid.Bool().Draw(t, "issued"), tries, giveUp)
+		w.net.RunUntil(60 * time.Second)
+		require.Empty(t, w.check())
+	})
+}
+
+// TestNeedlessRefusals reports, for each failure, the share of calls that ended
+// without an answer. The bounds are what each kind of key promises.
+func TestNeedlessRefusals(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault fault
+		most  map[bool]float64 // by issued
+	}{
+		{"nothing", fault{kind: "none"}, map[bool]float64{true: 0, false: 0}},
+		{"entry killed and replaced", fault{kind: "kill", at: 5 * time.Second, lasts: 2 * time.Second}, map[bool]float64{true: 0.05, false: 0.02}},
+		{"entry paused for 3 s", fault{kind: "pause", at: 5 * time.Second, lasts: 3 * time.Second}, map[bool]float64{true: 0.05, false: 0.02}},
+		{"two entries cut off for 10 s", fault{kind: "cut", at: 5 * time.Second, lasts: 10 * time.Second, other: 1}, map[bool]float64{true: 0.02, false: 0.01}},
+		{"server dead for 10 s", fault{kind: "server-dead", at: 5 * time.Second, lasts: 10 * time.Second}, map[bool]float64{true: 0.01, false: 0.01}},
+		{"server leaving for 10 s", fault{kind: "server-leaving", at: 5 * time.Second, lasts: 10 * time.Second}, map[bool]float64{true: 0.01, false: 0.01}},
+		{"service down for 10 s", fault{kind: "kv-down", at: 5 * time.Second, lasts: 10 * time.Second}, map[bool]float64{true: 0, false: 0.35}},
+		{"service loses replies for 10 s", fault{kind: "kv-silent", at: 5 * time.Second, lasts: 10 * time.Second}, map[bool]float64{true: 0, false: 0.4}},
+	}
+	for _, c := range cases {
+		for _, issued := range []bool{true, false} {
+			w := newWorld(11, 6, 0, 3*ms, nil)
+			w.plan(c.fault)
+			w.load(3000, 30*time.Second, issued, 4, false)
+			w.net.RunUntil(time.Minute)
+			require.Empty(t, w.check())
+			counts, share := w.outcomes()
+			t.Logf("%-32s issued=%-5v answered %.4f, %v", c.name, issued, 1-share, counts)
+			require.LessOrEqual(t, share, c.most[issued], c.name)
+		}
+	}
+}
+
+func (w *world) outcomes() (map[string]int, float64) {
+	counts, refused := map[string]int{}, 0
+	for _, c := range w.calls {
+		if c.answered {
+			continue
+		}
+		refused++
+		counts[c.final.String()+" "+string(c.cause)]++
+		if c.final == verdict.MayHaveRun && w.ledger[c.key] > 0 {
+			counts["of these ran"]++
+		}
+	}
+	return counts, float64(refused) / float64(len(w.calls))
+}
