Prove acceptance and spreading under failure; share unchanged parts

Operators race with overlapping sheets while VMs are killed, paused and cut off and the service is down or loses replies; afterwards every VM has the newest version, no VM ever reverted, no limit was raised twice a day, and each outcome that was told is true (rapid, 100 runs by default, 3 domains of 1 to 3 VMs).

The first run found two faults: a version made by a VM that is cut off from everybody but the service did not spread, since nobody watched; Apply now gives its result to the Spread beside it. And a reader whose part reads were lost began again at the head; it now goes on with the parts.

--- a/internal/call/failure_test.go
+++ b/internal/call/failure_test.go
@@ -81,10 +81,13 @@
 				c.MaxKeys, c.MaxTombstones, c.KeyLife, c.Retention, c.MaxAge = 5, 2, 4*time.Second, 5*time.Second, 6*time.Second
 			}
 		})
+		w.patience = rapid.SampledFrom([]time.Duration{300 * ms, 1500 * ms}).Draw(t, "patience")
+		w.busy = rapid.SampledFrom([]float64{0, 0.6}).Draw(t, "busy")
+		w.scarce = rapid.SampledFrom([]float64{0, 0.4}).Draw(t, "scarce")
 		for range rapid.IntRange(0, 6).Draw(t, "faults") {
 			w.plan(fault{
 				at:    time.Duration(rapid.IntRange(0, 8000).Draw(t, "at")) * ms,
-				lasts: time.Duration(rapid.IntRange(1, 6000).Draw(t, "lasts")) * ms,
+				lasts: time.Duration(rapid.IntRange(1, 12000).Draw(t, "lasts")) * ms,
 				kind:  rapid.SampledFrom(faultKinds).Draw(t, "kind"),
 				entry: rapid.IntRange(0, 4).Draw(t, "entry"), other: rapid.IntRange(0, 4).Draw(t, "other"),
 			})
--- a/internal/call/world_test.go
+++ b/internal/call/world_test.go
@@ -30,7 +30,11 @@
 	ledger map[string]int
 	calls  []*caller
 	wrong  []string
-	cfg    func(*Config)
+	// patience is how long a caller waits; busy and scarce are the shares of
+	// sends that a server refuses and of picks that find no replica.
+	patience     time.Duration
+	busy, scarce float64
+	cfg          func(*Config)
 }
 
 type server struct{ dead, leaving bool }
@@ -101,6 +105,7 @@
 	w := &world{
 		net:     memnet.New(memnet.Config{Seed: seed, MinDelay: ms / 2, MaxDelay: delay, Loss: loss, Duplicate: loss}),
 		servers: map[ident.BackendServer]*server{}, ledger: map[string]int{}, cfg: tune,
+		patience: 1500 * ms,
 	}
 	w.kv = &kvFake{records: map[string]kvEntry{}}
 	w.net.Join("kv", w.kv.handle(w))
@@ -290,7 +295,7 @@
 			free = append(free, id)
 		}
 	}
-	if len(free) == 0 || e.w.net.Rand().IntN(50) == 0 {
+	if len(free) == 0 || e.w.net.Rand().Float64() < e.w.scarce {
 		e.later(ms, NonePicked{ID: a.ID, Try: a.Try, Refusal: verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoBackend}})
 		return
 	}
@@ -324,7 +329,7 @@
 		}
 		seen[m] = true
 		result := SendEnded{ID: m.id, Try: m.try, Result: NotRunByServer}
-		if !w.servers[id].leaving {
+		if !w.servers[id].leaving && w.net.Rand().Float64() >= w.busy {
 			w.ledger[m.key]++
 			result = SendEnded{ID: m.id, Try: m.try, Result: Replied, Status: 201, Body: BodyRef("reply to " + m.key), Bytes: 10}
 		}
@@ -399,7 +404,7 @@
 	c.attempt++
 	attempt := c.attempt
 	e := c.w.entries[c.w.net.Rand().IntN(len(c.w.entries))]
-	c.w.net.At(c.w.net.Now()+1500*ms, func() { c.timeout(attempt) })
+	c.w.net.At(c.w.net.Now()+c.w.patience, func() { c.timeout(attempt) })
 	if !e.up {
 		c.w.net.At(c.w.net.Now()+ms, func() {
 			c.refused(attempt, verdict.Refusal{Verdict: verdict.MayHaveRun, Cause: verdict.CauseCallerGone})
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -190,6 +190,7 @@
 	next     Snapshot
 	changes  []Change
 	swapped  bool
+	made     bool
 	raced    string
 	reason   string
 }
@@ -210,6 +211,10 @@
 	return &Apply{cfg: cfg, sheet: sheet, operator: operator, texts: texts}, nil
 }
 
+// Result is the version that this application made, for the Spread of the VM
+// that ran it.
+func (a *Apply) Result() (Snapshot, bool) { return a.next, a.made }
+
 // Step takes one event.
 func (a *Apply) Step(now time.Duration, ev ApplyEvent) []ApplyAction {
 	if a.phase == phaseDone {
@@ -276,6 +281,7 @@
 // earlier swap of this one whose reply was lost, or by somebody else's.
 func (a *Apply) accepted(by Accepted) []ApplyAction {
 	if a.swapped && by.Operator == a.operator {
+		a.made = by.Version == a.next.Head.Version && by.Version == a.head.Version
 		return a.done(Outcome{Kind: OutcomeAccepted, Version: by.Version, Changes: a.changes})
 	}
 	return a.done(Outcome{
@@ -302,7 +308,7 @@
 func (a *Apply) judge(now time.Duration) []ApplyAction {
 	accepted := State{}
 	if a.head.Version > 0 {
-		snapshot, err := Assemble(a.head, a.texts)
+		snapshot, err := Assemble(a.head, a.texts, State{})
 		if err != nil {
 			return a.wait(now, err.Error())
 		}
@@ -322,18 +328,14 @@
 
 // newVersion is the snapshot that accepts next over the present head.
 func (a *Apply) newVersion(next State) Snapshot {
-	parts := EncodeParts(next)
 	head := Head{
 		Version: a.head.Version + 1, Day: max(a.head.Day, a.sheet.Day),
-		SheetHash: a.sheet.Hash, Operator: a.operator,
-	}
-	for _, text := range parts {
-		head.Parts = append(head.Parts, HashPart(text))
+		SheetHash: a.sheet.Hash, Operator: a.operator, Parts: next.Hashes(),
 	}
 	head.Recent = append([]Accepted{{SheetHash: a.sheet.Hash, Version: head.Version, Operator: a.operator}}, a.head.Recent...)
 	head.Recent = head.Recent[:min(len(head.Recent), a.cfg.RecentSheets)]
 	head.Retired = a.retired(head)
-	return Snapshot{Head: head, Parts: parts, State: next}
+	return newSnapshot(head, next)
 }
 
 // retired lists the parts that left force within the last RetiredVersions.
@@ -379,6 +381,7 @@
 	if a.phase != phaseSwap {
 		return nil
 	}
+	a.made = true
 	actions := a.done(Outcome{Kind: OutcomeAccepted, Version: a.next.Head.Version, Changes: a.changes, Raced: a.raced})
 	if expired := a.expired(); len(expired) > 0 {
 		actions = append(actions, DeleteParts{Hashes: expired})
--- /dev/null
+++ b/internal/config/failure_test.go
@@ -0,0 +1,177 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/catkinstair/catkinstair/internal/memnet"
+)
+
+func sheetOf(t require.TestingT, day string, values map[string]int) Sheet {
+	var b strings.Builder
+	b.WriteString("day,team,service,limit,unit\n")
+	for team, value := range values {
+		fmt.Fprintf(&b, "%s,%s,skrivar,%d,tokens/s\n", day, team, value)
+	}
+	sheet, faults := ParseSheet("s.csv", []byte(b.String()))
+	require.Empty(t, faults)
+	return sheet
+}
+
+func (w *world) plan(t *rapid.T) {
+	at := time.Duration(rapid.IntRange(0, 12000).Draw(t, "at")) * ms
+	end := at + time.Duration(rapid.IntRange(1, 10000).Draw(t, "lasts"))*ms
+	v := w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")]
+	other := w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "other")].host()
+	switch rapid.SampledFrom([]string{"kill", "pause", "cut", "cut-kv", "kv-down", "kv-silent", "all-restart"}).Draw(t, "fault") {
+	case "kill":
+		w.net.At(at, func() { v.kill(); w.members() })
+		w.net.At(end, v.restart)
+	case "pause":
+		w.net.At(at, func() { w.net.Pause(v.host()) })
+		w.net.At(end, func() { w.net.Thaw(v.host()) })
+	case "cut":
+		w.net.At(at, func() { w.net.Cut(v.host(), other, true) })
+		w.net.At(end, func() { w.net.Cut(v.host(), other, false) })
+	case "cut-kv":
+		w.net.At(at, func() { w.net.Cut(v.host(), "kv", true) })
+		w.net.At(end, func() { w.net.Cut(v.host(), "kv", false) })
+	case "kv-down":
+		w.net.At(at, func() { w.kv.down = true })
+		w.net.At(end, func() { w.kv.down = false })
+	case "kv-silent":
+		w.net.At(at, func() { w.kv.silent = true })
+		w.net.At(end, func() { w.kv.silent = false })
+	case "all-restart":
+		w.net.At(end, func() {
+			for _, v := range w.vms {
+				v.restart()
+			}
+		})
+	}
+}
+
+// TestAcceptedNeverRevertsAndReachesAll lets operators race with overlapping
+// sheets while VMs, links and the service fail.
+func TestAcceptedNeverRevertsAndReachesAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loss := rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+		delay := rapid.SampledFrom([]time.Duration{2 * ms, 200 * ms, time.Second}).Draw(t, "delay")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 3, rapid.IntRange(1, 3).Draw(t, "per domain"), loss, delay)
+		w.kv.raised = map[string]int{}
+		for range rapid.IntRange(0, 5).Draw(t, "faults") {
+			w.plan(t)
+		}
+		for i := range rapid.IntRange(1, 8).Draw(t, "sheets") {
+			values := map[string]int{}
+			for range rapid.IntRange(1, 3).Draw(t, "rows") {
+				values[fmt.Sprintf("team%d", rapid.IntRange(0, 3).Draw(t, "team"))] = rapid.IntRange(1, 6).Draw(t, "limit")
+			}
+			sheet := sheetOf(t, rapid.SampledFrom([]string{"2026-12-04", "2026-12-05"}).Draw(t, "day"), values)
+			v := w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "operator's vm")]
+			at := time.Duration(rapid.SampledFrom([]int{1000, 1000, 5000, 9000}).Draw(t, "when")) * ms
+			w.net.At(at, func() {
+				if v.up {
+					w.apply(v, sheet, fmt.Sprintf("operator%d", i))
+				}
+			})
+		}
+		w.net.RunUntil(90 * time.Second)
+		require.Empty(t, w.check())
+	})
+}
+
+// TestFreshVMInAnOutage starts a VM while the service is down: it serves nothing
+// until it has the version from its peers, and never an older one.
+func TestFreshVMInAnOutage(t *testing.T) {
+	w := newWorld(5, 3, 2, 0, 2*ms)
+	w.kv.raised = map[string]int{}
+	w.apply(w.vms[0], sheetOf(t, "2026-12-04", map[string]int{"clubs": 40}), "kari")
+	w.net.RunUntil(5 * time.Second)
+	w.kv.down = true
+	fresh := w.vms[5]
+	fresh.restart()
+	require.False(t, fresh.spread.Ready())
+	w.net.RunUntil(6 * time.Second)
+	require.True(t, fresh.spread.Ready())
+	require.Equal(t, uint64(1), fresh.spread.Version())
+	require.Less(t, fresh.adopted-fresh.started, 300*ms)
+}
+
+// TestTwoOperatorsAtOnce races two sheets that clash in one row: one wins whole,
+// the other is told the row.
+func TestTwoOperatorsAtOnce(t *testing.T) {
+	w := newWorld(5, 3, 2, 0, 2*ms)
+	w.kv.raised = map[string]int{}
+	w.apply(w.vms[0], sheetOf(t, "2026-12-04", map[string]int{"clubs": 40, "coaches": 5}), "kari")
+	w.apply(w.vms[3], sheetOf(t, "2026-12-04", map[string]int{"clubs": 30, "treasurers": 5}), "ola")
+	w.net.RunUntil(5 * time.Second)
+	kari, ola := w.applies[0].outcome, w.applies[1].outcome
+	if kari.Kind == OutcomeRefused {
+		kari, ola = ola, kari
+	}
+	require.Equal(t, OutcomeAccepted, kari.Kind)
+	if ola.Kind == OutcomeRefused {
+		require.Len(t, ola.Faults, 1)
+		require.Contains(t, ola.Faults[0].Wrong, "clubs")
+		require.NotEmpty(t, ola.Raced)
+	}
+	require.Empty(t, w.check())
+}
+
+// TestSpreadTimes reports the time from acceptance to force everywhere.
+func TestSpreadTimes(t *testing.T) {
+	for _, c := range []struct {
+		domains, perDomain int
+		loss               float64
+		outage             bool
+	}{{3, 2, 0, false}, {7, 47, 0, false}, {7, 47, 0.05, false}, {3, 2, 0, true}, {7, 47, 0, true}} {
+		worst := time.Duration(0)
+		for seed := range uint64(2) {
+			w := newWorld(seed, c.domains, c.perDomain, c.loss, 3*ms)
+			w.kv.raised = map[string]int{}
+			w.net.RunUntil(5 * time.Second)
+			w.apply(w.vms[0], sheetOf(t, "2026-12-04", map[string]int{"clubs": 40}), "kari")
+			if c.outage {
+				for _, v := range w.vms[1:] {
+					w.net.Cut(v.host(), "kv", true)
+				}
+			}
+			w.net.RunUntil(30 * time.Second)
+			require.Empty(t, w.check()[:min(3, len(w.check()))])
+			for _, v := range w.vms {
+				worst = max(worst, v.adopted-w.kv.swappedAt)
+			}
+		}
+		t.Logf("%d VMs, loss %.2f, service reached by one VM only %v: in force everywhere after %s", c.domains*c.perDomain, c.loss, c.outage, worst)
+		require.Less(t, worst, 5*time.Second)
+	}
+}
+
+// TestPausedWatcherTakesNothingBack freezes the watchers of a domain across a
+// change and thaws them.
+func TestPausedWatcherTakesNothingBack(t *testing.T) {
+	w := newWorld(3, 3, 3, 0, 2*ms)
+	w.kv.raised = map[string]int{}
+	w.apply(w.vms[0], sheetOf(t, "2026-12-04", map[string]int{"clubs": 40}), "kari")
+	w.net.RunUntil(2 * time.Second)
+	var frozen []memnet.Host
+	for _, v := range w.vms[3:] {
+		if v.spread.Watching() {
+			frozen = append(frozen, v.host())
+			w.net.Pause(v.host())
+		}
+	}
+	w.apply(w.vms[0], sheetOf(t, "2026-12-05", map[string]int{"clubs": 60}), "ola")
+	w.net.RunUntil(20 * time.Second)
+	for _, host := range frozen {
+		w.net.Thaw(host)
+	}
+	w.net.RunUntil(25 * time.Second)
+	require.Empty(t, w.check())
+}
--- a/internal/config/judge.go
+++ b/internal/config/judge.go
@@ -1,34 +1,27 @@
 package config
 
-import (
-	"fmt"
-	"maps"
-)
+import "fmt"
 
 // Judge checks a sheet against what is accepted and returns the state that
 // accepting it gives, or every row that can't be accepted. A sheet whose rows
 // are all in force already gives the state unchanged.
 func Judge(accepted State, acceptedDay Day, sheet Sheet) (State, []Fault) {
-	next := State{limits: maps.Clone(accepted.limits)}
-	if next.limits == nil {
-		next.limits = map[LimitKey]Limit{}
-	}
+	changed := map[LimitKey]Limit{}
 	var faults []Fault
 	for _, row := range sheet.Rows {
-		was, exists := accepted.limits[row.Key]
+		was, exists := accepted.Get(row.Key)
 		limit, fault := judgeRow(was, exists, acceptedDay, sheet, row)
-		if fault == nil {
-			next.limits[row.Key] = limit
-			continue
-		}
-		if len(faults) < maxFaults {
+		switch {
+		case fault != nil && len(faults) < maxFaults:
 			faults = append(faults, *fault)
+		case fault == nil && limit != was:
+			changed[row.Key] = limit
 		}
 	}
 	if len(faults) > 0 {
 		return State{}, faults
 	}
-	return next, nil
+	return accepted.with(changed), nil
 }
 
 func judgeRow(was Limit, exists bool, acceptedDay Day, sheet Sheet, row Row) (Limit, *Fault) {
--- a/internal/config/parts.go
+++ b/internal/config/parts.go
@@ -73,38 +73,40 @@
 	return int(d.Sum64() % PartCount)
 }
 
-// EncodeParts writes the state as PartCount canonical texts, one line for each
-// limit: team,service,unit,value,day of the last raise.
-func EncodeParts(state State) []string {
-	builders := make([]strings.Builder, PartCount)
-	for _, key := range state.Keys() {
-		limit := state.limits[key]
-		b := &builders[PartIndex(key)]
-		for _, field := range []string{string(key.Team), string(key.Service), string(key.Unit), strconv.FormatUint(limit.Value, 10)} {
-			b.WriteString(field)
-			b.WriteByte(',')
-		}
-		b.WriteString(string(limit.RaisedOn))
-		b.WriteByte('\n')
+// encodePart writes limits as a canonical text, one line for each limit in key
+// order: team,service,unit,value,day of the last raise.
+func encodePart(limits map[LimitKey]Limit) string {
+	keys := make([]LimitKey, 0, len(limits))
+	for key := range limits {
+		keys = append(keys, key)
 	}
-	parts := make([]string, PartCount)
-	for i := range builders {
-		parts[i] = builders[i].String()
+	slices.SortFunc(keys, LimitKey.Compare)
+	var text []byte
+	for _, key := range keys {
+		limit := limits[key]
+		text = append(text, key.Team...)
+		text = append(text, ',')
+		text = append(text, key.Service...)
+		text = append(text, ',')
+		text = append(text, key.Unit...)
+		text = append(text, ',')
+		text = strconv.AppendUint(text, limit.Value, 10)
+		text = append(text, ',')
+		text = append(text, limit.RaisedOn...)
+		text = append(text, '\n')
 	}
-	return parts
+	return string(text)
 }
 
-// DecodeParts reads the state that EncodeParts wrote.
-func DecodeParts(parts []string) (State, error) {
+// decodePart reads what encodePart wrote.
+func decodePart(text string) (*part, error) {
 	limits := map[LimitKey]Limit{}
-	for i, text := range parts {
-		for line := range strings.Lines(text) {
-			if err := decodeLine(limits, strings.TrimSuffix(line, "\n")); err != nil {
-				return State{}, errors.Wrapf(err, "part %d", i)
-			}
+	for line := range strings.Lines(text) {
+		if err := decodeLine(limits, strings.TrimSuffix(line, "\n")); err != nil {
+			return nil, err
 		}
 	}
-	return State{limits: limits}, nil
+	return &part{limits: limits, text: text, hash: HashPart(text)}, nil
 }
 
 func decodeLine(limits map[LimitKey]Limit, line string) error {
@@ -132,27 +134,47 @@
 }
 
 // Assemble builds a snapshot from a head and texts by hash. It checks every
-// text against its hash.
-func Assemble(head Head, texts map[PartHash]string) (Snapshot, error) {
+// text against its hash. Parts that base holds already need no text.
+func Assemble(head Head, texts map[PartHash]string, base State) (Snapshot, error) {
 	if len(head.Parts) != PartCount {
 		return Snapshot{}, errors.Wrapf(ErrPart, "head names %d parts, want %d", len(head.Parts), PartCount)
 	}
-	parts := make([]string, PartCount)
+	state := State{parts: make([]*part, PartCount)}
 	for i, hash := range head.Parts {
-		if hash == "" {
-			continue
+		decoded, err := assemblePart(i, hash, texts, base)
+		if err != nil {
+			return Snapshot{}, errors.Wrapf(err, "part %d", i)
 		}
-		text, ok := texts[hash]
-		if !ok || HashPart(text) != hash {
-			return Snapshot{}, errors.Wrapf(ErrPart, "part %d: text does not match %s", i, hash)
-		}
-		parts[i] = text
+		state.parts[i] = decoded
+	}
+	return newSnapshot(head, state), nil
+}
+
+func assemblePart(i int, hash PartHash, texts map[PartHash]string, base State) (*part, error) {
+	if base.part(i).hash == hash {
+		return base.part(i), nil
 	}
-	state, err := DecodeParts(parts)
+	decoded, err := decodePart(texts[hash])
 	if err != nil {
-		return Snapshot{}, err
+		return nil, err
+	}
+	if decoded.hash != hash {
+		return nil, errors.Wrapf(ErrPart, "no text matches %s", hash)
+	}
+	for key := range decoded.limits {
+		if PartIndex(key) != i {
+			return nil, errors.Wrapf(ErrPart, "%s belongs to another part", key)
+		}
+	}
+	return decoded, nil
+}
+
+func newSnapshot(head Head, state State) Snapshot {
+	parts := make([]string, PartCount)
+	for i := range parts {
+		parts[i] = state.part(i).text
 	}
-	return Snapshot{Head: head, Parts: parts, State: state}, nil
+	return Snapshot{Head: head, Parts: parts, State: state}
 }
 
 // Texts returns the snapshot's parts by hash.
--- a/internal/config/sheet_test.go
+++ b/internal/config/sheet_test.go
@@ -65,8 +65,11 @@
 		}
 		state, faults := Judge(State{}, "", sheet)
 		require.Empty(t, faults)
-		decoded, err := DecodeParts(EncodeParts(state))
+		head := Head{Version: 1, Parts: state.Hashes()}
+		texts := newSnapshot(head, state).Texts()
+		decoded, err := Assemble(head, texts, State{})
 		require.NoError(t, err)
-		require.True(t, state.Equal(decoded))
+		require.True(t, state.Equal(decoded.State))
+		require.Equal(t, Diff(State{}, state), Diff(State{}, decoded.State))
 	})
 }
--- a/internal/config/spreadcore.go
+++ b/internal/config/spreadcore.go
@@ -141,6 +141,9 @@
 		return nil
 	}
 	s.reading, s.readSince = true, now
+	if s.wanted != nil {
+		return []SpreadAction{ReadParts{Hashes: Lacking(*s.wanted, s.texts)}}
+	}
 	return []SpreadAction{WatchHead{After: s.revision}}
 }
 
@@ -166,7 +169,6 @@
 
 func (s *Spread) readFailed(now time.Duration) {
 	s.reading = false
-	s.wanted = nil
 	jitter := time.Duration(s.rng.Int64N(int64(s.cfg.WatchRetry)))
 	s.readAgain = now + s.cfg.WatchRetry/2 + jitter
 }
@@ -214,7 +216,7 @@
 }
 
 func (s *Spread) assemble(now time.Duration, head Head, texts map[PartHash]string) []SpreadAction {
-	snapshot, err := Assemble(head, texts)
+	snapshot, err := Assemble(head, texts, s.held.State)
 	if err != nil {
 		return nil
 	}
