Peers: typed calls over gRPC with a hand-written service and CBOR

Cause: control and entry processes need one transport with mutual TLS that survives connections which went silent, without a code generator.

--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,168 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+)
+
+const (
+	minConnectTimeout = time.Second
+	baseRedialDelay   = 100 * time.Millisecond
+	maxRedialDelay    = time.Second
+)
+
+// pool holds at most one connection per address and a bounded number in all.
+type pool struct {
+	options []grpc.DialOption
+	max     int
+
+	mu     sync.Mutex
+	conns  map[string]*conn
+	serial uint64
+	closed bool
+}
+
+// conn is one connection with the calls that use it.
+type conn struct {
+	addr string
+	grpc *grpc.ClientConn
+	// proven is set once the peer has answered over this connection.
+	proven atomic.Bool
+
+	// The pool's lock guards the rest.
+	calls    int
+	lastUsed uint64
+	retired  bool
+}
+
+func newPool(cfg Config, creds credentials.TransportCredentials) *pool {
+	t := newTraffic(cfg.Metrics, "client")
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{Conn: c, traffic: t}, nil
+	}
+	redial := backoff.Config{BaseDelay: baseRedialDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxRedialDelay}
+	return &pool{
+		max:   cfg.MaxConnections,
+		conns: map[string]*conn{},
+		options: []grpc.DialOption{
+			grpc.WithTransportCredentials(creds),
+			grpc.WithContextDialer(dial),
+			grpc.WithIdleTimeout(cfg.IdleTimeout),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: minConnectTimeout}),
+			grpc.WithDefaultCallOptions(
+				grpc.MaxCallRecvMsgSize(cfg.MaxMessageBytes),
+				grpc.MaxCallSendMsgSize(cfg.MaxMessageBytes)),
+			grpc.WithReadBufferSize(connBufferBytes),
+			grpc.WithWriteBufferSize(connBufferBytes),
+			grpc.WithDisableServiceConfig(),
+			grpc.WithDisableRetry(),
+			grpc.WithNoProxy(),
+			grpc.WithStatsHandler(t),
+		},
+	}
+}
+
+// acquire returns the connection to addr for one call. fresh retires the
+// present one first.
+func (p *pool) acquire(addr string, fresh bool) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errors.Wrap(ErrUnreachable, "client closed")
+	}
+	if fresh {
+		p.retireLocked(p.conns[addr])
+	}
+	c, ok := p.conns[addr]
+	if !ok {
+		p.makeRoom()
+		cc, err := grpc.NewClient("passthrough:///"+addr, p.options...)
+		if err != nil {
+			return nil, errors.Wrapf(err, "connection to %s", addr)
+		}
+		c = &conn{addr: addr, grpc: cc}
+		p.conns[addr] = c
+	}
+	p.serial++
+	c.lastUsed = p.serial
+	c.calls++
+	return c, nil
+}
+
+// makeRoom retires the connection that was not used for longest. A retired
+// connection lives on until its calls have ended.
+func (p *pool) makeRoom() {
+	if len(p.conns) < p.max {
+		return
+	}
+	var oldest *conn
+	for _, c := range p.conns {
+		if oldest == nil || c.lastUsed < oldest.lastUsed {
+			oldest = c
+		}
+	}
+	p.retireLocked(oldest)
+}
+
+func (p *pool) release(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls--
+	p.closeUnused(c)
+}
+
+func (p *pool) retire(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retireLocked(c)
+}
+
+func (p *pool) drop(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retireLocked(p.conns[addr])
+}
+
+// retireLocked takes c out of the pool, so that the next call dials.
+func (p *pool) retireLocked(c *conn) {
+	if c == nil || c.retired {
+		return
+	}
+	c.retired = true
+	delete(p.conns, c.addr)
+	p.closeUnused(c)
+}
+
+func (p *pool) closeUnused(c *conn) {
+	if c.retired && c.calls == 0 {
+		_ = c.grpc.Close()
+	}
+}
+
+func (p *pool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.conns {
+		_ = c.grpc.Close()
+	}
+	p.conns = map[string]*conn{}
+}
