--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,82 @@
+package platform
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Config bounds the use of the key-value service.
+type Config struct {
+	// Seed fixes the jitter of the backoff.
+	Seed uint64 `json:"seed"`
+	// FleetReadsPerSecond and FleetWritesPerSecond are the rates that all
+	// processes together may use.
+	FleetReadsPerSecond  float64 `json:"fleet_reads_per_second"`
+	FleetWritesPerSecond float64 `json:"fleet_writes_per_second"`
+	// Burst is the number of reads, and of writes, that one process may send at
+	// once after a quiet time.
+	Burst float64 `json:"burst"`
+	// Reserve is the share of Burst, 0 to 1, that is kept for urgent calls.
+	Reserve float64 `json:"reserve"`
+	// CallTimeout bounds one call, apart from a watch's own wait.
+	CallTimeout time.Duration `json:"call_timeout_ns"`
+	// BackoffBase and BackoffMax bound the wait after a failure.
+	BackoffBase time.Duration `json:"backoff_base_ns"`
+	BackoffMax  time.Duration `json:"backoff_max_ns"`
+	// DownAfter is how long nothing may succeed, with at least FailuresDown
+	// failures in a row, before the service counts as down.
+	DownAfter    time.Duration `json:"down_after_ns"`
+	FailuresDown int           `json:"failures_down"`
+	// MaxPending bounds the calls that wait or are in flight.
+	MaxPending int `json:"max_pending"`
+	// MaxKept bounds the keys whose last known state is kept.
+	MaxKept int `json:"max_kept"`
+}
+
+// DefaultConfig uses a tenth of what the service handles (two thousand reads
+// and several hundred writes a second).
+func DefaultConfig() Config {
+	return Config{
+		Seed:                 1,
+		FleetReadsPerSecond:  200,
+		FleetWritesPerSecond: 30,
+		Burst:                20,
+		Reserve:              0.25,
+		CallTimeout:          2 * time.Second,
+		BackoffBase:          100 * time.Millisecond,
+		BackoffMax:           5 * time.Second,
+		DownAfter:            2 * time.Second,
+		FailuresDown:         3,
+		MaxPending:           256,
+		MaxKept:              256,
+	}
+}
+
+// Validate names every faulty field.
+func (c Config) Validate() error {
+	var err error
+	positive := func(name string, v float64) {
+		if v <= 0 {
+			err = errors.Join(err, errors.Newf("%s is %g: want a value above zero", name, v))
+		}
+	}
+	positive("fleet_reads_per_second", c.FleetReadsPerSecond)
+	positive("fleet_writes_per_second", c.FleetWritesPerSecond)
+	positive("call_timeout_ns", float64(c.CallTimeout))
+	positive("backoff_base_ns", float64(c.BackoffBase))
+	positive("down_after_ns", float64(c.DownAfter))
+	positive("failures_down", float64(c.FailuresDown))
+	positive("max_pending", float64(c.MaxPending))
+	positive("max_kept", float64(c.MaxKept))
+	if c.Burst < 1 {
+		err = errors.Join(err, errors.Newf("burst is %g: want at least 1", c.Burst))
+	}
+	if c.Reserve < 0 || c.Reserve >= 1 {
+		err = errors.Join(err, errors.Newf("reserve is %g: want at least 0 and under 1", c.Reserve))
+	}
+	if c.BackoffMax < c.BackoffBase {
+		err = errors.Join(err, errors.Newf("backoff_max_ns is %d: want at least backoff_base_ns", c.BackoffMax))
+	}
+	return err
+}
