Drive token streams through pipeline stages

Cause: an answer must be whole and every layer must run once per token, whatever stage dies and whichever reply is late, doubled or lost.

A Table keeps one step of each stream in flight, drops answers that don't match it, and brings a replacement to the frontier by import, replay or a start over. A property test mixes deaths, leaving stages and lost, late, doubled and crossed replies; every request ends once, whole or cut.

--- /dev/null
+++ b/internal/stream/fake_test.go
@@ -0,0 +1,277 @@
+package stream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+)
+
+const fakeStepTime = 10 * time.Millisecond
+
+// fakeEngine runs layers as a hash chain: each layer's state depends on every
+// input it ever had, so a layer that runs twice, not at all or out of order
+// changes the text.
+type fakeEngine struct {
+	dead    bool
+	leaving bool
+	caches  map[string][]uint64 // stream -> one state per layer
+	tokens  map[string]int      // stream -> position
+	stored  map[string]StepDone // stream/attempt/token
+	runs    map[string]int      // stream/token -> times run
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{
+		caches: map[string][]uint64{}, tokens: map[string]int{},
+		stored: map[string]StepDone{}, runs: map[string]int{},
+	}
+}
+
+func (e *fakeEngine) run(a SendStep, layers, eosAt int) Event {
+	key := fmt.Sprint(a.Stream, "/", a.Attempt, "/", a.Token)
+	if done, ok := e.stored[key]; ok {
+		return done
+	}
+	failed := StepFailed{Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token, From: a.From, To: a.To}
+	position := e.tokens[a.Stream]
+	if e.leaving {
+		failed.Kind = FailureLeaving
+		return failed
+	}
+	if position != a.Token {
+		failed.Kind = FailurePosition
+		failed.Position = position
+		return failed
+	}
+	cache := e.caches[a.Stream]
+	if cache == nil {
+		cache = make([]uint64, a.To-a.From)
+	}
+	data := a.Data
+	for i := range cache {
+		cache[i] = xxhash.Sum64String(fmt.Sprint(cache[i], a.From+i, data))
+		data = strconv.FormatUint(cache[i], 16)
+	}
+	e.caches[a.Stream] = cache
+	e.tokens[a.Stream] = position + 1
+	e.runs[fmt.Sprint(a.Stream, "/", a.Token)]++
+	done := StepDone{Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token, From: a.From, To: a.To, Data: data}
+	done.EOS = a.To == layers && a.Token == eosAt
+	e.stored[key] = done
+	return done
+}
+
+func (e *fakeEngine) export(stream string) (string, int) {
+	words := []string{}
+	for _, state := range e.caches[stream] {
+		words = append(words, strconv.FormatUint(state, 16))
+	}
+	return strings.Join(words, ","), e.tokens[stream]
+}
+
+func (e *fakeEngine) load(stream, blob string, position int) {
+	cache := []uint64{}
+	for _, word := range strings.Split(blob, ",") {
+		state, _ := strconv.ParseUint(word, 16, 64)
+		cache = append(cache, state)
+	}
+	e.caches[stream] = cache
+	e.tokens[stream] = position
+}
+
+// faults are chances, each between 0 and 1, per message.
+type faults struct {
+	lose, duplicate, cross float64
+}
+
+type delivery struct {
+	at  time.Duration
+	seq int
+	ev  Event
+}
+
+// world drives one Table against fake engines under virtual time.
+type world struct {
+	table   *Table
+	engines map[ident.BackendServer]*fakeEngine
+	spares  map[int][]ident.BackendServer // by From
+	layers  int
+	eosAt   int
+	rng     *rand.Rand
+	faults  faults
+	now     time.Duration
+	seq     int
+	queue   []delivery
+	sends   int
+	onSend  func(w *world, a SendStep)
+	blobs   map[string]int // blob -> position
+
+	text     map[string][]string
+	finished map[string]Finish
+	cuts     map[string]Cut
+	emitAt   []time.Duration
+	faulty   []string
+}
+
+func newWorld(cfg Config, stages, spares int, seed uint64) *world {
+	table, err := New(cfg)
+	if err != nil {
+		panic(err)
+	}
+	w := &world{
+		table: table, layers: 4 * stages, eosAt: -1, rng: rand.New(rand.NewPCG(seed, 1)),
+		engines: map[ident.BackendServer]*fakeEngine{}, spares: map[int][]ident.BackendServer{},
+		text: map[string][]string{}, finished: map[string]Finish{}, cuts: map[string]Cut{}, blobs: map[string]int{},
+	}
+	for i := range stages {
+		for r := range 1 + spares {
+			name := ident.BackendServer(fmt.Sprintf("s%d.%d", i, r))
+			w.engines[name] = newFakeEngine()
+			w.spares[4*i] = append(w.spares[4*i], name)
+		}
+	}
+	return w
+}
+
+func (w *world) open(request string, tokens int) {
+	pipeline := []Stage{}
+	for from := 0; from < w.layers; from += 4 {
+		pipeline = append(pipeline, Stage{From: from, To: from + 4, Server: w.spares[from][0]})
+	}
+	w.take(Open{Request: request, Prompt: "prompt of " + request, MaxTokens: tokens, Layers: w.layers, Pipeline: pipeline})
+}
+
+func (w *world) after(d time.Duration, ev Event) {
+	w.seq++
+	w.queue = append(w.queue, delivery{at: w.now + d, seq: w.seq, ev: ev})
+}
+
+// run delivers until nothing is left to do or the time is over.
+func (w *world) run(until time.Duration) {
+	for w.now < until && w.table.Stats().Open > 0 {
+		w.now += 5 * time.Millisecond
+		sort.Slice(w.queue, func(i, j int) bool {
+			a, b := w.queue[i], w.queue[j]
+			return a.at < b.at || a.at == b.at && a.seq < b.seq
+		})
+		n := sort.Search(len(w.queue), func(i int) bool { return w.queue[i].at > w.now })
+		due := w.queue[:n:n]
+		w.queue = w.queue[n:]
+		for _, d := range due {
+			w.take(d.ev)
+		}
+		w.take(Tick{})
+	}
+}
+
+func (w *world) take(ev Event) {
+	actions := append([]Action(nil), w.table.Step(w.now, ev)...)
+	for _, a := range actions {
+		w.act(a)
+	}
+}
+
+func (w *world) act(a Action) {
+	switch a := a.(type) {
+	case SendStep:
+		w.sends++
+		if w.onSend != nil {
+			w.onSend(w, a)
+		}
+		w.send(a)
+	case EmitToken:
+		if a.Index != len(w.text[a.Request]) {
+			w.faulty = append(w.faulty, fmt.Sprintf("%s: token %d sent after %d", a.Request, a.Index, len(w.text[a.Request])))
+		}
+		w.text[a.Request] = append(w.text[a.Request], a.Text)
+		w.emitAt = append(w.emitAt, w.now)
+	case Finish:
+		w.finished[a.Request] = a
+	case Cut:
+		w.cuts[a.Request] = a
+	case WantReplacement:
+		w.after(fakeStepTime/10, Replacement{Stream: a.Stream, Stage: a.Stage, Server: w.pick(a)})
+	case Export:
+		w.export(a)
+	case Import:
+		w.load(a)
+	}
+}
+
+func (w *world) send(a SendStep) {
+	engine := w.engines[a.Server]
+	failed := StepFailed{Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token, From: a.From, To: a.To}
+	if engine.dead {
+		failed.Kind = FailureNotSent
+		w.after(fakeStepTime/10, failed)
+		return
+	}
+	answer := engine.run(a, w.layers, w.eosAt)
+	if w.rng.Float64() < w.faults.lose {
+		failed.Kind = FailureLost
+		w.after(2*fakeStepTime, failed)
+		if w.rng.Float64() < 0.5 {
+			w.after(time.Duration(w.rng.IntN(40))*fakeStepTime, answer) // late instead of lost
+		}
+		return
+	}
+	w.after(fakeStepTime, answer)
+	if w.rng.Float64() < w.faults.duplicate {
+		w.after(time.Duration(1+w.rng.IntN(40))*fakeStepTime, answer)
+	}
+	if done, ok := answer.(StepDone); ok && w.rng.Float64() < w.faults.cross {
+		done.Data = "crossed"
+		done.Token++
+		w.after(fakeStepTime/2, done)
+	}
+}
+
+func (w *world) pick(a WantReplacement) ident.BackendServer {
+	for _, name := range w.spares[a.From] {
+		excluded := false
+		for _, x := range a.Exclude {
+			excluded = excluded || x == name
+		}
+		if !excluded && !w.engines[name].dead && !w.engines[name].leaving {
+			return name
+		}
+	}
+	return ""
+}
+
+func (w *world) export(a Export) {
+	engine := w.engines[a.Server]
+	if engine.dead {
+		w.after(fakeStepTime, ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+		return
+	}
+	blob, position := engine.export(a.Stream)
+	w.blobs[blob] = position
+	w.after(fakeStepTime, ExportDone{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt, Position: position, Blob: blob})
+}
+
+func (w *world) load(a Import) {
+	engine := w.engines[a.Server]
+	if engine.dead {
+		w.after(fakeStepTime, ImportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+		return
+	}
+	engine.load(a.Stream, a.Blob, w.blobs[a.Blob])
+	w.after(fakeStepTime, ImportDone{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+}
+
+// expected is the text of a request without any fault.
+func expected(stages, tokens, eosAt int, request string) string {
+	w := newWorld(DefaultConfig(), stages, 0, 0)
+	w.eosAt = eosAt
+	w.open(request, tokens)
+	w.run(time.Hour)
+	return strings.Join(w.text[request], " ")
+}
--- /dev/null
+++ b/internal/stream/messages.go
@@ -0,0 +1,229 @@
+package stream
+
+import (
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// Stage is one backend server's part of a pipeline: the layers [From, To).
+type Stage struct {
+	From   int                 `json:"from"`
+	To     int                 `json:"to"`
+	Server ident.BackendServer `json:"server"`
+}
+
+// Event is an input of the Table.
+type Event interface{ isEvent() }
+
+// Open starts a stream. Request must be unique in the life of the Table.
+type Open struct {
+	Request   string        `json:"request"`
+	Model     ident.Service `json:"model"`
+	Prompt    string        `json:"prompt"`
+	MaxTokens int           `json:"max_tokens"`
+	Seed      uint64        `json:"seed"`
+	Priority  int           `json:"priority"`
+	// Deadline is the process time by which the answer must be whole; 0 sets
+	// none.
+	Deadline time.Duration `json:"deadline_ns"`
+	// Layers is the model's number of layers; Pipeline must cover [0, Layers)
+	// exactly once and in order.
+	Layers   int     `json:"layers"`
+	Pipeline []Stage `json:"pipeline"`
+}
+
+// StepDone is an engine's answer to a step that ran.
+type StepDone struct {
+	Stream  string              `json:"stream"`
+	Server  ident.BackendServer `json:"server"`
+	Attempt uint32              `json:"attempt"`
+	Token   int                 `json:"token"`
+	From    int                 `json:"from"`
+	To      int                 `json:"to"`
+	Data    string              `json:"data"`
+	EOS     bool                `json:"eos"`
+}
+
+// FailureKind says what is known about a step without an answer.
+type FailureKind string
+
+// The kinds.
+const (
+	// FailureNotSent: no byte reached the backend server.
+	FailureNotSent FailureKind = "not-sent"
+	// FailureLost: the step may have run; its reply is lost.
+	FailureLost FailureKind = "lost"
+	// FailurePosition: not run; the stage's cache is at StepFailed.Position.
+	FailurePosition FailureKind = "position"
+	// FailureLeaving: not run; the backend server is leaving.
+	FailureLeaving FailureKind = "leaving"
+	// FailureFull: not run; the backend server has no room.
+	FailureFull FailureKind = "full"
+)
+
+// StepFailed says that a step got no answer, or was not run.
+type StepFailed struct {
+	Stream   string              `json:"stream"`
+	Server   ident.BackendServer `json:"server"`
+	Attempt  uint32              `json:"attempt"`
+	Token    int                 `json:"token"`
+	From     int                 `json:"from"`
+	To       int                 `json:"to"`
+	Kind     FailureKind         `json:"kind"`
+	Position int                 `json:"position,omitempty"`
+}
+
+// Replacement answers WantReplacement. An empty Server says that there is none
+// at present.
+type Replacement struct {
+	Stream string              `json:"stream"`
+	Stage  int                 `json:"stage"`
+	Server ident.BackendServer `json:"server"`
+}
+
+// ExportDone brings a stage's KV cache, which holds the tokens below Position.
+type ExportDone struct {
+	Stream   string `json:"stream"`
+	Stage    int    `json:"stage"`
+	Attempt  uint32 `json:"attempt"`
+	Position int    `json:"position"`
+	Blob     string `json:"blob"`
+}
+
+// ExportFailed says that an export brought nothing.
+type ExportFailed struct {
+	Stream  string `json:"stream"`
+	Stage   int    `json:"stage"`
+	Attempt uint32 `json:"attempt"`
+}
+
+// ImportDone says that a replacement holds the imported cache.
+type ImportDone struct {
+	Stream  string `json:"stream"`
+	Stage   int    `json:"stage"`
+	Attempt uint32 `json:"attempt"`
+}
+
+// ImportFailed says that a replacement could not import the cache.
+type ImportFailed struct {
+	Stream  string `json:"stream"`
+	Stage   int    `json:"stage"`
+	Attempt uint32 `json:"attempt"`
+}
+
+// Cancel says that the caller of a request is gone.
+type Cancel struct {
+	Request string `json:"request"`
+}
+
+// Tick lets time pass; the shell sends one every few tens of milliseconds.
+type Tick struct{}
+
+func (Open) isEvent()         {}
+func (StepDone) isEvent()     {}
+func (StepFailed) isEvent()   {}
+func (Replacement) isEvent()  {}
+func (ExportDone) isEvent()   {}
+func (ExportFailed) isEvent() {}
+func (ImportDone) isEvent()   {}
+func (ImportFailed) isEvent() {}
+func (Cancel) isEvent()       {}
+func (Tick) isEvent()         {}
+
+// Action is an output of the Table.
+type Action interface{ isAction() }
+
+// SendStep asks the shell to send one step to an engine.
+type SendStep struct {
+	Stream   string              `json:"stream"`
+	Attempt  uint32              `json:"attempt"`
+	Token    int                 `json:"token"`
+	From     int                 `json:"from"`
+	To       int                 `json:"to"`
+	Server   ident.BackendServer `json:"server"`
+	Data     string              `json:"data"`
+	Seed     uint64              `json:"seed"`
+	Priority int                 `json:"priority"`
+	// NewConnection asks for a connection that has carried nothing yet: the
+	// step was sent before and its reply was lost.
+	NewConnection bool `json:"new_connection,omitempty"`
+}
+
+// EmitToken gives the caller its next token. Index grows by one from 0.
+type EmitToken struct {
+	Request string `json:"request"`
+	Index   int    `json:"index"`
+	Text    string `json:"text"`
+}
+
+// FinishReason says why an answer is whole.
+type FinishReason string
+
+// The reasons.
+const (
+	// FinishStop: the model ended the answer.
+	FinishStop FinishReason = "stop"
+	// FinishLength: the answer has Open.MaxTokens tokens.
+	FinishLength FinishReason = "length"
+)
+
+// Finish says that the answer is whole.
+type Finish struct {
+	Request string       `json:"request"`
+	Reason  FinishReason `json:"reason"`
+	Tokens  int          `json:"tokens"`
+}
+
+// Cut is the explicit end of a request that gets no whole answer.
+type Cut struct {
+	Request string          `json:"request"`
+	Refusal verdict.Refusal `json:"refusal"`
+}
+
+// WantReplacement asks routing for another backend server for a layer range.
+// The shell answers with Replacement.
+type WantReplacement struct {
+	Stream  string                `json:"stream"`
+	Stage   int                   `json:"stage"`
+	Model   ident.Service         `json:"model"`
+	From    int                   `json:"from"`
+	To      int                   `json:"to"`
+	Exclude []ident.BackendServer `json:"exclude"`
+}
+
+// Export asks for a stage's KV cache. The shell answers with ExportDone or
+// ExportFailed.
+type Export struct {
+	Stream  string              `json:"stream"`
+	Stage   int                 `json:"stage"`
+	Attempt uint32              `json:"attempt"`
+	Server  ident.BackendServer `json:"server"`
+}
+
+// Import gives a KV cache to a replacement. The shell answers with ImportDone
+// or ImportFailed.
+type Import struct {
+	Stream  string              `json:"stream"`
+	Stage   int                 `json:"stage"`
+	Attempt uint32              `json:"attempt"`
+	Server  ident.BackendServer `json:"server"`
+	Blob    string              `json:"blob"`
+}
+
+// CancelAt frees what a backend server holds for a stream. It has no answer.
+type CancelAt struct {
+	Server  ident.BackendServer `json:"server"`
+	Stream  string              `json:"stream"`
+	Attempt uint32              `json:"attempt"`
+}
+
+func (SendStep) isAction()        {}
+func (EmitToken) isAction()       {}
+func (Finish) isAction()          {}
+func (Cut) isAction()             {}
+func (WantReplacement) isAction() {}
+func (Export) isAction()          {}
+func (Import) isAction()          {}
+func (CancelAt) isAction()        {}
--- /dev/null
+++ b/internal/stream/stream.go
@@ -0,0 +1,208 @@
+package stream
+
+import (
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// phase says what a stream waits for.
+type phase uint8
+
+const (
+	stepping  phase = iota // the answer to the step in flight
+	backedOff              // time, before a full stage is tried again
+	looking                // a replacement for the stage at the frontier
+	exporting              // the cache of a leaving stage
+	importing              // the import into a replacement
+)
+
+// stage is one stage of a stream and what its present holder has.
+type stage struct {
+	Stage
+	server       ident.BackendServer
+	attempt      uint32
+	position     int  // tokens that the holder has run
+	touched      bool // something was sent to the holder
+	repositioned bool // the holder was caught up once after a position answer
+	kept         keptInputs
+	cache        checkpoint
+}
+
+// stream is one request on its way. The frontier is the pair (token, at): the
+// stages before at have run token, the others have not.
+type stream struct {
+	open    Open
+	name    string // at the engines
+	index   int    // in Table.order
+	stages  []stage
+	token   int      // token at the frontier
+	at      int      // stage at the frontier
+	input   string   // what stage at takes for token
+	emitted []string // what the caller had
+
+	phase     phase
+	until     time.Duration // when the wait of the phase ends
+	sent      int           // token of the step in flight
+	resends   int           // of the step in flight
+	fulls     int           // refusals in a row by a full stage
+	lookSince time.Duration
+	exclude   []ident.BackendServer
+	attempts  uint32
+	starts    int
+	uncertain bool // a step ran or may have run
+	keptBytes int
+}
+
+func newStream(ev Open) *stream {
+	s := &stream{open: ev, name: ev.Request, input: ev.Prompt}
+	s.stages = make([]stage, len(ev.Pipeline))
+	for i, st := range ev.Pipeline {
+		s.stages[i] = stage{Stage: st, server: st.Server}
+	}
+	return s
+}
+
+// mayHaveRun reports whether any part of the request may have run or may still
+// run.
+func (s *stream) mayHaveRun() bool {
+	return s.uncertain || s.phase == stepping
+}
+
+// drive sends the next step: the frontier's, or a kept one that the frontier
+// stage's holder lacks.
+func (t *Table) drive(s *stream) {
+	s.resends = 0
+	s.sent = s.stages[s.at].position
+	t.send(s, false)
+}
+
+// send sends the step s.sent to the stage at the frontier.
+func (t *Table) send(s *stream, newConnection bool) {
+	st := &s.stages[s.at]
+	st.touched = true
+	s.phase = stepping
+	s.until = t.now + t.cfg.StepTimeout
+	if s.sent == 0 {
+		s.until = t.now + t.cfg.PrefillTimeout
+	}
+	t.emit(SendStep{
+		Stream:        s.name,
+		Attempt:       st.attempt,
+		Token:         s.sent,
+		From:          st.From,
+		To:            st.To,
+		Server:        st.server,
+		Data:          s.inputOf(s.at, s.sent),
+		Seed:          s.open.Seed,
+		Priority:      s.open.Priority,
+		NewConnection: newConnection,
+	})
+}
+
+// inputOf returns what stage i takes for a token up to the frontier's.
+func (s *stream) inputOf(i, token int) string {
+	if token == s.token {
+		return s.input
+	}
+	if i > 0 {
+		return s.stages[i].kept.get(token)
+	}
+	if token == 0 {
+		return s.open.Prompt
+	}
+	return s.emitted[token-1]
+}
+
+// stepDone takes an answer if it belongs to the step in flight.
+func (t *Table) stepDone(ev StepDone) {
+	s := t.inFlight(ev.Stream, ev.Server, ev.Attempt, ev.Token, ev.From, ev.To)
+	if s == nil {
+		t.stats.Dropped++
+		return
+	}
+	s.uncertain = true
+	s.fulls = 0
+	st := &s.stages[s.at]
+	st.position++
+	if ev.Token < s.token {
+		t.replayed(s, ev)
+		return
+	}
+	t.keep(s, st, s.input)
+	s.input = ev.Data
+	s.at++
+	if s.at == len(s.stages) {
+		t.tokenDone(s, ev)
+		return
+	}
+	t.drive(s)
+}
+
+// inFlight returns the stream whose step in flight is the named one, or nil.
+func (t *Table) inFlight(name string, server ident.BackendServer, attempt uint32, token, from, to int) *stream {
+	s, ok := t.streams[name]
+	if !ok || s.phase != stepping || token != s.sent {
+		return nil
+	}
+	st := &s.stages[s.at]
+	if server != st.server || attempt != st.attempt || from != st.From || to != st.To {
+		return nil
+	}
+	return s
+}
+
+// tokenDone takes the last stage's answer: the text of the frontier's token.
+func (t *Table) tokenDone(s *stream, ev StepDone) {
+	s.at = 0
+	s.token++
+	if ev.Token < len(s.emitted) {
+		t.tokenAgain(s, ev)
+		return
+	}
+	s.emitted = append(s.emitted, ev.Data)
+	t.emit(EmitToken{Request: s.open.Request, Index: ev.Token, Text: ev.Data})
+	switch {
+	case ev.EOS:
+		t.finish(s, FinishStop)
+	case len(s.emitted) == s.open.MaxTokens:
+		t.finish(s, FinishLength)
+	default:
+		t.askCheckpoints(s)
+		t.drive(s)
+	}
+}
+
+// tokenAgain takes a token that the caller already had, after a start over.
+func (t *Table) tokenAgain(s *stream, ev StepDone) {
+	if ev.EOS || ev.Data != s.emitted[ev.Token] {
+		t.cut(s, verdict.CauseInternalFailure, "the model gave another token when it was run again")
+		return
+	}
+	t.drive(s)
+}
+
+// replayed takes the answer to a replayed step: it must equal what the next
+// boundary had, where that is still known.
+func (t *Table) replayed(s *stream, ev StepDone) {
+	want, known := s.outputOf(s.at, ev.Token)
+	if known && want != ev.Data {
+		t.cut(s, verdict.CauseInternalFailure, "a replacement gave another output when it was run again")
+		return
+	}
+	t.drive(s)
+}
+
+// outputOf returns what stage i gave for a token before the frontier's, if it
+// is still kept.
+func (s *stream) outputOf(i, token int) (string, bool) {
+	if i == len(s.stages)-1 {
+		return s.emitted[token], true
+	}
+	kept := &s.stages[i+1].kept
+	if !kept.has(token) {
+		return "", false
+	}
+	return kept.get(token), true
+}
--- /dev/null
+++ b/internal/stream/stream_test.go
@@ -0,0 +1,154 @@
+package stream
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+func TestCoversWantsEveryLayerOnceInOrder(t *testing.T) {
+	require.True(t, Covers([]Stage{{0, 4, "a"}, {4, 8, "b"}}, 8))
+	require.False(t, Covers([]Stage{{0, 4, "a"}, {5, 8, "b"}}, 8), "a gap")
+	require.False(t, Covers([]Stage{{0, 4, "a"}, {3, 8, "b"}}, 8), "a layer twice")
+	require.False(t, Covers([]Stage{{4, 8, "b"}, {0, 4, "a"}}, 8), "out of order")
+	require.False(t, Covers([]Stage{{0, 4, "a"}}, 8), "too few")
+	require.False(t, Covers(nil, 0), "nothing")
+}
+
+func TestNotRunOnlyWhereNothingWasSent(t *testing.T) {
+	w := newWorld(DefaultConfig(), 2, 0, 1)
+	w.engines["s0.0"].dead = true
+	w.open("a", 3)
+	w.run(time.Minute)
+	require.Equal(t, verdict.NotRun, w.cuts["a"].Refusal.Verdict)
+
+	w = newWorld(DefaultConfig(), 2, 0, 1)
+	w.engines["s1.0"].dead = true
+	w.open("a", 3)
+	w.run(time.Minute)
+	require.Equal(t, verdict.MayHaveRun, w.cuts["a"].Refusal.Verdict)
+	require.Empty(t, w.finished)
+}
+
+// TestAnswersSurviveFaults mixes stage deaths, leaving stages and lost, late,
+// doubled and crossed answers: every request gets its whole answer or a cut.
+func TestAnswersSurviveFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stages := rapid.IntRange(1, 4).Draw(t, "stages")
+		tokens := rapid.IntRange(1, 12).Draw(t, "tokens")
+		cfg := DefaultConfig()
+		cfg.Resume = rapid.SampledFrom([][]Way{
+			{WayImport, WayReplay, WayStartOver}, {WayImport, WayStartOver}, {WayReplay}, {WayStartOver},
+		}).Draw(t, "resume")
+		cfg.CheckpointEvery = rapid.IntRange(0, 4).Draw(t, "checkpoint every")
+		cfg.KeepBytesPerStream = rapid.SampledFrom([]int{0, 100, 1 << 20}).Draw(t, "keep")
+		w := newWorld(cfg, stages, 3, rapid.Uint64().Draw(t, "seed"))
+		w.eosAt = rapid.IntRange(-1, 12).Draw(t, "eos")
+		w.faults = faults{
+			lose:      rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "lose"),
+			duplicate: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "duplicate"),
+			cross:     rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "cross"),
+		}
+		deaths := rapid.SliceOfN(rapid.IntRange(1, 80), 0, 4).Draw(t, "deaths at send")
+		both := rapid.Bool().Draw(t, "two at once")
+		w.onSend = func(w *world, a SendStep) {
+			for i, at := range deaths {
+				if at == w.sends {
+					w.strike(a, i, both)
+				}
+			}
+		}
+		requests := []string{"a", "b", "c"}
+		for _, request := range requests {
+			w.open(request, tokens)
+		}
+		w.run(time.Hour)
+		w.check(t, requests, stages, tokens)
+	})
+}
+
+// strike kills the server a step goes to, or lets it leave; with both, it also
+// kills the first living server of the next stage.
+func (w *world) strike(a SendStep, i int, both bool) {
+	if i%2 == 1 {
+		w.engines[a.Server].leaving = true
+		return
+	}
+	w.engines[a.Server].dead = true
+	if !both {
+		return
+	}
+	for _, name := range w.spares[a.To%w.layers] {
+		if !w.engines[name].dead {
+			w.engines[name].dead = true
+			return
+		}
+	}
+}
+
+func (w *world) check(t require.TestingT, requests []string, stages, tokens int) {
+	require.Empty(t, w.faulty)
+	require.Zero(t, w.table.Stats().KeptBytes)
+	for _, request := range requests {
+		want := expected(stages, tokens, w.eosAt, request)
+		got := strings.Join(w.text[request], " ")
+		_, finished := w.finished[request]
+		_, cut := w.cuts[request]
+		require.True(t, finished != cut, "%s must end once: finished %v, cut %v", request, finished, cut)
+		if finished {
+			require.Equal(t, want, got)
+		} else {
+			require.True(t, strings.HasPrefix(want, got), "%s: %q is no part of %q", request, got, want)
+		}
+	}
+	for name, engine := range w.engines {
+		for step, n := range engine.runs {
+			require.Equal(t, 1, n, "%s ran %s more than once", name, step)
+		}
+	}
+}
+
+func TestDuplicateOpenLeavesTheFirstAlone(t *testing.T) {
+	w := newWorld(DefaultConfig(), 1, 0, 1)
+	w.open("a", 2)
+	w.open("a", 2)
+	w.run(time.Minute)
+	require.Equal(t, Finish{Request: "a", Reason: FinishLength, Tokens: 2}, w.finished["a"])
+	require.Empty(t, w.cuts)
+}
+
+// TestHotPathAllocations holds the budget: one allocation per token and stage,
+// for the action, and two more per token, for the token's own action and the
+// growth of what is kept.
+func TestHotPathAllocations(t *testing.T) {
+	const stages, runs = 4, 1000
+	table, err := New(DefaultConfig())
+	require.NoError(t, err)
+	pipeline := []Stage{{0, 1, "a"}, {1, 2, "b"}, {2, 3, "c"}, {3, 4, "d"}}
+	table.Step(0, Open{Request: "r", MaxTokens: 30000, Layers: stages, Pipeline: pipeline})
+	token := 0
+	answers := make([]Event, stages)
+	perToken := testing.AllocsPerRun(runs, func() {
+		for i, st := range pipeline {
+			answers[i] = StepDone{Stream: "r", Server: st.Server, Token: token, From: st.From, To: st.To, Data: "x"}
+			table.Step(0, answers[i])
+		}
+		token++
+	})
+	const events = stages // one allocation each to pass an event as an interface
+	t.Logf("%.1f allocations per token at %d stages, without the events", perToken-events, stages)
+	require.LessOrEqual(t, perToken-events, float64(stages+2))
+	require.EqualValues(t, 0, table.Stats().Dropped)
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	err := Config{Resume: []Way{"magic"}}.Validate()
+	for _, word := range []string{"MaxStreams", "MaxTokens", "StepTimeout", "Backoff"} {
+		require.Contains(t, err.Error(), word)
+	}
+}
--- /dev/null
+++ b/internal/stream/table.go
@@ -0,0 +1,199 @@
+package stream
+
+import (
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// Stats counts what a Table did. All fields only grow but Open and KeptBytes.
+type Stats struct {
+	// Open is the number of open streams.
+	Open int `json:"open"`
+	// KeptBytes is the size of the kept inputs and exported caches.
+	KeptBytes int `json:"kept_bytes"`
+	// Dropped counts answers that matched no step in flight.
+	Dropped uint64 `json:"dropped"`
+	// Ignored counts other events that came too late or named no open stream.
+	Ignored uint64 `json:"ignored"`
+	// Resent counts steps that were sent again after a lost reply.
+	Resent uint64 `json:"resent"`
+	// Replaced counts stages that were taken over.
+	Replaced uint64 `json:"replaced"`
+	// Imported counts resumes by import of a KV cache.
+	Imported uint64 `json:"imported"`
+	// Replayed counts resumes by replay of kept inputs.
+	Replayed uint64 `json:"replayed"`
+	// StartedOver counts resumes that drove all stages again.
+	StartedOver uint64 `json:"started_over"`
+	// Finished counts whole answers.
+	Finished uint64 `json:"finished"`
+	// Cut counts answers that were cut.
+	Cut uint64 `json:"cut"`
+}
+
+// Table holds the open streams of one entry process. It is not safe for
+// concurrent use.
+type Table struct {
+	cfg     Config
+	streams map[string]*stream // by the name used at the engines
+	names   map[string]string  // request -> name used at the engines
+	order   []*stream          // for ticks: a fixed order makes replay exact
+	now     time.Duration
+	out     []Action
+	stats   Stats
+}
+
+// New returns an empty Table.
+func New(cfg Config) (*Table, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &Table{
+		cfg:     cfg,
+		streams: map[string]*stream{},
+		names:   map[string]string{},
+	}, nil
+}
+
+// Stats returns the counters.
+func (t *Table) Stats() Stats {
+	t.stats.Open = len(t.order)
+	return t.stats
+}
+
+// Step takes one event at process time now. The returned slice is valid until
+// the next call of Step.
+func (t *Table) Step(now time.Duration, ev Event) []Action {
+	t.now = now
+	clear(t.out)
+	t.out = t.out[:0]
+	switch ev := ev.(type) {
+	case Open:
+		t.open(ev)
+	case StepDone:
+		t.stepDone(ev)
+	case StepFailed:
+		t.stepFailed(ev)
+	case Replacement:
+		t.replacement(ev)
+	case ExportDone:
+		t.exportDone(ev)
+	case ExportFailed:
+		t.exportFailed(ev)
+	case ImportDone:
+		t.importDone(ev)
+	case ImportFailed:
+		t.importFailed(ev)
+	case Cancel:
+		t.cancel(ev)
+	case Tick:
+		t.tick()
+	}
+	return t.out
+}
+
+func (t *Table) emit(a Action) {
+	t.out = append(t.out, a)
+}
+
+func (t *Table) open(ev Open) {
+	if _, taken := t.names[ev.Request]; taken {
+		t.stats.Ignored++
+		return
+	}
+	if refusal, ok := t.refuse(ev); !ok {
+		t.stats.Cut++
+		t.emit(Cut{Request: ev.Request, Refusal: refusal})
+		return
+	}
+	s := newStream(ev)
+	s.index = len(t.order)
+	t.order = append(t.order, s)
+	t.names[ev.Request] = s.name
+	t.streams[s.name] = s
+	t.drive(s)
+}
+
+// refuse checks a request before anything is sent for it.
+func (t *Table) refuse(ev Open) (verdict.Refusal, bool) {
+	if len(t.order) >= t.cfg.MaxStreams {
+		return notRun(verdict.CauseQueueFull, t.cfg.Backoff, "too many open streams"), false
+	}
+	if ev.MaxTokens < 1 || ev.MaxTokens > t.cfg.MaxTokens {
+		return notRun(verdict.CauseBadRequest, 0, "max_tokens must be 1 or more and within the entry's bound"), false
+	}
+	if ev.Deadline > 0 && ev.Deadline <= t.now {
+		return notRun(verdict.CauseDeadline, 0, "the deadline has passed"), false
+	}
+	if !Covers(ev.Pipeline, ev.Layers) {
+		return notRun(verdict.CauseNoBackend, time.Second, "the pipeline does not cover every layer exactly once"), false
+	}
+	return verdict.Refusal{}, true
+}
+
+// Covers reports whether the stages run the layers [0, layers) exactly once
+// and in order.
+func Covers(stages []Stage, layers int) bool {
+	at := 0
+	for _, stage := range stages {
+		if stage.From != at || stage.To <= stage.From || stage.Server == "" {
+			return false
+		}
+		at = stage.To
+	}
+	return layers > 0 && at == layers
+}
+
+func (t *Table) cancel(ev Cancel) {
+	s, ok := t.streams[t.names[ev.Request]]
+	if !ok {
+		t.stats.Ignored++
+		return
+	}
+	t.cut(s, verdict.CauseCallerGone, "the caller is gone")
+}
+
+// finish ends a whole answer.
+func (t *Table) finish(s *stream, reason FinishReason) {
+	t.emit(Finish{Request: s.open.Request, Reason: reason, Tokens: len(s.emitted)})
+	t.stats.Finished++
+	t.remove(s)
+}
+
+// cut ends an answer that is not whole.
+func (t *Table) cut(s *stream, cause verdict.Cause, detail string) {
+	refusal := verdict.Refusal{Verdict: verdict.MayHaveRun, Cause: cause, Detail: detail}
+	if !s.mayHaveRun() {
+		refusal = notRun(cause, time.Second, detail)
+	}
+	t.emit(Cut{Request: s.open.Request, Refusal: refusal})
+	t.stats.Cut++
+	t.remove(s)
+}
+
+func notRun(cause verdict.Cause, after time.Duration, detail string) verdict.Refusal {
+	return verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: after, Detail: detail}
+}
+
+// remove forgets a stream and frees what the engines hold for it.
+func (t *Table) remove(s *stream) {
+	t.cancelStages(s)
+	t.forgetKept(s)
+	delete(t.streams, s.name)
+	delete(t.names, s.open.Request)
+	last := len(t.order) - 1
+	t.order[s.index] = t.order[last]
+	t.order[s.index].index = s.index
+	t.order[last] = nil
+	t.order = t.order[:last]
+}
+
+func (t *Table) cancelStages(s *stream) {
+	for i := range s.stages {
+		st := &s.stages[i]
+		if st.touched {
+			t.emit(CancelAt{Server: st.server, Stream: s.name, Attempt: st.attempt})
+		}
+	}
+}
