Add the adapters to the outside and the stand-ins' model

Cause: the entry and control processes need one small interface each towards the key-value service, the VM list, the weight store, engines and applications, and every failure has to say whether a byte of the request can have reached the other side.

--- /dev/null
+++ b/internal/adapter/httpcall/json.go
@@ -0,0 +1,41 @@
+package httpcall
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+// JSON makes one call with a JSON body (none when in is nil) and decodes the
+// answer of a 2xx status into out (ignored when out is nil). Any other status
+// is an *Error with KindStatus and MayHaveArrived.
+func (c *Client) JSON(addr, method, uri string, in, out any, opt Options) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + addr + uri)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return withPlace(&Error{Kind: KindInvalid, Sent: SentNone, Err: err}, addr, req)
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	if err := c.Do(addr, req, resp, opt); err != nil {
+		return err
+	}
+	if resp.StatusCode()/100 != 2 {
+		return StatusError(addr, req, resp, MayHaveArrived)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return withPlace(&Error{Kind: KindMalformed, Sent: MayHaveArrived, Err: err}, addr, req)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/vmlist/vmlist.go
@@ -0,0 +1,96 @@
+// Package vmlist is the adapter to the platform's list of live and leaving VMs
+// and the backend servers on them. The list lags.
+package vmlist
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
+	"github.com/catkinstair/catkinstair/internal/ident"
+)
+
+// State says whether a VM may get new work.
+type State string
+
+// The states of a VM.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Kind says what a backend server speaks.
+type Kind string
+
+// The kinds of backend servers.
+const (
+	// Engine holds a range of a model's layers.
+	Engine Kind = "engine"
+	// App is one replica of a plain service.
+	App Kind = "app"
+)
+
+// Server is one backend server.
+type Server struct {
+	ID      ident.BackendServer `json:"id"`
+	Kind    Kind                `json:"kind"`
+	Service ident.Service       `json:"service"`
+	// Addr is "ip:port".
+	Addr string `json:"addr"`
+	// Replica groups the stages of one pipeline, and names an application's
+	// replica.
+	Replica string `json:"replica"`
+	// LayerFrom and LayerTo are the half-open range of layers of an engine.
+	LayerFrom int `json:"layer_from,omitempty"`
+	LayerTo   int `json:"layer_to,omitempty"`
+	// LayersTotal is the number of layers of the whole model.
+	LayersTotal int    `json:"layers_total,omitempty"`
+	Accelerator string `json:"accelerator,omitempty"`
+	// ChecksOrders says that the server refuses orders with old fencing
+	// numbers.
+	ChecksOrders bool `json:"checks_orders,omitempty"`
+}
+
+// VM is one machine with its servers.
+type VM struct {
+	VM            ident.VM            `json:"vm"`
+	Region        ident.Region        `json:"region"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	State         State               `json:"state"`
+	Servers       []Server            `json:"servers,omitempty"`
+}
+
+// Client is the VM list.
+type Client interface {
+	// List reads the whole list. Any failure means that nothing is known.
+	List(timeout time.Duration) ([]VM, error)
+}
+
+// HTTP is the Client over HTTP and JSON. It is safe for concurrent use.
+type HTTP struct {
+	addr  string
+	calls *httpcall.Client
+}
+
+var _ Client = (*HTTP)(nil)
+
+// NewHTTP returns a client of the list at addr ("ip:port").
+func NewHTTP(addr string, calls *httpcall.Client) *HTTP {
+	return &HTTP{addr: addr, calls: calls}
+}
+
+// Listing is the body of the list's answer.
+type Listing struct {
+	VMs []VM `json:"vms"`
+}
+
+// List implements Client.
+func (h *HTTP) List(timeout time.Duration) ([]VM, error) {
+	var out Listing
+	err := h.calls.JSON(h.addr, "GET", "/v1/vms", nil, &out, httpcall.Within(timeout))
+	if err != nil {
+		return nil, errors.Wrap(err, "VM list")
+	}
+	return out.VMs, nil
+}
--- /dev/null
+++ b/internal/standin/model/state.go
@@ -0,0 +1,154 @@
+package model
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrPosition says that a token does not come next at a stage.
+var ErrPosition = errors.New("token out of order")
+
+// Range is the half-open range of layers [From, To) that a stage holds, of a
+// model with Total layers.
+type Range struct {
+	From, To, Total int
+}
+
+func (r Range) validate() error {
+	if r.From < 0 || r.From >= r.To || r.To > r.Total {
+		return errors.Newf("layers [%d, %d) of %d: want 0 <= from < to <= total", r.From, r.To, r.Total)
+	}
+	return nil
+}
+
+// State is the KV cache of one stream at one stage.
+type State struct {
+	layers Range
+	next   int
+	// digests holds one digest per layer over all its earlier inputs.
+	digests []uint64
+}
+
+// NewState returns the state of a stream that has not begun.
+func NewState(layers Range) (*State, error) {
+	if err := layers.validate(); err != nil {
+		return nil, err
+	}
+	return &State{layers: layers, digests: make([]uint64, layers.To-layers.From)}, nil
+}
+
+// Position returns the index of the token that comes next.
+func (s *State) Position() int {
+	return s.next
+}
+
+// Run passes one token through the stage's layers. Token 0 is the prefill of
+// the whole prompt. The output is the data for the next stage, from the last
+// stage the token's text. After an error the state is as before.
+func (s *State) Run(token int, data string) (out string, eos bool, err error) {
+	if token != s.next {
+		return "", false, errors.Wrapf(ErrPosition, "token %d, next is %d", token, s.next)
+	}
+	values, err := s.inputs(token, data)
+	if err != nil {
+		return "", false, err
+	}
+	for i := range values {
+		values[i] = s.pass(values[i])
+	}
+	s.next++
+	if s.layers.To < s.layers.Total {
+		return formatValues(values), false, nil
+	}
+	last := values[len(values)-1]
+	return tokenText(last), isEOS(last), nil
+}
+
+// inputs turns data into one value per token of the text.
+func (s *State) inputs(token int, data string) ([]uint64, error) {
+	if s.layers.From > 0 {
+		return parseValues(data)
+	}
+	if token > 0 {
+		return []uint64{xxhash.Sum64String(data)}, nil
+	}
+	prompt, seed, err := ParsePrefill(data)
+	if err != nil {
+		return nil, err
+	}
+	values := []uint64{beginValue(seed)}
+	for _, text := range Tokenize(prompt) {
+		values = append(values, xxhash.Sum64String(text))
+	}
+	return values, nil
+}
+
+// beginValue is the value of the begin token.
+func beginValue(seed int64) uint64 {
+	return mix(uint64(seed), 0, 0)
+}
+
+// pass takes one value through every layer of the stage.
+func (s *State) pass(value uint64) uint64 {
+	for i := range s.digests {
+		layer := uint64(s.layers.From + i)
+		s.digests[i] = mix(s.digests[i], value, layer)
+		value = mix(value, s.digests[i], layer)
+	}
+	return value
+}
+
+func formatValues(values []uint64) string {
+	texts := make([]string, len(values))
+	for i, v := range values {
+		texts[i] = strconv.FormatUint(v, 16)
+	}
+	return strings.Join(texts, ",")
+}
+
+func parseValues(data string) ([]uint64, error) {
+	texts := strings.Split(data, ",")
+	values := make([]uint64, len(texts))
+	for i, text := range texts {
+		v, err := strconv.ParseUint(text, 16, 64)
+		if err != nil {
+			return nil, errors.Wrapf(ErrMalformed, "activation %q", text)
+		}
+		values[i] = v
+	}
+	return values, nil
+}
+
+// Export returns the state as an opaque text.
+func (s *State) Export() string {
+	return fmt.Sprintf("%d %d %d %d %s", s.layers.From, s.layers.To, s.layers.Total, s.next, formatValues(s.digests))
+}
+
+// Import reads what Export returned at a stage with the same layers.
+func Import(layers Range, blob string) (*State, error) {
+	var from, to, total, next int
+	var digests string
+	if _, err := fmt.Sscan(blob, &from, &to, &total, &next, &digests); err != nil {
+		return nil, errors.Wrap(ErrMalformed, "exported state")
+	}
+	if got := (Range{From: from, To: to, Total: total}); got != layers {
+		return nil, errors.Wrapf(ErrMalformed, "exported state is of layers %v, the stage holds %v", got, layers)
+	}
+	state, err := NewState(layers)
+	if err != nil {
+		return nil, err
+	}
+	state.next = next
+	state.digests, err = parseValues(digests)
+	if err != nil {
+		return nil, err
+	}
+	if next < 0 || len(state.digests) != to-from {
+		return nil, errors.Wrap(ErrMalformed, "exported state has another number of layers")
+	}
+	return state, nil
+}
