Add the stand-ins: key-value service, VM list, weight store, engines, applications

Cause: the real programs need an outside whose every fault can be switched on by a call. Each stage and replica has a listener of its own in one process.

--- /dev/null
+++ b/internal/standin/kvstore.go
@@ -0,0 +1,201 @@
+package standin
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/kv"
+)
+
+// kvHistory is how many changes a watch can look back.
+const kvHistory = 4096
+
+// kvStore is the key-value service without its transport. It lives in memory.
+type kvStore struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]kv.Entry
+	leases   map[string]*kvLease
+	granted  int64
+	history  []kv.Entry
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+type kvLease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+func newKVStore() *kvStore {
+	return &kvStore{
+		entries: map[string]kv.Entry{},
+		leases:  map[string]*kvLease{},
+		changed: make(chan struct{}),
+	}
+}
+
+func (s *kvStore) get(key string) (kv.Entry, int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	return e, s.revision, ok
+}
+
+func (s *kvStore) list(prefix string) kv.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listLocked(prefix)
+}
+
+func (s *kvStore) listLocked(prefix string) kv.Listing {
+	out := kv.Listing{Entries: []kv.Entry{}, Revision: s.revision}
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			out.Entries = append(out.Entries, e)
+		}
+	}
+	sort.Slice(out.Entries, func(i, j int) bool { return out.Entries[i].Key < out.Entries[j].Key })
+	return out
+}
+
+// cas writes e if its key is at revision expect. Without success it returns
+// the entry that is there, nil for none.
+func (s *kvStore) cas(e kv.Entry, expect int64) (revision int64, current *kv.Entry, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, ok = s.matchLocked(e.Key, expect)
+	if !ok {
+		return 0, current, false
+	}
+	s.revision++
+	e.Revision = s.revision
+	s.entries[e.Key] = e
+	s.noteLocked(e)
+	return e.Revision, nil, true
+}
+
+// remove deletes a key if it is at revision expect.
+func (s *kvStore) remove(key string, expect int64) (current *kv.Entry, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, ok = s.matchLocked(key, expect)
+	if !ok || current == nil {
+		return current, ok
+	}
+	s.removeLocked(key)
+	return nil, true
+}
+
+func (s *kvStore) matchLocked(key string, expect int64) (current *kv.Entry, ok bool) {
+	e, exists := s.entries[key]
+	if exists {
+		current = &e
+	}
+	switch expect {
+	case kv.ExpectAny:
+		return current, true
+	case kv.ExpectAbsent:
+		return current, !exists
+	default:
+		return current, exists && e.Revision == expect
+	}
+}
+
+func (s *kvStore) removeLocked(key string) {
+	delete(s.entries, key)
+	s.revision++
+	s.noteLocked(kv.Entry{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *kvStore) noteLocked(e kv.Entry) {
+	s.history = append(s.history, e)
+	if len(s.history) > 2*kvHistory {
+		s.history = append([]kv.Entry(nil), s.history[kvHistory:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// changesAfter returns the changes under prefix after a revision, and a channel
+// that is closed at the next change. A revision that is too old is answered
+// with everything that is there.
+func (s *kvStore) changesAfter(prefix string, after int64) (kv.Listing, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after > s.revision || len(s.history) > 0 && after < s.history[0].Revision-1 {
+		return s.listLocked(prefix), s.changed
+	}
+	out := kv.Listing{Entries: []kv.Entry{}, Revision: s.revision}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+	for _, e := range s.history[first:] {
+		if strings.HasPrefix(e.Key, prefix) {
+			out.Entries = append(out.Entries, e)
+		}
+	}
+	return out, s.changed
+}
+
+func (s *kvStore) grant(ttl time.Duration, now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.granted++
+	id := "lease-" + strconv.FormatInt(s.granted, 10)
+	s.leases[id] = &kvLease{ttl: ttl, expires: now.Add(ttl)}
+	return id
+}
+
+func (s *kvStore) hasLease(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leases[id] != nil
+}
+
+func (s *kvStore) keepAlive(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return false
+	}
+	l.expires = now.Add(l.ttl)
+	return true
+}
+
+func (s *kvStore) revoke(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == nil {
+		return false
+	}
+	s.revokeLocked(id)
+	return true
+}
+
+func (s *kvStore) revokeLocked(id string) {
+	delete(s.leases, id)
+	var keys []string
+	for key, e := range s.entries {
+		if e.Lease == id {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.removeLocked(key)
+	}
+}
+
+// expire ends the leases whose time is over; all ends every lease.
+func (s *kvStore) expire(now time.Time, all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.leases {
+		if all || now.After(l.expires) {
+			s.revokeLocked(id)
+		}
+	}
+}
--- a/internal/standin/model/state.go
+++ b/internal/standin/model/state.go
@@ -152,3 +152,8 @@
 	}
 	return state, nil
 }
+
+// ActivationTokens returns the number of tokens in data between two stages.
+func ActivationTokens(data string) int {
+	return 1 + strings.Count(data, ",")
+}
--- /dev/null
+++ b/internal/standin/topology.go
@@ -0,0 +1,230 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/vmlist"
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/standin/model"
+)
+
+// Topology describes everything that one process of stand-ins hosts. An empty
+// address leaves a service out; port 0 takes a free port.
+type Topology struct {
+	KV      string `json:"kv,omitempty"`
+	VMs     string `json:"vms,omitempty"`
+	Weights string `json:"weights,omitempty"`
+	// Control is the listener that takes faults for any target.
+	Control string `json:"control"`
+	// KVReadsPerSecond and KVWritesPerSecond bound the key-value service; 0 is
+	// no bound.
+	KVReadsPerSecond  float64 `json:"kv_reads_per_s,omitempty"`
+	KVWritesPerSecond float64 `json:"kv_writes_per_s,omitempty"`
+	// WeightBytesPerSecond bounds the weight store; 0 is no bound.
+	WeightBytesPerSecond float64 `json:"weight_bytes_per_s,omitempty"`
+	// ListLagMillis is the lag of the VM list.
+	ListLagMillis  int64        `json:"list_lag_ms,omitempty"`
+	Region         ident.Region `json:"region"`
+	FailureDomains []string     `json:"failure_domains"`
+	Models         []ModelPlan  `json:"models,omitempty"`
+	Apps           []AppPlan    `json:"apps,omitempty"`
+}
+
+// ModelPlan describes the pipelines of one model. Replica i stands in failure
+// domain i mod n, each stage on a VM of its own.
+type ModelPlan struct {
+	Service  ident.Service `json:"service"`
+	Replicas int           `json:"replicas"`
+	// StageEnds are the ends of the stages' layer ranges; the last is the
+	// number of layers of the model.
+	StageEnds []int  `json:"stage_ends"`
+	IP        string `json:"ip"`
+	// FirstPort is the first stage's port, the others follow; 0 takes free
+	// ports.
+	FirstPort int `json:"first_port"`
+	// Accelerators are given to the replicas in turn.
+	Accelerators []AcceleratorPlan `json:"accelerators"`
+	Capacity     int               `json:"capacity"`
+	MaxWaiting   int               `json:"max_waiting"`
+	MaxStreams   int               `json:"max_streams"`
+	PrefixBlocks int               `json:"prefix_blocks"`
+	ChecksOrders bool              `json:"checks_orders"`
+}
+
+// AcceleratorPlan is a kind of accelerator and its speed.
+type AcceleratorPlan struct {
+	Name string `json:"name"`
+	// StepMicros is the time of one batch at one stage.
+	StepMicros int64 `json:"step_us"`
+	// PrefillMicros is the time of one prompt token at one stage.
+	PrefillMicros int64 `json:"prefill_us"`
+}
+
+// AppPlan describes the replicas of one plain service.
+type AppPlan struct {
+	Service    ident.Service `json:"service"`
+	Replicas   int           `json:"replicas"`
+	IP         string        `json:"ip"`
+	FirstPort  int           `json:"first_port"`
+	CallMicros int64         `json:"call_us"`
+	Capacity   int           `json:"capacity"`
+}
+
+// ReadTopology reads a topology from a JSON file. Unknown fields are an error.
+func ReadTopology(path string) (Topology, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Topology{}, errors.Wrap(err, "topology")
+	}
+	var t Topology
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&t); err != nil {
+		return Topology{}, errors.Wrapf(err, "topology %s", path)
+	}
+	return t, errors.Wrapf(t.Validate(), "topology %s", path)
+}
+
+// Validate names the first fault of the topology.
+func (t Topology) Validate() error {
+	if t.Control == "" {
+		return errors.New("control: want an address")
+	}
+	if len(t.FailureDomains) == 0 {
+		return errors.New("failure_domains: want at least one")
+	}
+	for _, m := range t.Models {
+		if err := m.validate(); err != nil {
+			return errors.Wrapf(err, "model %s", m.Service)
+		}
+	}
+	for _, a := range t.Apps {
+		if a.Replicas < 1 || a.Capacity < 1 || net.ParseIP(a.IP) == nil {
+			return errors.Newf("app %s: want ip, replicas and capacity of at least 1", a.Service)
+		}
+	}
+	return nil
+}
+
+func (m ModelPlan) validate() error {
+	if m.Replicas < 1 || m.Capacity < 1 || m.MaxWaiting < 1 || m.MaxStreams < 1 {
+		return errors.New("want replicas, capacity, max_waiting and max_streams of at least 1")
+	}
+	if net.ParseIP(m.IP) == nil {
+		return errors.Newf("ip %q: want an IP address", m.IP)
+	}
+	if len(m.StageEnds) == 0 || len(m.Accelerators) == 0 {
+		return errors.New("want stage_ends and accelerators")
+	}
+	from := 0
+	for _, to := range m.StageEnds {
+		if to <= from {
+			return errors.Newf("stage_ends %v: want rising numbers over 0", m.StageEnds)
+		}
+		from = to
+	}
+	return nil
+}
+
+// layers returns the number of layers of the model.
+func (m ModelPlan) layers() int {
+	return m.StageEnds[len(m.StageEnds)-1]
+}
+
+// placed is one server of the topology before it is started.
+type placed struct {
+	vm     vmlist.VM
+	server vmlist.Server
+	stage  StageConfig
+	app    AppConfig
+}
+
+// place lists every server of the topology, each on a VM of its own.
+func (t Topology) place() []placed {
+	var out []placed
+	for _, m := range t.Models {
+		for replica := range m.Replicas {
+			for stage := range m.StageEnds {
+				out = append(out, t.placeStage(m, replica, stage))
+			}
+		}
+	}
+	for _, a := range t.Apps {
+		for replica := range a.Replicas {
+			out = append(out, t.placeApp(a, replica))
+		}
+	}
+	return out
+}
+
+func (t Topology) placeStage(m ModelPlan, replica, stage int) placed {
+	from := 0
+	if stage > 0 {
+		from = m.StageEnds[stage-1]
+	}
+	to := m.StageEnds[stage]
+	accelerator := m.Accelerators[replica%len(m.Accelerators)]
+	name := fmt.Sprintf("%s-%02d", m.Service, replica+1)
+	id := fmt.Sprintf("%s-s%d", name, stage+1)
+	return placed{
+		vm: t.vm(id, replica),
+		server: vmlist.Server{
+			ID: ident.BackendServer(id), Kind: vmlist.Engine, Service: m.Service,
+			Addr:    address(m.IP, m.FirstPort, replica*len(m.StageEnds)+stage),
+			Replica: name, LayerFrom: from, LayerTo: to, LayersTotal: m.layers(),
+			Accelerator: accelerator.Name, ChecksOrders: m.ChecksOrders,
+		},
+		stage: StageConfig{
+			ID:           id,
+			Layers:       model.Range{From: from, To: to, Total: m.layers()},
+			StepTime:     time.Duration(accelerator.StepMicros) * time.Microsecond,
+			PrefillTime:  time.Duration(accelerator.PrefillMicros) * time.Microsecond,
+			Capacity:     m.Capacity,
+			MaxWaiting:   m.MaxWaiting,
+			MaxStreams:   m.MaxStreams,
+			PrefixBlocks: m.PrefixBlocks,
+			ChecksOrders: m.ChecksOrders,
+		},
+	}
+}
+
+func (t Topology) placeApp(a AppPlan, replica int) placed {
+	id := fmt.Sprintf("%s-%d", a.Service, replica+1)
+	return placed{
+		vm: t.vm(id, replica),
+		server: vmlist.Server{
+			ID: ident.BackendServer(id), Kind: vmlist.App, Service: a.Service,
+			Addr: address(a.IP, a.FirstPort, replica), Replica: id,
+		},
+		app: AppConfig{
+			ID:       id,
+			CallTime: time.Duration(a.CallMicros) * time.Microsecond,
+			Capacity: a.Capacity,
+		},
+	}
+}
+
+func (t Topology) vm(serverID string, replica int) vmlist.VM {
+	domain := t.FailureDomains[replica%len(t.FailureDomains)]
+	return vmlist.VM{
+		VM:            ident.VM("vm-" + serverID),
+		Region:        t.Region,
+		FailureDomain: ident.FailureDomain(domain),
+		State:         vmlist.Live,
+	}
+}
+
+func address(ip string, firstPort, offset int) string {
+	if firstPort == 0 {
+		return net.JoinHostPort(ip, "0")
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(firstPort+offset))
+}
