--- a/internal/lease/config.go
+++ b/internal/lease/config.go
@@ -71,7 +71,7 @@
 	var err error
 	check := func(ok bool, text string) {
 		if !ok {
-			err = errors.CombineErrors(errors.New("lease: "+text), err)
+			err = errors.Join(err, errors.New("lease: "+text))
 		}
 	}
 	check(c.Self.VM != "", "self.vm is empty: set the VM's name")
