Choose backend servers and admit requests

Cause: entries need a pipeline per request under lagged load reports, and must refuse early and fairly under overload.

routing: expected time of a few random replicas, a subset by rendezvous hashing, ejection with a slow return, hints that are believed as far as they proved true; random, round robin and least reported as baselines. admission: deficit round robin between teams, nothing waits past its latest start, retry budget.

The stream test's fake gave answers to steps that it had not run yet, which no engine can do; it now gives earlier answers again and answers that differ in one part of their identity.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,85 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// bucket is a token bucket per team.
+type bucket struct {
+	rate, burst float64
+	left        map[ident.Team]float64
+	at          map[ident.Team]time.Duration
+}
+
+func newBucket(rate, burst float64) *bucket {
+	return &bucket{rate: rate, burst: burst, left: map[ident.Team]float64{}, at: map[ident.Team]time.Duration{}}
+}
+
+func (b *bucket) Take(now time.Duration, team ident.Team, _ ident.Service, n int) bool {
+	if _, ok := b.left[team]; !ok {
+		b.left[team] = b.burst
+	}
+	b.left[team] = min(b.burst, b.left[team]+b.rate*(now-b.at[team]).Seconds())
+	b.at[team] = now
+	if b.left[team] < float64(n) {
+		return false
+	}
+	b.left[team] -= float64(n)
+	return true
+}
+
+func newQueue(t require.TestingT, taker Taker, change func(*Config)) *Queue {
+	cfg := DefaultConfig()
+	if change != nil {
+		change(&cfg)
+	}
+	q, err := New(cfg, taker)
+	require.NoError(t, err)
+	return q
+}
+
+func TestOfferAdmitsQueuesAndRefuses(t *testing.T) {
+	q := newQueue(t, newBucket(0, 1e9), func(c *Config) { c.Slots = 1; c.QueuePerTeam = 1 })
+	require.Equal(t, Admitted, q.Offer(0, Request{ID: "a", Team: "clubs"}).Outcome)
+	require.Equal(t, Queued, q.Offer(0, Request{ID: "b", Team: "clubs"}).Outcome)
+	refused := q.Offer(0, Request{ID: "c", Team: "clubs"})
+	require.Equal(t, Refused, refused.Outcome)
+	require.Equal(t, verdict.NotRun, refused.Refusal.Verdict)
+	require.Positive(t, refused.Refusal.RetryAfter)
+	require.Equal(t, []Action{Admit{ID: "b", Waited: time.Millisecond}}, q.Step(time.Millisecond, Done{ID: "a"}))
+	late := q.Offer(0, Request{ID: "d", Team: "clubs", Deadline: time.Second, Need: 2 * time.Second})
+	require.Equal(t, verdict.CauseDeadline, late.Refusal.Cause)
+}
+
+func TestNothingWaitsPastItsDeadline(t *testing.T) {
+	q := newQueue(t, newBucket(0, 0), nil)
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		q.Offer(0, Request{ID: id, Team: "clubs", Deadline: time.Duration(i+2) * 100 * time.Millisecond, Need: 100 * time.Millisecond})
+	}
+	for now := time.Duration(0); now <= 3*time.Second; now += 10 * time.Millisecond {
+		for _, a := range q.Step(now, Tick{}) {
+			require.Equal(t, verdict.NotRun, a.(Refuse).Refusal.Verdict)
+		}
+		for _, w := range q.all() {
+			require.Less(t, now, w.latest)
+		}
+	}
+	require.Zero(t, q.Stats().Waiting)
+}
+
+func TestGiveUpAndStopAnswerAtOnce(t *testing.T) {
+	q := newQueue(t, newBucket(0, 0), nil)
+	q.Offer(0, Request{ID: "a", Team: "clubs"})
+	q.Offer(0, Request{ID: "b", Team: "clubs"})
+	require.Equal(t, verdict.CauseCallerGone, q.Step(0, GiveUp{ID: "a"})[0].(Refuse).Refusal.Cause)
+	require.Equal(t, verdict.CauseLeaving, q.Step(0, Stop{})[0].(Refuse).Refusal.Cause)
+	require.Equal(t, Refused, q.Offer(0, Request{ID: "c", Team: "clubs"}).Outcome)
+}
--- /dev/null
+++ b/internal/routing/hints.go
@@ -0,0 +1,78 @@
+package routing
+
+import "time"
+
+// initialTrust is how much a hint is believed before any was tried.
+const initialTrust = 0.5
+
+// hints is what cache events said about one server. It may be wrong.
+type hints struct {
+	seq    uint64
+	known  map[uint64]struct{}
+	oldest []uint64
+}
+
+// longest returns the tokens of the longest prefix that is hoped to be cached.
+func (h *hints) longest(prefixes []Prefix) int {
+	for _, p := range prefixes {
+		if _, ok := h.known[p.Hash]; ok {
+			return p.Tokens
+		}
+	}
+	return 0
+}
+
+func (h *hints) add(prefix uint64, limit int) {
+	if _, ok := h.known[prefix]; ok || limit == 0 {
+		return
+	}
+	if h.known == nil {
+		h.known = map[uint64]struct{}{}
+	}
+	for len(h.oldest) >= limit {
+		delete(h.known, h.oldest[0])
+		h.oldest = h.oldest[1:]
+	}
+	h.known[prefix] = struct{}{}
+	h.oldest = append(h.oldest, prefix)
+}
+
+// cacheEvent takes an event. A gap may hide removals, so it forgets the older
+// half of what was hoped for.
+func (r *Router) cacheEvent(ev CacheEvent) {
+	s, ok := r.servers[ev.Server]
+	if !ok || ev.Seq <= s.hints.seq {
+		return
+	}
+	h := &s.hints
+	if h.seq > 0 && ev.Seq != h.seq+1 {
+		r.stats.HintGaps++
+		h.forgetOlderHalf()
+	}
+	h.seq = ev.Seq
+	if ev.Added {
+		h.add(ev.Prefix, r.cfg.HintsPerServer)
+		return
+	}
+	delete(h.known, ev.Prefix)
+}
+
+func (h *hints) forgetOlderHalf() {
+	half := len(h.oldest) / 2
+	for _, prefix := range h.oldest[:half] {
+		delete(h.known, prefix)
+	}
+	h.oldest = h.oldest[half:]
+}
+
+// judgeHint learns how much of the hoped-for prefill was really saved.
+func (r *Router) judgeHint(f *flight, perToken time.Duration) {
+	usual := f.lead.prefillTime
+	if usual == 0 {
+		return
+	}
+	hoped := float64(f.hinted) / float64(f.req.PromptTokens)
+	saved := (1 - float64(perToken)/float64(usual)) / hoped
+	saved = min(1, max(0, saved))
+	r.trust = (1-observeWeight)*r.trust + observeWeight*saved
+}
--- /dev/null
+++ b/internal/routing/messages.go
@@ -0,0 +1,153 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+)
+
+// Server is one backend server as the VM list describes it.
+type Server struct {
+	ID          ident.BackendServer `json:"id"`
+	VM          ident.VM            `json:"vm"`
+	Service     ident.Service       `json:"service"`
+	Replica     string              `json:"replica"`
+	Place       ident.Place         `json:"place"`
+	Accelerator string              `json:"accelerator,omitempty"`
+	// LayerFrom and LayerTo are the engine's layers [LayerFrom, LayerTo) out
+	// of LayersTotal. All are 0 for an application.
+	LayerFrom   int  `json:"layer_from,omitempty"`
+	LayerTo     int  `json:"layer_to,omitempty"`
+	LayersTotal int  `json:"layers_total,omitempty"`
+	Leaving     bool `json:"leaving,omitempty"`
+}
+
+// Event is an input of the Router.
+type Event interface{ isEvent() }
+
+// Servers replaces the known backend servers. Once a server was said to be
+// leaving, a later list can't say otherwise while it names the server.
+type Servers struct {
+	List []Server `json:"list"`
+}
+
+// Leaving says that a backend server gets no new work.
+type Leaving struct {
+	Server ident.BackendServer `json:"server"`
+}
+
+// Load is a backend server's own report.
+type Load struct {
+	Server   ident.BackendServer `json:"server"`
+	Running  int                 `json:"running"`
+	Waiting  int                 `json:"waiting"`
+	Capacity int                 `json:"capacity"`
+	// MeasuredAt is the process time at which the report was true.
+	MeasuredAt time.Duration `json:"measured_at_ns"`
+}
+
+// Link is the measured one-way time from this entry to a failure domain.
+type Link struct {
+	To     ident.FailureDomain `json:"to"`
+	OneWay time.Duration       `json:"one_way_ns"`
+}
+
+// CacheEvent says that a backend server's prefix cache gained or lost a
+// prefix. Seq grows by one per event; a gap means that events were lost.
+type CacheEvent struct {
+	Server ident.BackendServer `json:"server"`
+	Seq    uint64              `json:"seq"`
+	Prefix uint64              `json:"prefix"`
+	Added  bool                `json:"added"`
+}
+
+// Moved says that a picked request left one backend server for another.
+type Moved struct {
+	ID   uint64              `json:"id"`
+	From ident.BackendServer `json:"from"`
+	To   ident.BackendServer `json:"to"`
+}
+
+// Done says that a picked request is over. FirstToken and TokenTime are what
+// was observed; zero means not observed.
+type Done struct {
+	ID         uint64        `json:"id"`
+	FirstToken time.Duration `json:"first_token_ns"`
+	TokenTime  time.Duration `json:"token_time_ns"`
+}
+
+// Failed is evidence against a backend server: it refused a connection, lost a
+// reply or answered with a failure of its own.
+type Failed struct {
+	Server ident.BackendServer `json:"server"`
+}
+
+// Worked is evidence for a backend server: it answered.
+type Worked struct {
+	Server ident.BackendServer `json:"server"`
+}
+
+func (Servers) isEvent()    {}
+func (Leaving) isEvent()    {}
+func (Load) isEvent()       {}
+func (Link) isEvent()       {}
+func (CacheEvent) isEvent() {}
+func (Moved) isEvent()      {}
+func (Done) isEvent()       {}
+func (Failed) isEvent()     {}
+func (Worked) isEvent()     {}
+
+// Action is an output of the Router.
+type Action interface{ isAction() }
+
+// Ejected says that a backend server is left alone until Until.
+type Ejected struct {
+	Server ident.BackendServer `json:"server"`
+	Until  time.Duration       `json:"until_ns"`
+}
+
+// Watch names the backend servers whose load and cache events are of use: the
+// shell polls these and no others.
+type Watch struct {
+	Servers []ident.BackendServer `json:"servers"`
+}
+
+func (Ejected) isAction() {}
+func (Watch) isAction()   {}
+
+// Prefix is a prefix of a prompt, by its hash and its length in tokens.
+type Prefix struct {
+	Hash   uint64 `json:"hash"`
+	Tokens int    `json:"tokens"`
+}
+
+// Request asks for backend servers.
+type Request struct {
+	Service      ident.Service `json:"service"`
+	PromptTokens int           `json:"prompt_tokens"`
+	// Tokens is the expected length of the answer; 0 takes the Config's.
+	Tokens int `json:"tokens"`
+	// Prefixes of the prompt, the longest first.
+	Prefixes []Prefix `json:"prefixes,omitempty"`
+	// Exclude names backend servers that this request already failed on.
+	Exclude []ident.BackendServer `json:"exclude,omitempty"`
+}
+
+// Stage is one backend server's part of a pipeline: the layers [From, To).
+type Stage struct {
+	From   int                 `json:"from"`
+	To     int                 `json:"to"`
+	Server ident.BackendServer `json:"server"`
+}
+
+// Pipeline is the answer to a Request: stages that cover [0, Layers) once and
+// in order, or one application replica with Layers 0.
+type Pipeline struct {
+	// ID names the request in Moved and Done.
+	ID     uint64  `json:"id"`
+	Layers int     `json:"layers"`
+	Stages []Stage `json:"stages"`
+	// Hinted is the number of prompt tokens that a prefix cache is hoped to
+	// hold.
+	Hinted int `json:"hinted"`
+}
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -24,13 +24,14 @@
 	caches  map[string][]uint64 // stream -> one state per layer
 	tokens  map[string]int      // stream -> position
 	stored  map[string]StepDone // stream/attempt/token
-	runs    map[string]int      // stream/token -> times run
+	runs    map[string]int      // stream/imports/token -> times run
+	imports map[string]int      // stream -> caches imported
 }
 
 func newFakeEngine() *fakeEngine {
 	return &fakeEngine{
 		caches: map[string][]uint64{}, tokens: map[string]int{},
-		stored: map[string]StepDone{}, runs: map[string]int{},
+		stored: map[string]StepDone{}, runs: map[string]int{}, imports: map[string]int{},
 	}
 }
 
@@ -61,7 +62,7 @@
 	}
 	e.caches[a.Stream] = cache
 	e.tokens[a.Stream] = position + 1
-	e.runs[fmt.Sprint(a.Stream, "/", a.Token)]++
+	e.runs[fmt.Sprint(a.Stream, "/", e.imports[a.Stream], "/", a.Token)]++
 	done := StepDone{Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token, From: a.From, To: a.To, Data: data}
 	done.EOS = a.To == layers && a.Token == eosAt
 	e.stored[key] = done
@@ -84,6 +85,7 @@
 	}
 	e.caches[stream] = cache
 	e.tokens[stream] = position
+	e.imports[stream]++
 }
 
 // faults are chances, each between 0 and 1, per message.
@@ -112,6 +114,7 @@
 	sends   int
 	onSend  func(w *world, a SendStep)
 	blobs   map[string]int // blob -> position
+	answers []StepDone
 
 	text     map[string][]string
 	finished map[string]Finish
@@ -226,11 +229,32 @@
 	if w.rng.Float64() < w.faults.duplicate {
 		w.after(time.Duration(1+w.rng.IntN(40))*fakeStepTime, answer)
 	}
-	if done, ok := answer.(StepDone); ok && w.rng.Float64() < w.faults.cross {
+	if done, ok := answer.(StepDone); ok {
+		w.answers = append(w.answers, done)
+	}
+	if len(w.answers) > 0 && w.rng.Float64() < w.faults.cross {
+		w.cross(w.answers[w.rng.IntN(len(w.answers))])
+	}
+}
+
+// cross delivers an earlier answer of any stream again, true to itself or with
+// one part of its identity and its data changed.
+func (w *world) cross(done StepDone) {
+	switch w.rng.IntN(6) {
+	case 0:
+		done.Attempt += 100
+		done.Data = "crossed"
+	case 1:
+		done.From, done.To = done.From+1, done.To+1
+		done.Data = "crossed"
+	case 2:
+		done.Server = "other"
+		done.Data = "crossed"
+	case 3:
+		done.Token += 100
 		done.Data = "crossed"
-		done.Token++
-		w.after(fakeStepTime/2, done)
 	}
+	w.after(time.Duration(w.rng.IntN(15))*time.Millisecond, done)
 }
 
 func (w *world) pick(a WantReplacement) ident.BackendServer {
