--- a/internal/stream/config.go
+++ b/internal/stream/config.go
@@ -16,7 +16,12 @@
 	WayImport Way = "import"
 	// WayReplay replays every kept input of the dead stage's boundary.
 	WayReplay Way = "replay"
-	// WayStartOver drives prompt and tokens through all stages again.
+	// WayPrefill gives all stages the prompt and the tokens so far as a new
+	// prompt, in one step per stage.
+	WayPrefill Way = "prefill"
+	// WayStartOver drives the prompt and every token through all stages again
+	// and compares them with what the caller had. It is for models whose
+	// answer a prefill of its first part would change.
 	WayStartOver Way = "start-over"
 )
 
@@ -47,8 +52,11 @@
 	// MaxAttempts bounds the take-overs and starts of one stream. Default 16.
 	MaxAttempts int
 	// Resume lists the allowed ways, the preferred one first. Default import,
-	// replay, start over.
+	// replay, prefill.
 	Resume []Way
+	// ReplayMax is the number of tokens above which import and replay leave
+	// the resume to the ways behind them. Default 64.
+	ReplayMax int
 	// CheckpointEvery is the number of tokens between two exports of a stage's
 	// KV cache; 0 asks for none. Default 0.
 	CheckpointEvery int
@@ -71,7 +79,8 @@
 		Backoff:            50 * time.Millisecond,
 		ReplacementWait:    5 * time.Second,
 		MaxAttempts:        16,
-		Resume:             []Way{WayImport, WayReplay, WayStartOver},
+		Resume:             []Way{WayImport, WayReplay, WayPrefill},
+		ReplayMax:          64,
 		KeepBytesPerStream: 4 << 20,
 		KeepBytes:          256 << 20,
 	}
@@ -94,12 +103,13 @@
 	check(c.Backoff > 0, "Backoff is %s: want more than 0", c.Backoff)
 	check(c.ReplacementWait > 0, "ReplacementWait is %s: want more than 0", c.ReplacementWait)
 	check(c.MaxAttempts > 0, "MaxAttempts is %d: want at least 1", c.MaxAttempts)
+	check(c.ReplayMax >= 0, "ReplayMax is %d: want 0 or more", c.ReplayMax)
 	check(c.CheckpointEvery >= 0, "CheckpointEvery is %d: want 0 (none) or more", c.CheckpointEvery)
 	check(c.KeepBytesPerStream >= 0, "KeepBytesPerStream is %d: want 0 or more", c.KeepBytesPerStream)
 	check(c.KeepBytes >= 0, "KeepBytes is %d: want 0 or more", c.KeepBytes)
 	for _, way := range c.Resume {
-		known := way == WayImport || way == WayReplay || way == WayStartOver
-		check(known, "Resume names %q: want %q, %q or %q", way, WayImport, WayReplay, WayStartOver)
+		known := way == WayImport || way == WayReplay || way == WayPrefill || way == WayStartOver
+		check(known, "Resume names %q: want %q, %q, %q or %q", way, WayImport, WayReplay, WayPrefill, WayStartOver)
 	}
 	return faults
 }
--- a/internal/stream/doc.go
+++ b/internal/stream/doc.go
@@ -17,18 +17,20 @@
 //     "position:<k>" and has not run it.
 //   - A repeated (stream, attempt, token) returns the stored answer and does not
 //     run again. This makes resending a step after a lost reply safe.
-//   - Token 0 carries the whole prompt to the first stage (prefill).
+//   - Token 0 carries the whole prompt to the first stage (prefill); every
+//     later token carries the text of the one before it.
 //
 // An attempt counts how often the layer range of one stage was taken over: a
 // replacement gets a new number, the surviving stages keep theirs and their
 // caches. A stream that starts over gets a new stream name at the engines, so
 // that no old cache or late step can mix with the new run.
 //
-// Three ways to go on after a stage died, tried in the order of Config.Resume:
+// Four ways to go on after a stage died, tried in the order of Config.Resume:
 // import of the last exported KV cache and replay of the inputs kept since
-// then; replay of all kept inputs of that one boundary; start over, which drives
-// prompt and tokens through every stage again. Outputs that the caller already
-// had are compared with what was sent and dropped.
+// then; replay of all kept inputs of that one boundary; prefill of all stages
+// with the prompt and the tokens so far as a new prompt; start over, which
+// drives the prompt and every token through every stage again. Outputs that the
+// caller already had are compared with what was sent and dropped.
 //
 // Truncating kept inputs at the position of an exported checkpoint follows the
 // rule of log replication that only what is safely stored elsewhere may be
--- a/internal/stream/fail.go
+++ b/internal/stream/fail.go
@@ -14,7 +14,7 @@
 		return
 	}
 	switch ev.Kind {
-	case FailureNotSent:
+	case FailureNotSent, FailureRefused:
 		t.lose(s)
 	case FailurePosition:
 		t.reposition(s, ev.Position)
@@ -53,8 +53,7 @@
 		t.drive(s)
 		return
 	}
-	if position > s.token && slices.Contains(t.cfg.Resume, WayStartOver) && t.nextAttempt(s) {
-		t.startOver(s) // the cache ran ahead, and what it gave is lost
+	if position > s.token && t.restart(s) {
 		return
 	}
 	t.lose(s)
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -4,25 +4,22 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/standin/model"
 )
 
 const fakeStepTime = 10 * time.Millisecond
 
-// fakeEngine runs layers as a hash chain: each layer's state depends on every
+// fakeEngine runs the stand-ins' model: each layer's state depends on every
 // input it ever had, so a layer that runs twice, not at all or out of order
 // changes the text.
 type fakeEngine struct {
 	dead    bool
 	leaving bool
-	caches  map[string][]uint64 // stream -> one state per layer
-	tokens  map[string]int      // stream -> position
+	caches  map[string]*model.State
 	stored  map[string]StepDone // stream/attempt/token
 	runs    map[string]int      // stream/imports/token -> times run
 	imports map[string]int      // stream -> caches imported
@@ -30,62 +27,47 @@
 
 func newFakeEngine() *fakeEngine {
 	return &fakeEngine{
-		caches: map[string][]uint64{}, tokens: map[string]int{},
+		caches: map[string]*model.State{},
 		stored: map[string]StepDone{}, runs: map[string]int{}, imports: map[string]int{},
 	}
 }
 
-func (e *fakeEngine) run(a SendStep, layers, eosAt int) Event {
+func (e *fakeEngine) run(a SendStep, layers int) Event {
 	key := fmt.Sprint(a.Stream, "/", a.Attempt, "/", a.Token)
 	if done, ok := e.stored[key]; ok {
 		return done
 	}
-	failed := StepFailed{Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token, From: a.From, To: a.To}
-	position := e.tokens[a.Stream]
+	failed := failure(a, FailureLeaving)
+	cache := e.caches[a.Stream]
 	if e.leaving {
-		failed.Kind = FailureLeaving
 		return failed
 	}
-	if position != a.Token {
+	if cache == nil {
+		cache, _ = model.NewState(model.Range{From: a.From, To: a.To, Total: layers})
+		e.caches[a.Stream] = cache
+	}
+	if cache.Position() != a.Token {
 		failed.Kind = FailurePosition
-		failed.Position = position
+		failed.Position = cache.Position()
 		return failed
 	}
-	cache := e.caches[a.Stream]
-	if cache == nil {
-		cache = make([]uint64, a.To-a.From)
-	}
-	data := a.Data
-	for i := range cache {
-		cache[i] = xxhash.Sum64String(fmt.Sprint(cache[i], a.From+i, data))
-		data = strconv.FormatUint(cache[i], 16)
+	data, eos, err := cache.Run(a.Token, a.Data)
+	if err != nil {
+		panic(err)
 	}
-	e.caches[a.Stream] = cache
-	e.tokens[a.Stream] = position + 1
 	e.runs[fmt.Sprint(a.Stream, "/", e.imports[a.Stream], "/", a.Token)]++
-	done := StepDone{Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token, From: a.From, To: a.To, Data: data}
-	done.EOS = a.To == layers && a.Token == eosAt
-	e.stored[key] = done
-	return done
-}
-
-func (e *fakeEngine) export(stream string) (string, int) {
-	words := []string{}
-	for _, state := range e.caches[stream] {
-		words = append(words, strconv.FormatUint(state, 16))
+	e.stored[key] = StepDone{
+		Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token,
+		From: a.From, To: a.To, Data: data, EOS: eos,
 	}
-	return strings.Join(words, ","), e.tokens[stream]
+	return e.stored[key]
 }
 
-func (e *fakeEngine) load(stream, blob string, position int) {
-	cache := []uint64{}
-	for _, word := range strings.Split(blob, ",") {
-		state, _ := strconv.ParseUint(word, 16, 64)
-		cache = append(cache, state)
+func failure(a SendStep, kind FailureKind) StepFailed {
+	return StepFailed{
+		Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token,
+		From: a.From, To: a.To, Kind: kind,
 	}
-	e.caches[stream] = cache
-	e.tokens[stream] = position
-	e.imports[stream]++
 }
 
 // faults are chances, each between 0 and 1, per message.
@@ -105,7 +87,6 @@
 	engines map[ident.BackendServer]*fakeEngine
 	spares  map[int][]ident.BackendServer // by From
 	layers  int
-	eosAt   int
 	rng     *rand.Rand
 	faults  faults
 	now     time.Duration
@@ -113,7 +94,6 @@
 	queue   []delivery
 	sends   int
 	onSend  func(w *world, a SendStep)
-	blobs   map[string]int // blob -> position
 	answers []StepDone
 
 	text     map[string][]string
@@ -129,9 +109,9 @@
 		panic(err)
 	}
 	w := &world{
-		table: table, layers: 4 * stages, eosAt: -1, rng: rand.New(rand.NewPCG(seed, 1)),
+		table: table, layers: 4 * stages, rng: rand.New(rand.NewPCG(seed, 1)),
 		engines: map[ident.BackendServer]*fakeEngine{}, spares: map[int][]ident.BackendServer{},
-		text: map[string][]string{}, finished: map[string]Finish{}, cuts: map[string]Cut{}, blobs: map[string]int{},
+		text: map[string][]string{}, finished: map[string]Finish{}, cuts: map[string]Cut{},
 	}
 	for i := range stages {
 		for r := range 1 + spares {
@@ -148,7 +128,7 @@
 	for from := 0; from < w.layers; from += 4 {
 		pipeline = append(pipeline, Stage{From: from, To: from + 4, Server: w.spares[from][0]})
 	}
-	w.take(Open{Request: request, Prompt: "prompt of " + request, MaxTokens: tokens, Layers: w.layers, Pipeline: pipeline})
+	w.take(Open{Request: request, Prompt: promptOf(request), MaxTokens: tokens, Layers: w.layers, Pipeline: pipeline})
 }
 
 func (w *world) after(d time.Duration, ev Event) {
@@ -210,16 +190,13 @@
 
 func (w *world) send(a SendStep) {
 	engine := w.engines[a.Server]
-	failed := StepFailed{Stream: a.Stream, Server: a.Server, Attempt: a.Attempt, Token: a.Token, From: a.From, To: a.To}
 	if engine.dead {
-		failed.Kind = FailureNotSent
-		w.after(fakeStepTime/10, failed)
+		w.after(fakeStepTime/10, failure(a, FailureNotSent))
 		return
 	}
-	answer := engine.run(a, w.layers, w.eosAt)
+	answer := engine.run(a, w.layers)
 	if w.rng.Float64() < w.faults.lose {
-		failed.Kind = FailureLost
-		w.after(2*fakeStepTime, failed)
+		w.after(2*fakeStepTime, failure(a, FailureLost))
 		if w.rng.Float64() < 0.5 {
 			w.after(time.Duration(w.rng.IntN(40))*fakeStepTime, answer) // late instead of lost
 		}
@@ -276,26 +253,34 @@
 		w.after(fakeStepTime, ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 		return
 	}
-	blob, position := engine.export(a.Stream)
-	w.blobs[blob] = position
-	w.after(fakeStepTime, ExportDone{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt, Position: position, Blob: blob})
+	cache := engine.caches[a.Stream]
+	if cache == nil {
+		w.after(fakeStepTime, ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+		return
+	}
+	w.after(fakeStepTime, ExportDone{
+		Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt, Position: cache.Position(), Blob: cache.Export(),
+	})
 }
 
 func (w *world) load(a Import) {
 	engine := w.engines[a.Server]
-	if engine.dead {
+	layers := model.Range{From: 4 * a.Stage, To: 4*a.Stage + 4, Total: w.layers}
+	cache, err := model.Import(layers, a.Blob)
+	if engine.dead || err != nil {
 		w.after(fakeStepTime, ImportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 		return
 	}
-	engine.load(a.Stream, a.Blob, w.blobs[a.Blob])
+	engine.caches[a.Stream] = cache
+	engine.imports[a.Stream]++
 	w.after(fakeStepTime, ImportDone{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 }
 
+func promptOf(request string) string {
+	return model.PrefillData("the prompt of "+request, 7)
+}
+
 // expected is the text of a request without any fault.
-func expected(stages, tokens, eosAt int, request string) string {
-	w := newWorld(DefaultConfig(), stages, 0, 0)
-	w.eosAt = eosAt
-	w.open(request, tokens)
-	w.run(time.Hour)
-	return strings.Join(w.text[request], " ")
+func expected(stages, tokens int, request string) string {
+	return strings.Join(model.Expected("the prompt of "+request, 7, tokens, 4*stages), "")
 }
--- a/internal/stream/messages.go
+++ b/internal/stream/messages.go
@@ -17,14 +17,17 @@
 // Event is an input of the Table.
 type Event interface{ isEvent() }
 
-// Open starts a stream. Request must be unique in the life of the Table.
+// Open starts a stream. Request must be unique in the life of the Table; one
+// that is open already is ignored and counted.
 type Open struct {
-	Request   string        `json:"request"`
-	Model     ident.Service `json:"model"`
-	Prompt    string        `json:"prompt"`
-	MaxTokens int           `json:"max_tokens"`
-	Seed      uint64        `json:"seed"`
-	Priority  int           `json:"priority"`
+	Request string        `json:"request"`
+	Model   ident.Service `json:"model"`
+	// Prompt is the data of token 0, in the form that the engine wants. Tokens
+	// of the answer may be appended to it (WayPrefill).
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Seed      uint64 `json:"seed"`
+	Priority  int    `json:"priority"`
 	// Deadline is the process time by which the answer must be whole; 0 sets
 	// none.
 	Deadline time.Duration `json:"deadline_ns"`
@@ -59,6 +62,8 @@
 	FailurePosition FailureKind = "position"
 	// FailureLeaving: not run; the backend server is leaving.
 	FailureLeaving FailureKind = "leaving"
+	// FailureRefused: not run, for a reason that a repeat won't change.
+	FailureRefused FailureKind = "refused"
 	// FailureFull: not run; the backend server has no room.
 	FailureFull FailureKind = "full"
 )
--- a/internal/stream/resume.go
+++ b/internal/stream/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
@@ -48,25 +49,56 @@
 		return
 	}
 	for _, way := range t.cfg.Resume {
-		switch {
-		case way == WayImport && mayImport && t.importCache(s):
-			return
-		case way == WayReplay && s.canReplayFrom(0):
-			t.stats.Replayed++
-			t.drive(s)
-			return
-		case way == WayStartOver:
-			t.startOver(s)
+		if t.resumeBy(s, way, mayImport) {
 			return
 		}
 	}
 	t.cut(s, verdict.CauseBackendLost, "a lost stage could not be resumed")
 }
 
+// resumeBy tries one way and reports whether it is possible.
+func (t *Table) resumeBy(s *stream, way Way, mayImport bool) bool {
+	switch way {
+	case WayImport:
+		return mayImport && t.importCache(s)
+	case WayReplay:
+		if s.token > t.cfg.ReplayMax || !s.canReplayFrom(0) {
+			return false
+		}
+		t.stats.Replayed++
+		t.drive(s)
+	case WayPrefill:
+		t.stats.Prefilled++
+		s.prompt = s.open.Prompt + strings.Join(s.emitted, "")
+		s.base = len(s.emitted)
+		t.startOver(s)
+	case WayStartOver:
+		t.stats.StartedOver++
+		t.startOver(s)
+	}
+	return true
+}
+
+// restart begins all stages anew, if a way that does so is allowed. It helps
+// where a cache ran ahead and what it gave is lost. It reports whether the
+// stream is taken care of.
+func (t *Table) restart(s *stream) bool {
+	for _, way := range t.cfg.Resume {
+		if way == WayPrefill || way == WayStartOver {
+			if t.nextAttempt(s) {
+				t.resumeBy(s, way, false)
+			}
+			return true
+		}
+	}
+	return false
+}
+
 // importCache starts the import of the frontier stage's last checkpoint.
 func (t *Table) importCache(s *stream) bool {
 	st := &s.stages[s.at]
-	if st.cache.position == 0 || !s.canReplayFrom(st.cache.position) {
+	position := st.cache.position
+	if position == 0 || s.token-position > t.cfg.ReplayMax || !s.canReplayFrom(position) {
 		return false
 	}
 	st.touched = true
@@ -129,7 +161,7 @@
 	}
 }
 
-// startOver drives prompt and tokens through all stages again, under a new
+// startOver drives the stream's prompt through all stages again, under a new
 // name at the engines.
 func (t *Table) startOver(s *stream) {
 	t.cancelStages(s)
@@ -147,7 +179,6 @@
 	}
 	s.token = 0
 	s.at = 0
-	s.input = s.open.Prompt
-	t.stats.StartedOver++
+	s.input = s.prompt
 	t.drive(s)
 }
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -37,7 +37,9 @@
 	name    string // at the engines
 	index   int    // in Table.order
 	stages  []stage
-	token   int      // token at the frontier
+	prompt  string   // what token 0 carries: the request's, or with a part of the answer
+	base    int      // tokens of the answer in prompt
+	token   int      // token at the frontier, counted from base
 	at      int      // stage at the frontier
 	input   string   // what stage at takes for token
 	emitted []string // what the caller had
@@ -56,7 +58,7 @@
 }
 
 func newStream(ev Open) *stream {
-	s := &stream{open: ev, name: ev.Request, input: ev.Prompt}
+	s := &stream{open: ev, name: ev.Request, prompt: ev.Prompt, input: ev.Prompt}
 	s.stages = make([]stage, len(ev.Pipeline))
 	for i, st := range ev.Pipeline {
 		s.stages[i] = stage{Stage: st, server: st.Server}
@@ -110,9 +112,9 @@
 		return s.stages[i].kept.get(token)
 	}
 	if token == 0 {
-		return s.open.Prompt
+		return s.prompt
 	}
-	return s.emitted[token-1]
+	return s.emitted[s.base+token-1]
 }
 
 // stepDone takes an answer if it belongs to the step in flight.
@@ -157,12 +159,13 @@
 func (t *Table) tokenDone(s *stream, ev StepDone) {
 	s.at = 0
 	s.token++
-	if ev.Token < len(s.emitted) {
-		t.tokenAgain(s, ev)
+	index := s.base + ev.Token
+	if index < len(s.emitted) {
+		t.tokenAgain(s, index, ev)
 		return
 	}
 	s.emitted = append(s.emitted, ev.Data)
-	t.emit(EmitToken{Request: s.open.Request, Index: ev.Token, Text: ev.Data})
+	t.emit(EmitToken{Request: s.open.Request, Index: index, Text: ev.Data})
 	switch {
 	case ev.EOS:
 		t.finish(s, FinishStop)
@@ -175,8 +178,8 @@
 }
 
 // tokenAgain takes a token that the caller already had, after a start over.
-func (t *Table) tokenAgain(s *stream, ev StepDone) {
-	if ev.EOS || ev.Data != s.emitted[ev.Token] {
+func (t *Table) tokenAgain(s *stream, index int, ev StepDone) {
+	if ev.EOS || ev.Data != s.emitted[index] {
 		t.cut(s, verdict.CauseInternalFailure, "the model gave another token when it was run again")
 		return
 	}
@@ -198,7 +201,7 @@
 // is still kept.
 func (s *stream) outputOf(i, token int) (string, bool) {
 	if i == len(s.stages)-1 {
-		return s.emitted[token], true
+		return s.emitted[s.base+token], true
 	}
 	kept := &s.stages[i+1].kept
 	if !kept.has(token) {
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -43,12 +43,12 @@
 		tokens := rapid.IntRange(1, 12).Draw(t, "tokens")
 		cfg := DefaultConfig()
 		cfg.Resume = rapid.SampledFrom([][]Way{
-			{WayImport, WayReplay, WayStartOver}, {WayImport, WayStartOver}, {WayReplay}, {WayStartOver},
+			{WayImport, WayReplay, WayPrefill}, {WayImport, WayStartOver}, {WayReplay}, {WayPrefill}, {WayStartOver},
 		}).Draw(t, "resume")
+		cfg.ReplayMax = rapid.SampledFrom([]int{0, 2, 64}).Draw(t, "replay max")
 		cfg.CheckpointEvery = rapid.IntRange(0, 4).Draw(t, "checkpoint every")
 		cfg.KeepBytesPerStream = rapid.SampledFrom([]int{0, 100, 1 << 20}).Draw(t, "keep")
 		w := newWorld(cfg, stages, 3, rapid.Uint64().Draw(t, "seed"))
-		w.eosAt = rapid.IntRange(-1, 12).Draw(t, "eos")
 		w.faults = faults{
 			lose:      rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "lose"),
 			duplicate: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "duplicate"),
@@ -95,8 +95,8 @@
 	require.Empty(t, w.faulty)
 	require.Zero(t, w.table.Stats().KeptBytes)
 	for _, request := range requests {
-		want := expected(stages, tokens, w.eosAt, request)
-		got := strings.Join(w.text[request], " ")
+		want := expected(stages, tokens, request)
+		got := strings.Join(w.text[request], "")
 		_, finished := w.finished[request]
 		_, cut := w.cuts[request]
 		require.True(t, finished != cut, "%s must end once: finished %v, cut %v", request, finished, cut)
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -24,7 +24,9 @@
 	Imported uint64 `json:"imported"`
 	// Replayed counts resumes by replay of kept inputs.
 	Replayed uint64 `json:"replayed"`
-	// StartedOver counts resumes that drove all stages again.
+	// Prefilled counts resumes by a prefill of prompt and tokens.
+	Prefilled uint64 `json:"prefilled"`
+	// StartedOver counts resumes that drove every token again.
 	StartedOver uint64 `json:"started_over"`
 	// Finished counts whole answers.
 	Finished uint64 `json:"finished"`
