--- /dev/null
+++ b/cmd/catkin-standin/main.go
@@ -0,0 +1,118 @@
+// Command catkin-standin hosts stand-ins for everything outside the product, for
+// tests and the bench.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/catkinstair/catkinstair/internal/obs"
+	"github.com/catkinstair/catkinstair/internal/settings"
+	"github.com/catkinstair/catkinstair/internal/standin"
+)
+
+const program = "catkin-standin"
+
+type options struct {
+	topology string
+	kv       string
+	vms      string
+	weights  string
+	control  string
+	logLevel string
+}
+
+func main() {
+	cmd := command()
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var faults settings.Faults
+	if errors.As(err, &faults) {
+		return settings.ExitCode
+	}
+	return 1
+}
+
+func command() *cobra.Command {
+	var opt options
+	cmd := &cobra.Command{
+		Use:           program,
+		Short:         "Stand-ins for the platform, model engines and applications",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+	}
+	set := settings.On(cmd)
+	set.String(&opt.topology, "topology", "", "JSON file that names every stand-in", settings.Required)
+	set.String(&opt.kv, "kv", "", "address of the key-value service instead of the file's", settings.Addr)
+	set.String(&opt.vms, "vms", "", "address of the VM list instead of the file's", settings.Addr)
+	set.String(&opt.weights, "weights", "", "address of the weight store instead of the file's", settings.Addr)
+	set.String(&opt.control, "control", "", "address of the fault control instead of the file's", settings.Addr)
+	set.String(&opt.logLevel, "log-level", "info", "least level that is logged", settings.OneOf(obs.Levels...))
+	cmd.RunE = func(*cobra.Command, []string) error {
+		if err := set.Resolve(os.LookupEnv); err != nil {
+			return err
+		}
+		return run(opt)
+	}
+	cmd.AddCommand(&cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { cmd.Println(obs.Version()) },
+	})
+	return cmd
+}
+
+func run(opt options) error {
+	log, err := obs.NewLogger(obs.Stderr(), opt.logLevel, program)
+	if err != nil {
+		return err
+	}
+	topology, err := standin.ReadTopology(opt.topology)
+	if err != nil {
+		return err
+	}
+	override(&topology, opt)
+	cluster, err := standin.Start(topology)
+	if err != nil {
+		return err
+	}
+	defer cluster.Close()
+	cluster.RegisterMetrics()
+	log.Info().
+		Interface("addresses", cluster.Addresses()).
+		Int("servers", len(cluster.Servers())).
+		Msg("stand-ins are up")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	<-stop
+	log.Info().Msg("stand-ins stop")
+	return nil
+}
+
+func override(t *standin.Topology, opt options) {
+	for _, o := range []struct {
+		value string
+		field *string
+	}{
+		{opt.kv, &t.KV},
+		{opt.vms, &t.VMs},
+		{opt.weights, &t.Weights},
+		{opt.control, &t.Control},
+	} {
+		if o.value != "" {
+			*o.field = o.value
+		}
+	}
+}
--- a/internal/adapter/kv/http.go
+++ b/internal/adapter/kv/http.go
@@ -124,7 +124,7 @@
 	if httpcall.StatusOf(err) == 404 {
 		return ErrNotFound
 	}
-	return errors.Mark(errors.Wrap(err, "key-value service"), ErrDown)
+	return &callError{outcome: ErrDown, cause: err}
 }
 
 // writeError maps the failure of a call that may have taken effect.
@@ -134,7 +134,7 @@
 	}
 	var e *httpcall.Error
 	if !errors.As(err, &e) {
-		return errors.Mark(err, ErrUnknown)
+		return &callError{outcome: ErrUnknown, cause: err}
 	}
 	switch {
 	case e.Status == 404:
@@ -142,9 +142,9 @@
 	case e.Status == 409:
 		return conflict(e)
 	case e.Sent == httpcall.SentNone, refused(e.Status):
-		return errors.Mark(errors.Wrap(err, "key-value service"), ErrDown)
+		return &callError{outcome: ErrDown, cause: err}
 	default:
-		return errors.Mark(errors.Wrap(err, "key-value service"), ErrUnknown)
+		return &callError{outcome: ErrUnknown, cause: err}
 	}
 }
 
@@ -156,7 +156,7 @@
 func conflict(e *httpcall.Error) error {
 	var body conflictBody
 	if err := json.Unmarshal([]byte(e.Body), &body); err != nil {
-		return errors.Mark(errors.Wrap(err, "conflict answer"), ErrUnknown)
+		return &callError{outcome: ErrUnknown, cause: errors.Wrap(err, "conflict answer")}
 	}
 	return &ConflictError{Current: body.Entry}
 }
--- a/internal/adapter/kv/kv.go
+++ b/internal/adapter/kv/kv.go
@@ -38,6 +38,23 @@
 	ErrUnknown = errors.New("reply of the key-value service lost: the write may have taken effect")
 )
 
+// callError is a failed call: what it means and what happened.
+type callError struct {
+	// outcome is ErrDown or ErrUnknown.
+	outcome error
+	cause   error
+}
+
+// Error implements error.
+func (e *callError) Error() string {
+	return e.outcome.Error() + ": " + e.cause.Error()
+}
+
+// Unwrap lets errors.Is find the outcome as well as the cause.
+func (e *callError) Unwrap() []error {
+	return []error{e.outcome, e.cause}
+}
+
 // Entry is one key as it stands, or in a watch the news that it was deleted.
 type Entry struct {
 	Key      string `json:"key"`
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"sort"
 	"sync"
 	"time"
@@ -57,6 +56,7 @@
 	c.list = newEndpoint("vms", c.serveList)
 	c.weights = newWeightStore(c.topology.WeightBytesPerSecond)
 	c.control = newEndpoint("control", c.serveControl)
+	c.control.serveFaults = c.serveFaults
 	starts := []struct {
 		addr  string
 		start func(string) error
@@ -281,33 +281,27 @@
 	Faults []Fault `json:"faults"`
 }
 
-// serveControl serves faults for any target, the ledger and the addresses.
+// serveControl serves the ledger and the addresses.
 func (c *Cluster) serveControl(ctx *fasthttp.RequestCtx) {
-	switch path := string(ctx.Path()); {
-	case path == "/v1/fault" && ctx.IsPost():
-		c.serveFaultPost(ctx)
-	case path == "/v1/fault":
-		reply(ctx, c.faults())
-	case path == "/ledger":
+	switch string(ctx.Path()) {
+	case "/ledger":
 		reply(ctx, c.Ledger())
-	case path == "/addresses":
+	case "/addresses":
 		reply(ctx, c.Addresses())
-	case path == "/servers":
+	case "/servers":
 		reply(ctx, c.Servers())
 	default:
 		fail(ctx, fasthttp.StatusNotFound, "no such call")
 	}
 }
 
-func (c *Cluster) serveFaultPost(ctx *fasthttp.RequestCtx) {
-	var f Fault
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-		fail(ctx, fasthttp.StatusBadRequest, err.Error())
+// serveFaults takes faults for any target.
+func (c *Cluster) serveFaults(ctx *fasthttp.RequestCtx) {
+	if ctx.IsGet() {
+		reply(ctx, c.faults())
 		return
 	}
-	if err := c.Fault(f); err != nil {
-		fail(ctx, fasthttp.StatusBadRequest, err.Error())
-	}
+	takeFault(ctx, c.Fault)
 }
 
 func (c *Cluster) faults() FaultList {
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -30,6 +30,8 @@
 	handle func(*fasthttp.RequestCtx)
 	// onFault is told of each fault after it was switched; may be nil.
 	onFault func(Fault)
+	// serveFaults answers /fault; by default the faults are the endpoint's own.
+	serveFaults func(*fasthttp.RequestCtx)
 
 	mu      sync.Mutex
 	addr    string
@@ -38,13 +40,15 @@
 }
 
 func newEndpoint(name string, handle func(*fasthttp.RequestCtx)) *endpoint {
-	return &endpoint{
+	e := &endpoint{
 		name:    name,
 		faults:  newFaultSet(uint64(len(name))),
 		conns:   &connSet{conns: map[*trackedConn]struct{}{}},
 		handle:  handle,
 		stopped: make(chan struct{}),
 	}
+	e.serveFaults = e.serveOwnFaults
+	return e
 }
 
 // start listens on addr; port 0 takes a free one, which Addr then names.
@@ -169,7 +173,7 @@
 	path := string(ctx.Path())
 	switch path {
 	case "/fault":
-		e.serveFault(ctx)
+		e.serveFaults(ctx)
 		return
 	case "/metrics":
 		metrics.WritePrometheus(ctx, true)
@@ -212,17 +216,22 @@
 	}
 }
 
-func (e *endpoint) serveFault(ctx *fasthttp.RequestCtx) {
+func (e *endpoint) serveOwnFaults(ctx *fasthttp.RequestCtx) {
 	if ctx.IsGet() {
-		reply(ctx, map[string][]Fault{"faults": e.faults.list()})
+		reply(ctx, FaultList{Faults: e.faults.list()})
 		return
 	}
+	takeFault(ctx, e.apply)
+}
+
+// takeFault reads a fault from a request and applies it.
+func takeFault(ctx *fasthttp.RequestCtx, apply func(Fault) error) {
 	var f Fault
 	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
 		fail(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	if err := e.apply(f); err != nil {
+	if err := apply(f); err != nil {
 		fail(ctx, fasthttp.StatusBadRequest, err.Error())
 	}
 }
