Assemble an entry's slices behind one facade

Cause: the processes, replay, property tests and benchmarks are to run one and the same code, so admission, limits, routing, streams, calls and the address answers meet in one plain state machine. Measured: nothing yet; it builds and is free of clocks and goroutines.

--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkinstair/catkinstair/internal/admission"
+	"github.com/catkinstair/catkinstair/internal/call"
+	"github.com/catkinstair/catkinstair/internal/entrylist"
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/limits"
+	"github.com/catkinstair/catkinstair/internal/peer"
+	"github.com/catkinstair/catkinstair/internal/routing"
+	"github.com/catkinstair/catkinstair/internal/stream"
+)
+
+// Entry is the core of one catkin-entry process.
+type Entry struct {
+	cfg      EntryConfig
+	streams  *stream.Table
+	router   *routing.Router
+	queue    *admission.Queue
+	borrower *limits.Borrower
+	calls    *call.Core
+	list     *entrylist.List
+
+	accepted accepted
+	members  map[ident.VM]peer.EntryMember
+	servers  map[ident.BackendServer]peer.BackendServer
+	models   map[ident.Service]bool
+
+	completions map[string]*completion
+	names       map[string]string // stream name at the engines -> request
+	callWork    map[call.RequestID]*callWork
+
+	out []Action
+}
+
+// NewEntry returns the core of an entry that knows nothing yet: until the first
+// snapshot with a configuration it refuses with NotRun.
+func NewEntry(cfg EntryConfig) (*Entry, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, errors.Wrap(err, "entry")
+	}
+	e := &Entry{
+		cfg:         cfg,
+		members:     map[ident.VM]peer.EntryMember{},
+		servers:     map[ident.BackendServer]peer.BackendServer{},
+		models:      map[ident.Service]bool{},
+		completions: map[string]*completion{},
+		names:       map[string]string{},
+		callWork:    map[call.RequestID]*callWork{},
+	}
+	var err error
+	if e.streams, err = stream.New(cfg.Stream); err != nil {
+		return nil, errors.Wrap(err, "stream")
+	}
+	if e.router, err = routing.New(cfg.Routing); err != nil {
+		return nil, errors.Wrap(err, "routing")
+	}
+	if e.borrower, err = limits.NewBorrower(cfg.Limits); err != nil {
+		return nil, errors.Wrap(err, "limits")
+	}
+	if e.queue, err = admission.New(cfg.Admission, taker{entry: e}); err != nil {
+		return nil, errors.Wrap(err, "admission")
+	}
+	if e.calls, err = call.New(cfg.Call); err != nil {
+		return nil, errors.Wrap(err, "call")
+	}
+	if e.list, err = entrylist.New(cfg.List); err != nil {
+		return nil, errors.Wrap(err, "entry list")
+	}
+	return e, nil
+}
+
+// Step takes one event at process time now and returns what is to be done. The
+// slice is valid until the next Step. An event of a type that EntryEvents does
+// not list is ignored.
+func (e *Entry) Step(now time.Duration, event Event) []Action {
+	clear(e.out)
+	e.out = e.out[:0]
+	switch ev := event.(type) {
+	case Tick:
+		e.tick(now)
+	case Snapshot:
+		e.snapshot(now, ev.Reply)
+	case AddressesAsked:
+		e.emit(AddressesAnswered{Request: ev.Request, Answer: e.list.Ask(now, ev.Team)})
+	case CompletionAsked:
+		e.completionAsked(now, ev)
+	case CallerGone:
+		e.completionGone(now, ev.Request)
+	case stream.Event:
+		e.streamEvent(now, ev)
+	case routing.Event:
+		e.routeEvent(now, ev)
+	case call.Event:
+		e.callEvent(now, ev)
+	case limits.LoanReceived:
+		e.limitsDo(now, e.borrower.Step(now, ev))
+	case entrylist.Event:
+		e.listEvent(now, ev)
+	case admission.Credit:
+		e.queueDo(now, e.queue.Step(now, ev))
+	}
+	if e.borrower.Urgent() {
+		e.limitsDo(now, e.borrower.Step(now, limits.Tick{}))
+	}
+	return e.out
+}
+
+func (e *Entry) emit(a Action) { e.out = append(e.out, a) }
+
+func (e *Entry) tick(now time.Duration) {
+	e.limitsDo(now, e.borrower.Step(now, limits.Tick{}))
+	e.queueDo(now, e.queue.Step(now, admission.Tick{}))
+	e.streamEvent(now, stream.Tick{})
+	e.callEvent(now, call.Tick{})
+	e.listEvent(now, entrylist.Tick{})
+}
+
+func (e *Entry) limitsDo(now time.Duration, actions []limits.Action) {
+	refilled := false
+	for _, a := range actions {
+		if _, ok := a.(limits.Refilled); ok {
+			refilled = true
+			continue
+		}
+		e.emit(a)
+	}
+	if refilled {
+		e.queueDo(now, e.queue.Step(now, admission.Credit{}))
+	}
+}
+
+func (e *Entry) queueDo(now time.Duration, actions []admission.Action) {
+	for _, a := range append([]admission.Action(nil), actions...) {
+		switch a := a.(type) {
+		case admission.Admit:
+			e.admitted(now, a.ID)
+		case admission.Refuse:
+			e.refusedWaiting(now, a)
+		}
+	}
+}
+
+func (e *Entry) listEvent(now time.Duration, ev entrylist.Event) {
+	for _, a := range e.list.Step(now, ev) {
+		e.emit(a)
+	}
+}
+
+func (e *Entry) routeEvent(now time.Duration, ev routing.Event) {
+	for _, a := range e.router.Step(now, ev) {
+		e.emit(a)
+	}
+}
+
+// opened and closed count requests in progress for a planned stop.
+func (e *Entry) opened(now time.Duration) { e.listEvent(now, entrylist.Opened{}) }
+
+func (e *Entry) closed(now time.Duration) { e.listEvent(now, entrylist.Closed{}) }
+
+// EntryState is what operators and drivers may read of an Entry.
+type EntryState struct {
+	ConfigKnown   bool            `json:"config_known"`
+	ConfigVersion uint64          `json:"config_version"`
+	Draining      bool            `json:"draining"`
+	Open          int             `json:"open"`
+	Streams       stream.Stats    `json:"streams"`
+	Routing       routing.Stats   `json:"routing"`
+	Admission     admission.Stats `json:"admission"`
+	Calls         int             `json:"calls"`
+	Keys          int             `json:"keys"`
+	Members       int             `json:"members"`
+	Servers       int             `json:"servers"`
+}
+
+// State reads versions and counters.
+func (e *Entry) State() EntryState {
+	return EntryState{
+		ConfigKnown:   e.accepted.known,
+		ConfigVersion: e.accepted.version,
+		Draining:      e.list.Draining(),
+		Open:          e.list.Open(),
+		Streams:       e.streams.Stats(),
+		Routing:       e.router.Stats(),
+		Admission:     e.queue.Stats(),
+		Calls:         e.calls.Open(),
+		Keys:          e.calls.Keys(),
+		Members:       len(e.members),
+		Servers:       len(e.servers),
+	}
+}
--- /dev/null
+++ b/internal/node/entryconfig.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkinstair/catkinstair/internal/admission"
+	"github.com/catkinstair/catkinstair/internal/call"
+	"github.com/catkinstair/catkinstair/internal/entrylist"
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/limits"
+	"github.com/catkinstair/catkinstair/internal/routing"
+	"github.com/catkinstair/catkinstair/internal/stream"
+)
+
+// EntryConfig is the configuration of an Entry.
+type EntryConfig struct {
+	// Self is this life of this VM.
+	Self ident.Instance `json:"self"`
+	// Place is where the VM stands.
+	Place ident.Place `json:"place"`
+	// TokenEstimate bounds the tokens reserved for one completion before its
+	// true count is known, in tokens. Default 1024.
+	TokenEstimate int `json:"token_estimate"`
+	// TokenTime is the expected time of one token, used to refuse completions
+	// that can't be whole by their deadline. Default 20 ms.
+	TokenTime time.Duration `json:"token_time_ns"`
+	// CallNeed is the expected time of one call to an application. Default 20 ms.
+	CallNeed time.Duration `json:"call_need_ns"`
+
+	Stream    stream.Config         `json:"stream"`
+	Routing   routing.Config        `json:"routing"`
+	Admission admission.Config      `json:"admission"`
+	Limits    limits.BorrowerConfig `json:"limits"`
+	Call      call.Config           `json:"call"`
+	List      entrylist.Config      `json:"list"`
+}
+
+// EntrySettings are what an operator sets of an entry; the rest are defaults.
+type EntrySettings struct {
+	Self  ident.Instance
+	Place ident.Place
+	// Addr is where callers connect.
+	Addr string
+	// StartUnix is the wall clock at time zero, in seconds.
+	StartUnix int64
+	// Seed fixes every random choice.
+	Seed uint64
+}
+
+// DefaultEntryConfig returns the defaults of every slice for one VM.
+func DefaultEntryConfig(s EntrySettings) EntryConfig {
+	cfg := EntryConfig{
+		Self:          s.Self,
+		Place:         s.Place,
+		TokenEstimate: 1024,
+		TokenTime:     20 * time.Millisecond,
+		CallNeed:      20 * time.Millisecond,
+		Stream:        stream.DefaultConfig(),
+		Routing:       routing.DefaultConfig(),
+		Admission:     admission.DefaultConfig(),
+		Limits:        limits.DefaultBorrowerConfig(),
+		Call:          call.DefaultConfig(s.Self),
+		List:          entrylist.DefaultConfig(s.Self, s.Addr, s.Place.FailureDomain),
+	}
+	cfg.Routing.Self = s.Self.VM
+	cfg.Routing.Place = s.Place
+	cfg.Routing.Seed = s.Seed
+	cfg.Admission.Seed = s.Seed
+	cfg.Limits.Self = s.Self
+	cfg.Limits.Seed = s.Seed
+	cfg.Call.StartUnix = s.StartUnix
+	cfg.List.StartUnix = s.StartUnix
+	return cfg
+}
+
+// Validate names every faulty field that the slices don't check themselves.
+func (c EntryConfig) Validate() error {
+	var faults error
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			faults = errors.Join(faults, errors.Newf(format, args...))
+		}
+	}
+	check(c.Self.VM != "", "Self.VM is empty: want the VM's name")
+	check(c.TokenEstimate > 0, "TokenEstimate is %d: want at least 1", c.TokenEstimate)
+	check(c.TokenTime > 0, "TokenTime is %s: want more than 0", c.TokenTime)
+	check(c.CallNeed > 0, "CallNeed is %s: want more than 0", c.CallNeed)
+	return faults
+}
