Shell of the entry process: callers' HTTP, engines, applications, peers

Cause: the facade needs a process around it that does the I/O. Conclusion: handlers and lanes only carry events and actions.

--- /dev/null
+++ b/internal/entry/loop.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/catkinstair/catkinstair/internal/call"
+	"github.com/catkinstair/catkinstair/internal/entrylist"
+	"github.com/catkinstair/catkinstair/internal/limits"
+	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/routing"
+	"github.com/catkinstair/catkinstair/internal/stream"
+	"github.com/catkinstair/catkinstair/internal/trace"
+)
+
+var drainEvent = entrylist.Drain{}
+
+// statesEvery is the number of ticks between two readings of the core's state.
+const statesEvery = 20
+
+// loop steps the core: it is the only goroutine that touches it.
+func (s *Shell) loop() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	ticks := 0
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case event := <-s.inbox.Items():
+			s.step(event)
+		case <-ticker.C:
+			s.step(node.Tick{})
+			ticks++
+			if ticks%statesEvery == 1 {
+				s.publishState()
+			}
+		}
+	}
+}
+
+func (s *Shell) step(event any) {
+	now := s.now()
+	actions := s.core.Step(now, event)
+	if s.record != nil {
+		if err := trace.Record(s.record, now, event, actions); err != nil {
+			s.log.Error().Err(err).Msg("trace ends")
+			s.record = nil
+		}
+	}
+	if snap, ok := event.(node.Snapshot); ok {
+		s.directory.take(snap.Reply)
+	}
+	for _, a := range actions {
+		s.do(a)
+	}
+}
+
+// publishState lets handlers and metrics read the core's counters.
+func (s *Shell) publishState() {
+	state := s.core.State()
+	s.state.Store(&state)
+	switch {
+	case state.Draining:
+		s.health.SetReady(false, "leaving")
+	case !state.ConfigKnown:
+		s.health.SetReady(false, "no configuration yet")
+	default:
+		s.health.SetReady(true, "")
+	}
+	gauge("catkin_entry_open_requests", float64(state.Open))
+	gauge("catkin_entry_config_version", float64(state.ConfigVersion))
+	gauge("catkin_entry_streams_dropped_answers", float64(state.Streams.Dropped))
+	gauge("catkin_entry_streams_replaced_stages", float64(state.Streams.Replaced))
+	gauge("catkin_entry_streams_resent_steps", float64(state.Streams.Resent))
+	gauge("catkin_entry_streams_cut", float64(state.Streams.Cut))
+	gauge("catkin_entry_queue_waiting", float64(state.Admission.Waiting))
+	gauge("catkin_entry_queue_running", float64(state.Admission.Running))
+	gauge("catkin_entry_inbox", float64(s.inbox.Len()))
+}
+
+func gauge(name string, value float64) {
+	metrics.GetOrCreateGauge(name, nil).Set(value)
+}
+
+// do carries out one action of the core.
+func (s *Shell) do(action any) {
+	switch a := action.(type) {
+	case stream.SendStep:
+		s.lanes.add(a)
+	case stream.EmitToken:
+		s.boxes.put(a.Request, a)
+	case stream.Finish:
+		s.boxes.put(a.Request, a)
+	case stream.Cut:
+		s.boxes.put(a.Request, a)
+	case node.Refused:
+		s.boxes.put(a.Request, a)
+	case node.AddressesAnswered:
+		s.boxes.put(a.Request, a)
+	case node.Observed:
+		s.observed.add(a.Observation)
+	case limits.SendAsk:
+		s.borrow(a)
+	case routing.Watch:
+		s.watch(a)
+	case entrylist.Action:
+		s.doList(a)
+	case call.Action:
+		s.doCall(a)
+	case stream.Action:
+		s.doStream(a)
+	}
+}
+
+func (s *Shell) doList(action entrylist.Action) {
+	switch a := action.(type) {
+	case entrylist.AskGrant:
+		s.askGrant(a)
+	case entrylist.GiveGrant:
+		s.boxes.put(grantBox(a.To, a.Seq), a)
+	case entrylist.AnnounceLeaving:
+		s.observed.leave()
+	case entrylist.CloseListener:
+		go func() { s.logEnd("callers' listener", s.http.Shutdown()) }()
+	case entrylist.Stop:
+		s.end()
+	}
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/app"
+	"github.com/catkinstair/catkinstair/internal/call"
+	"github.com/catkinstair/catkinstair/internal/entrylist"
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/peer"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// Methods between entry processes.
+const (
+	methodGrant   = "Grant"
+	methodForward = "Forward"
+	methodClock   = "Clock"
+)
+
+// grantRequest asks how long an entry stays open.
+type grantRequest struct {
+	From ident.Instance `json:"from"`
+	Seq  uint64         `json:"seq"`
+}
+
+type grantReply struct {
+	From ident.Instance `json:"from"`
+	For  time.Duration  `json:"for_ns"`
+}
+
+// forwardRequest carries a call to the home of its key.
+type forwardRequest struct {
+	Home     ident.Instance `json:"home"`
+	From     ident.Instance `json:"from"`
+	FromID   call.RequestID `json:"from_id"`
+	Accepted time.Duration  `json:"accepted_ns"`
+	Team     ident.Team     `json:"team"`
+	Service  ident.Service  `json:"service"`
+	BodyHash uint64         `json:"body_hash"`
+	Request  app.Request    `json:"request"`
+	// Wait is what is left of the caller's time.
+	Wait time.Duration `json:"wait_ns"`
+}
+
+type forwardReply struct {
+	Home    ident.Instance   `json:"home"`
+	HomeNow time.Duration    `json:"home_now_ns"`
+	Restamp bool             `json:"restamp,omitempty"`
+	Refusal *verdict.Refusal `json:"refusal,omitempty"`
+	Status  int              `json:"status,omitempty"`
+	// Response is the application's answer.
+	Response app.Response `json:"response"`
+}
+
+type clockRequest struct{}
+
+type clockReply struct {
+	Home ident.Instance `json:"home"`
+	Now  time.Duration  `json:"now_ns"`
+}
+
+func (s *Shell) handlePeers() {
+	peer.Handle(s.server, methodGrant, s.handleGrant)
+	peer.Handle(s.server, methodForward, s.handleForward)
+	peer.Handle(s.server, methodClock, s.handleClock)
+}
+
+func (s *Shell) handleGrant(ctx context.Context, req grantRequest) (grantReply, error) {
+	name := grantBox(req.From, req.Seq)
+	box := s.boxes.open(name)
+	defer s.boxes.close(name)
+	s.send(entrylist.GrantAsked{From: req.From, Seq: req.Seq})
+	items := box.take(ctx.Done())
+	if len(items) == 0 {
+		return grantReply{}, errors.New("no grant in time")
+	}
+	return grantReply{From: s.cfg.Self, For: items[0].(entrylist.GiveGrant).For}, nil
+}
+
+func (s *Shell) handleClock(context.Context, clockRequest) (clockReply, error) {
+	return clockReply{Home: s.cfg.Self, Now: s.now()}, nil
+}
+
+// handleForward takes a call whose key names this life of this VM.
+func (s *Shell) handleForward(_ context.Context, req forwardRequest) (forwardReply, error) {
+	if req.Home != s.cfg.Self {
+		return forwardReply{Home: s.cfg.Self, HomeNow: s.now()}, nil
+	}
+	c := &openCall{box: newMailbox(), service: req.Service, team: req.Team, wait: req.Wait,
+		request: req.Request, hash: req.BodyHash, kept: true}
+	id := s.calls.begin(c)
+	s.send(call.Request{
+		ID: id, Team: req.Team, Service: req.Service, Key: req.Request.Key, BodyHash: req.BodyHash,
+		Deadline:  s.now() + req.Wait,
+		Forwarded: &call.Forwarded{From: req.From, FromID: req.FromID, Accepted: req.Accepted},
+	})
+	return s.forwardOutcome(id, c)
+}
+
+func (s *Shell) forwardOutcome(id call.RequestID, c *openCall) (forwardReply, error) {
+	reply := forwardReply{Home: s.cfg.Self}
+	items := c.box.take(s.ctx.Done())
+	if len(items) == 0 {
+		s.calls.end(id, "")
+		return reply, errors.New("the entry ended")
+	}
+	reply.HomeNow = s.now()
+	switch item := items[0].(type) {
+	case call.Restamp:
+		reply.Restamp = true
+	case call.Refuse:
+		reply.Refusal = &item.Refusal
+	case call.Answer:
+		reply.Status = item.Status
+		reply.Response, _ = s.calls.body(item.Body)
+	}
+	s.calls.end(id, "")
+	return reply, nil
+}
+
+// forward carries a call to its home, once.
+func (s *Shell) forward(a call.ForwardHome) {
+	c := s.calls.get(a.ID)
+	addr := s.directory.peerAddr(a.Home)
+	if c == nil || addr == "" {
+		s.send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
+		return
+	}
+	mode := peer.Once
+	if a.NewConnection {
+		mode = peer.Fresh
+	}
+	ctx, cancel := s.context(a.Deadline - s.now())
+	defer cancel()
+	req := forwardRequest{
+		Home: a.Home, From: s.cfg.Self, FromID: a.ID, Accepted: a.Accepted, Team: c.team, Service: c.service,
+		BodyHash: c.hash, Request: c.request, Wait: a.Deadline - s.now(),
+	}
+	var reply forwardReply
+	if err := s.peers.Call(ctx, addr, methodForward, mode, req, &reply); err != nil {
+		s.send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
+		return
+	}
+	s.homeReply(a, reply)
+}
+
+func (s *Shell) homeReply(a call.ForwardHome, reply forwardReply) {
+	if reply.Home != a.Home {
+		s.send(call.HomeGone{Home: a.Home})
+		s.send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
+		return
+	}
+	event := call.HomeReply{ID: a.ID, Home: reply.Home, HomeNow: reply.HomeNow, Restamp: reply.Restamp,
+		Refusal: reply.Refusal, Status: reply.Status}
+	if reply.Refusal == nil && !reply.Restamp {
+		event.Body = call.BodyRef("forward/" + s.cfg.Self.String() + "/" + strconv.FormatUint(uint64(a.ID), 10))
+		s.calls.store(event.Body, reply.Response)
+	}
+	s.send(event)
+}
+
+func (s *Shell) askClock(a call.AskClock) {
+	ctx, cancel := s.context(grantTimeout)
+	defer cancel()
+	var reply clockReply
+	addr := s.directory.peerAddr(a.Home)
+	if addr == "" {
+		s.send(call.HomeUnreachable{Home: a.Home})
+		return
+	}
+	if err := s.peers.Call(ctx, addr, methodClock, peer.Repeatable, clockRequest{}, &reply); err != nil {
+		s.send(call.HomeUnreachable{Home: a.Home})
+		return
+	}
+	if reply.Home != a.Home {
+		s.send(call.HomeGone(a))
+		return
+	}
+	s.send(call.HomeClock{Home: reply.Home, Now: reply.Now})
+}
+
+func (s *Shell) askGrant(a entrylist.AskGrant) {
+	s.submit(func() {
+		addr := s.directory.peerAddr(a.To)
+		if addr == "" {
+			return
+		}
+		ctx, cancel := s.context(grantTimeout)
+		defer cancel()
+		var reply grantReply
+		req := grantRequest{From: s.cfg.Self, Seq: a.Seq}
+		if err := s.peers.Call(ctx, addr, methodGrant, peer.Repeatable, req, &reply); err != nil {
+			return
+		}
+		s.send(entrylist.GrantGiven{From: reply.From, Seq: a.Seq, For: reply.For})
+	})
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// Headers of the callers' protocol.
+const (
+	headerTeam      = "Catkin-Team"
+	headerVerdict   = "Catkin-Verdict"
+	headerCause     = "Catkin-Cause"
+	headerRequestID = "Catkin-Request-Id"
+	headerTimeout   = "Catkin-Timeout-Ms"
+	headerKey       = "Idempotency-Key"
+)
+
+const servicesPath = "/services/"
+
+// serve answers one request of a caller.
+func (s *Shell) serve(ctx *fasthttp.RequestCtx) {
+	if s.health.Serve(ctx) {
+		return
+	}
+	id := s.requestID(ctx)
+	ctx.Response.Header.Set(headerRequestID, id)
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/addresses":
+		s.serveAddresses(ctx, id)
+	case path == "/v1/completions":
+		s.serveCompletion(ctx, id)
+	case strings.HasPrefix(path, servicesPath):
+		s.serveService(ctx, id, strings.TrimPrefix(path, servicesPath))
+	default:
+		writeRefusal(ctx, verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseBadRequest,
+			Detail: "no such path: want /v1/addresses, /v1/completions or /services/{service}/..."})
+	}
+}
+
+// requestID names a request uniquely over all VMs and lives. It holds no dot:
+// the streams use one to number a request's runs.
+func (s *Shell) requestID(ctx *fasthttp.RequestCtx) string {
+	return string(s.cfg.Self.VM) + "-" + strconv.FormatUint(uint64(s.cfg.Self.Incarnation), 36) +
+		"-" + strconv.FormatUint(ctx.ID(), 36)
+}
+
+// addressesBody is the answer to a caller's question which addresses to use.
+type addressesBody struct {
+	Addresses []addressBody `json:"addresses"`
+	// LifetimeMS is how long the answer may be kept.
+	LifetimeMS int64 `json:"lifetime_ms"`
+	// KeyPrefix starts the idempotency keys made up meanwhile.
+	KeyPrefix string `json:"key_prefix"`
+}
+
+type addressBody struct {
+	VM            ident.VM            `json:"vm"`
+	Addr          string              `json:"addr"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+}
+
+func (s *Shell) serveAddresses(ctx *fasthttp.RequestCtx, id string) {
+	box := s.boxes.open(id)
+	defer s.boxes.close(id)
+	team := ident.Team(ctx.QueryArgs().Peek("team"))
+	s.send(node.AddressesAsked{Request: id, Team: team})
+	items := box.take(s.ctx.Done())
+	if len(items) == 0 {
+		writeRefusal(ctx, leavingRefusal())
+		return
+	}
+	answer := items[0].(node.AddressesAnswered).Answer
+	body := addressesBody{LifetimeMS: answer.Lifetime.Milliseconds(), KeyPrefix: answer.KeyPrefix, Addresses: []addressBody{}}
+	for _, a := range answer.Addresses {
+		body.Addresses = append(body.Addresses, addressBody(a))
+	}
+	writeJSON(ctx, fasthttp.StatusOK, body)
+}
+
+func leavingRefusal() verdict.Refusal {
+	return verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseLeaving, RetryAfter: time.Second,
+		Detail: "this entry is leaving: ask another for addresses"}
+}
+
+// errorBody is the body of every answer that is not a plain success.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Verdict      verdict.Verdict `json:"verdict"`
+	Cause        verdict.Cause   `json:"cause"`
+	Message      string          `json:"message"`
+	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+}
+
+func errorOf(r verdict.Refusal) errorBody {
+	return errorBody{Error: errorDetail{Verdict: r.Verdict, Cause: r.Cause, Message: r.Error(),
+		RetryAfterMS: r.RetryAfter.Milliseconds()}}
+}
+
+// writeRefusal writes the final answer to a request that got no plain success.
+func writeRefusal(ctx *fasthttp.RequestCtx, r verdict.Refusal) {
+	metrics.GetOrCreateCounter(`catkin_entry_refusals_total{cause="` + string(r.Cause) + `",verdict="` + r.Verdict.String() + `"}`).Inc()
+	ctx.Response.Header.Set(headerVerdict, r.Verdict.String())
+	ctx.Response.Header.Set(headerCause, string(r.Cause))
+	if r.RetryAfter > 0 {
+		seconds := int64(math.Ceil(r.RetryAfter.Seconds()))
+		ctx.Response.Header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	writeJSON(ctx, statusOf(r), errorOf(r))
+}
+
+var statuses = map[verdict.Cause]int{
+	verdict.CauseOverLimit:       fasthttp.StatusTooManyRequests,
+	verdict.CauseQueueFull:       fasthttp.StatusTooManyRequests,
+	verdict.CauseRetryBudget:     fasthttp.StatusTooManyRequests,
+	verdict.CauseNoLimit:         fasthttp.StatusForbidden,
+	verdict.CauseBadRequest:      fasthttp.StatusBadRequest,
+	verdict.CauseDeadline:        fasthttp.StatusGatewayTimeout,
+	verdict.CauseBackendLost:     fasthttp.StatusBadGateway,
+	verdict.CauseKeyInUse:        fasthttp.StatusConflict,
+	verdict.CauseKeyReused:       fasthttp.StatusUnprocessableEntity,
+	verdict.CauseKeyHomeGone:     fasthttp.StatusConflict,
+	verdict.CauseKeyExpired:      fasthttp.StatusConflict,
+	verdict.CauseClaimUnknown:    fasthttp.StatusConflict,
+	verdict.CauseInternalFailure: fasthttp.StatusInternalServerError,
+}
+
+func statusOf(r verdict.Refusal) int {
+	if status, ok := statuses[r.Cause]; ok {
+		return status
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	if err := json.NewEncoder(ctx).Encode(body); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
+}
+
+// timeout is the time that the caller gives, or def.
+func timeout(ctx *fasthttp.RequestCtx, def time.Duration) (time.Duration, bool) {
+	text := bytes.TrimSpace(ctx.Request.Header.Peek(headerTimeout))
+	if len(text) == 0 {
+		return def, true
+	}
+	ms, err := strconv.ParseInt(string(text), 10, 64)
+	if err != nil || ms <= 0 || ms > time.Hour.Milliseconds() {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+func badRequest(detail string) verdict.Refusal {
+	return verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseBadRequest, Detail: detail}
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -82,6 +82,8 @@
 	// EntryAddr is where callers connect, ControlAddr where peers do.
 	EntryAddr   string `json:"entry_addr"`
 	ControlAddr string `json:"control_addr"`
+	// EntryPeerAddr is where the entry processes of other VMs connect.
+	EntryPeerAddr string `json:"entry_peer_addr"`
 	// Serving is true for a member that may be named to callers: it is alive,
 	// or unreachable from here without being gone, and it is not leaving.
 	Serving bool `json:"serving"`
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -22,6 +22,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/engine"
 )
 
 // eosModulus makes one token in 97 the last one.
@@ -40,7 +42,7 @@
 // decimal, a line feed and the prompt. The data of every later token is the
 // text of the token before it.
 func PrefillData(prompt string, seed int64) string {
-	return strconv.FormatInt(seed, 10) + "\n" + prompt
+	return engine.PrefillData(prompt, seed)
 }
 
 // ParsePrefill reads what PrefillData returns.
