--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -63,5 +63,6 @@
 	borrowTimeout   = 400 * time.Millisecond
 	grantTimeout    = 500 * time.Millisecond
 	claimTimeout    = time.Second
+	flushTimeout    = 5 * time.Second
 	maxStoredBody   = 16 << 10
 )
--- /dev/null
+++ b/internal/entry/fake_test.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/vmlist"
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/limits"
+	"github.com/catkinstair/catkinstair/internal/peer"
+	"github.com/catkinstair/catkinstair/internal/standin"
+)
+
+const testTeam = "herd"
+
+// fakeControl answers an entry as a control process that lends what is asked.
+type fakeControl struct {
+	addr string
+	mu   sync.Mutex
+	// members are all entries of the test.
+	members []peer.EntryMember
+	servers []peer.BackendServer
+	numbers map[ident.Instance]uint64
+	seen    []peer.BackendObservation
+}
+
+func newFakeControl(t *testing.T, cluster *standin.Cluster) *fakeControl {
+	t.Helper()
+	f := &fakeControl{numbers: map[ident.Instance]uint64{}}
+	for _, s := range cluster.Servers() {
+		kind := peer.KindEngine
+		if s.Kind == vmlist.App {
+			kind = peer.KindApp
+		}
+		f.servers = append(f.servers, peer.BackendServer{ID: s.ID, Kind: kind, Service: s.Service, Addr: s.Addr,
+			Replica: s.Replica, LayerFrom: s.LayerFrom, LayerTo: s.LayerTo, LayersTotal: s.LayersTotal, AcceptsWork: true})
+	}
+	server, err := peer.NewServer(peer.DefaultConfig())
+	require.NoError(t, err)
+	peer.Handle(server, peer.MethodSnapshot, f.snapshot)
+	peer.Handle(server, peer.MethodReport, f.report)
+	peer.Handle(server, peer.MethodBorrow, f.borrow)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f.addr = listener.Addr().String()
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Stop(0) })
+	return f
+}
+
+func (f *fakeControl) snapshot(ctx context.Context, req peer.SnapshotRequest) (peer.SnapshotReply, error) {
+	if req.Held.Config > 0 {
+		<-ctx.Done()
+		return peer.SnapshotReply{Versions: req.Held}, nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	holders := make([]peer.SlotHolder, 64)
+	for i := range holders {
+		holders[i] = peer.SlotHolder{Instance: ident.Instance{VM: "lender", Incarnation: 1}, ControlAddr: f.addr, Epoch: 1}
+	}
+	accepted := []peer.AcceptedLimit{
+		{Team: testTeam, Service: "skrivar", Unit: "tokens/s", PerSecond: 1e6},
+		{Team: testTeam, Service: "ordrebok", Unit: "requests/s", PerSecond: 1e6},
+	}
+	return peer.SnapshotReply{
+		Versions: peer.SnapshotVersions{Control: 1, Config: 1},
+		Config:   &peer.AcceptedConfig{Known: true, Version: 1, Limits: accepted},
+		Members:  &peer.MembersSection{Members: f.members},
+		Backends: &peer.BackendsSection{Servers: f.servers},
+		Roster:   &peer.LeaseRosterEntry{Version: 1, Holders: holders},
+	}, nil
+}
+
+func (f *fakeControl) report(_ context.Context, req peer.ReportRequest) (peer.ReportReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = append(f.seen, req.Observations...)
+	return peer.ReportReply{}, nil
+}
+
+func (f *fakeControl) borrow(_ context.Context, ask limits.Ask) (limits.Loan, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loan := limits.Loan{To: ask.From, Seq: ask.Seq, Sent: ask.Sent}
+	for i, item := range ask.Items {
+		f.numbers[ask.From]++
+		loan.Items = append(loan.Items, limits.LoanItem{Index: i, Epoch: 1, Number: f.numbers[ask.From], Amount: item.Want})
+	}
+	return loan, nil
+}
+
+// world is a stand-in cluster with entries before it.
+type world struct {
+	t       *testing.T
+	cluster *standin.Cluster
+	control *fakeControl
+	entries []*Shell
+	stops   []context.CancelFunc
+	ended   []chan struct{}
+}
+
+func startWorld(t *testing.T, entries int) *world {
+	t.Helper()
+	cluster, err := standin.Start(standin.Topology{
+		KV: "127.0.0.1:0", VMs: "127.0.0.1:0", Control: "127.0.0.1:0",
+		Region: "vestland", FailureDomains: []string{"bergen-a", "bergen-b"},
+		Models: []standin.ModelPlan{{Service: "skrivar", Replicas: 3, StageEnds: []int{2, 4, 6}, IP: "127.0.0.1",
+			Accelerators: []standin.AcceleratorPlan{{Name: "a100", StepMicros: 300}},
+			Capacity:     8, MaxWaiting: 64, MaxStreams: 64, PrefixBlocks: 8}},
+		Apps: []standin.AppPlan{{Service: "ordrebok", Replicas: 2, IP: "127.0.0.1", CallMicros: 300, Capacity: 8}},
+	})
+	require.NoError(t, err)
+	t.Cleanup(cluster.Close)
+	w := &world{t: t, cluster: cluster, control: newFakeControl(t, cluster)}
+	var cfgs []Config
+	for i := range entries {
+		cfgs = append(cfgs, w.config(i))
+	}
+	for _, cfg := range cfgs {
+		w.startEntry(cfg)
+	}
+	return w
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (w *world) config(i int) Config {
+	name := ident.VM([]string{"a1", "b1", "c1"}[i])
+	cfg := Config{
+		Self:   ident.Instance{VM: name, Incarnation: 7},
+		Place:  ident.Place{Region: "vestland", FailureDomain: ident.FailureDomain(name)},
+		Listen: freeAddr(w.t), PeerListen: freeAddr(w.t), Control: w.control.addr, KV: w.cluster.Addresses().KV,
+		DefaultTimeout: 20 * time.Second, CallTimeout: 5 * time.Second, Workers: 256, MaxBodyBytes: 1 << 20,
+		Lifetime: 30 * time.Second,
+	}
+	w.control.members = append(w.control.members, peer.EntryMember{Instance: cfg.Self, Place: cfg.Place,
+		EntryAddr: cfg.Listen, EntryPeerAddr: cfg.PeerListen, Serving: true, Reachable: true})
+	return cfg
+}
+
+func (w *world) startEntry(cfg Config) {
+	shell, err := New(cfg, zerolog.Nop())
+	require.NoError(w.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = shell.Run(ctx)
+	}()
+	w.t.Cleanup(func() {
+		shell.end()
+		stop()
+		<-ended
+		_ = shell.http.Shutdown()
+	})
+	w.entries = append(w.entries, shell)
+	w.stops = append(w.stops, stop)
+	w.ended = append(w.ended, ended)
+	require.Eventually(w.t, shell.health.Ready, 10*time.Second, 5*time.Millisecond)
+}
+
+type answer struct {
+	status  int
+	verdict string
+	header  *fasthttp.ResponseHeader
+	body    []byte
+}
+
+func (w *world) do(entry int, method, path, key string, body any) answer {
+	w.t.Helper()
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + w.entries[entry].cfg.Listen + path)
+	req.Header.Set(headerTeam, testTeam)
+	if key != "" {
+		req.Header.Set(headerKey, key)
+	}
+	if body != nil {
+		raw, err := json.Marshal(body)
+		require.NoError(w.t, err)
+		req.SetBody(raw)
+	}
+	require.NoError(w.t, fasthttp.DoTimeout(&req, &resp, 20*time.Second))
+	return answer{status: resp.StatusCode(), verdict: string(resp.Header.Peek(headerVerdict)),
+		header: &resp.Header, body: append([]byte(nil), resp.Body()...)}
+}
--- a/internal/entry/shell.go
+++ b/internal/entry/shell.go
@@ -176,7 +176,7 @@
 		<-s.ctx.Done()
 	case <-s.ctx.Done():
 	}
-	s.server.Stop(time.Second)
+	s.closeServers()
 	s.duties.Wait()
 	s.peers.Close()
 	s.pool.Release()
@@ -184,6 +184,14 @@
 	return nil
 }
 
+// closeServers waits for answers that are still being written.
+func (s *Shell) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	s.logEnd("callers' server", s.http.ShutdownWithContext(ctx))
+	s.server.Stop(flushTimeout)
+}
+
 func (s *Shell) duty(run func()) {
 	s.duties.Add(1)
 	go func() {
