--- a/internal/stream/config.go
+++ b/internal/stream/config.go
@@ -31,11 +31,14 @@
 	MaxStreams int
 	// MaxTokens bounds the tokens of one answer. Default 32768.
 	MaxTokens int
-	// StepTimeout is the wait for one step before its reply counts as lost.
-	// Default 1 s.
+	// StepTimeout is the longest wait for one step before its reply counts as
+	// lost. Default 1 s.
 	StepTimeout time.Duration
-	// PrefillTimeout is the same for token 0, whose step runs the whole prompt.
-	// Default 10 s.
+	// MinStepTimeout is the least wait for a step that is sent for the first
+	// time; in between it is several times the usual. Default 250 ms.
+	MinStepTimeout time.Duration
+	// PrefillTimeout is the longest wait for token 0, whose step runs the
+	// whole prompt; a quarter of it for the first send. Default 10 s.
 	PrefillTimeout time.Duration
 	// Resends is the number of times that a step whose reply was lost is sent
 	// again on a new connection before its stage counts as dead. Default 1.
@@ -51,12 +54,13 @@
 	ReplacementWait time.Duration
 	// MaxAttempts bounds the take-overs and starts of one stream. Default 16.
 	MaxAttempts int
-	// Resume lists the allowed ways, the preferred one first. Default import,
-	// replay, prefill.
+	// Resume lists the allowed ways. The one with the least expected time is
+	// taken, the earlier one where two are equal. Default import, replay,
+	// prefill.
 	Resume []Way
-	// ReplayMax is the number of tokens above which import and replay leave
-	// the resume to the ways behind them. Default 64.
-	ReplayMax int
+	// PrefillShare is the time of one token in a prefill as a share of its
+	// time in a step of its own. Default 0.03.
+	PrefillShare float64
 	// CheckpointEvery is the number of tokens between two exports of a stage's
 	// KV cache; 0 asks for none. Default 0.
 	CheckpointEvery int
@@ -73,6 +77,7 @@
 		MaxStreams:         20000,
 		MaxTokens:          32768,
 		StepTimeout:        time.Second,
+		MinStepTimeout:     250 * time.Millisecond,
 		PrefillTimeout:     10 * time.Second,
 		Resends:            1,
 		FullRetries:        20,
@@ -80,7 +85,7 @@
 		ReplacementWait:    5 * time.Second,
 		MaxAttempts:        16,
 		Resume:             []Way{WayImport, WayReplay, WayPrefill},
-		ReplayMax:          64,
+		PrefillShare:       0.03,
 		KeepBytesPerStream: 4 << 20,
 		KeepBytes:          256 << 20,
 	}
@@ -97,13 +102,15 @@
 	check(c.MaxStreams > 0, "MaxStreams is %d: want at least 1", c.MaxStreams)
 	check(c.MaxTokens > 0, "MaxTokens is %d: want at least 1", c.MaxTokens)
 	check(c.StepTimeout > 0, "StepTimeout is %s: want more than 0", c.StepTimeout)
+	check(c.MinStepTimeout > 0 && c.MinStepTimeout <= c.StepTimeout,
+		"MinStepTimeout is %s: want more than 0 and at most StepTimeout", c.MinStepTimeout)
 	check(c.PrefillTimeout > 0, "PrefillTimeout is %s: want more than 0", c.PrefillTimeout)
 	check(c.Resends >= 0, "Resends is %d: want 0 or more", c.Resends)
 	check(c.FullRetries >= 0, "FullRetries is %d: want 0 or more", c.FullRetries)
 	check(c.Backoff > 0, "Backoff is %s: want more than 0", c.Backoff)
 	check(c.ReplacementWait > 0, "ReplacementWait is %s: want more than 0", c.ReplacementWait)
 	check(c.MaxAttempts > 0, "MaxAttempts is %d: want at least 1", c.MaxAttempts)
-	check(c.ReplayMax >= 0, "ReplayMax is %d: want 0 or more", c.ReplayMax)
+	check(c.PrefillShare >= 0, "PrefillShare is %g: want 0 or more", c.PrefillShare)
 	check(c.CheckpointEvery >= 0, "CheckpointEvery is %d: want 0 (none) or more", c.CheckpointEvery)
 	check(c.KeepBytesPerStream >= 0, "KeepBytesPerStream is %d: want 0 or more", c.KeepBytesPerStream)
 	check(c.KeepBytes >= 0, "KeepBytes is %d: want 0 or more", c.KeepBytes)
--- a/internal/stream/doc.go
+++ b/internal/stream/doc.go
@@ -25,8 +25,8 @@
 // caches. A stream that starts over gets a new stream name at the engines, so
 // that no old cache or late step can mix with the new run.
 //
-// Four ways to go on after a stage died, tried in the order of Config.Resume:
-// import of the last exported KV cache and replay of the inputs kept since
+// Four ways to go on after a stage died; the one with the least expected time,
+// by the step times seen on this stream, is taken: import of the last exported KV cache and replay of the inputs kept since
 // then; replay of all kept inputs of that one boundary; prefill of all stages
 // with the prompt and the tokens so far as a new prompt; start over, which
 // drives the prompt and every token through every stage again. Outputs that the
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -11,7 +11,10 @@
 	"github.com/catkinstair/catkinstair/internal/standin/model"
 )
 
-const fakeStepTime = 10 * time.Millisecond
+const (
+	fakeStepTime    = 10 * time.Millisecond
+	fakePrefillTime = 250 * time.Microsecond // per token of the prompt and stage
+)
 
 // fakeEngine runs the stand-ins' model: each layer's state depends on every
 // input it ever had, so a layer that runs twice, not at all or out of order
@@ -19,6 +22,7 @@
 type fakeEngine struct {
 	dead    bool
 	leaving bool
+	silent  bool // takes steps and never answers
 	caches  map[string]*model.State
 	stored  map[string]StepDone // stream/attempt/token
 	runs    map[string]int      // stream/imports/token -> times run
@@ -90,9 +94,11 @@
 	rng     *rand.Rand
 	faults  faults
 	now     time.Duration
+	quantum time.Duration
 	seq     int
 	queue   []delivery
 	sends   int
+	silent  bool // all old connections are silent
 	onSend  func(w *world, a SendStep)
 	answers []StepDone
 
@@ -109,7 +115,7 @@
 		panic(err)
 	}
 	w := &world{
-		table: table, layers: 4 * stages, rng: rand.New(rand.NewPCG(seed, 1)),
+		table: table, layers: 4 * stages, quantum: 5 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)),
 		engines: map[ident.BackendServer]*fakeEngine{}, spares: map[int][]ident.BackendServer{},
 		text: map[string][]string{}, finished: map[string]Finish{}, cuts: map[string]Cut{},
 	}
@@ -139,7 +145,7 @@
 // run delivers until nothing is left to do or the time is over.
 func (w *world) run(until time.Duration) {
 	for w.now < until && w.table.Stats().Open > 0 {
-		w.now += 5 * time.Millisecond
+		w.now += w.quantum
 		sort.Slice(w.queue, func(i, j int) bool {
 			a, b := w.queue[i], w.queue[j]
 			return a.at < b.at || a.at == b.at && a.seq < b.seq
@@ -156,11 +162,19 @@
 
 func (w *world) take(ev Event) {
 	actions := append([]Action(nil), w.table.Step(w.now, ev)...)
+	if w.rng.IntN(2) == 0 { // an export may find that the next step has run
+		sort.SliceStable(actions, func(i, j int) bool { return !isExport(actions[i]) && isExport(actions[j]) })
+	}
 	for _, a := range actions {
 		w.act(a)
 	}
 }
 
+func isExport(a Action) bool {
+	_, ok := a.(Export)
+	return ok
+}
+
 func (w *world) act(a Action) {
 	switch a := a.(type) {
 	case SendStep:
@@ -195,6 +209,9 @@
 		return
 	}
 	answer := engine.run(a, w.layers)
+	if engine.silent || w.silent && !a.NewConnection {
+		return
+	}
 	if w.rng.Float64() < w.faults.lose {
 		w.after(2*fakeStepTime, failure(a, FailureLost))
 		if w.rng.Float64() < 0.5 {
@@ -202,7 +219,11 @@
 		}
 		return
 	}
-	w.after(fakeStepTime, answer)
+	took := fakeStepTime
+	if a.Token == 0 {
+		took += time.Duration(strings.Count(a.Data, " ")+strings.Count(a.Data, ",")) * fakePrefillTime
+	}
+	w.after(took, answer)
 	if w.rng.Float64() < w.faults.duplicate {
 		w.after(time.Duration(1+w.rng.IntN(40))*fakeStepTime, answer)
 	}
@@ -240,7 +261,7 @@
 		for _, x := range a.Exclude {
 			excluded = excluded || x == name
 		}
-		if !excluded && !w.engines[name].dead && !w.engines[name].leaving {
+		if !excluded && !w.engines[name].dead && !w.engines[name].leaving && !w.engines[name].silent {
 			return name
 		}
 	}
@@ -258,7 +279,7 @@
 		w.after(fakeStepTime, ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 		return
 	}
-	w.after(fakeStepTime, ExportDone{
+	w.after(time.Duration(1+w.rng.IntN(20))*time.Millisecond, ExportDone{
 		Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt, Position: cache.Position(), Blob: cache.Export(),
 	})
 }
--- a/internal/stream/keep.go
+++ b/internal/stream/keep.go
@@ -56,9 +56,10 @@
 	return s.at == 0 || position >= s.stages[s.at].kept.base
 }
 
-// storeCheckpoint keeps an exported cache and forgets the inputs it covers.
+// storeCheckpoint keeps an exported cache and forgets the inputs it covers. The
+// cache may hold the step in flight, whose answer is still on its way.
 func (t *Table) storeCheckpoint(s *stream, st *stage, position int, blob string) {
-	if position <= st.cache.position || position > st.position {
+	if position <= st.cache.position || position > st.position+1 {
 		t.stats.Ignored++
 		return
 	}
--- a/internal/stream/resume.go
+++ b/internal/stream/resume.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
@@ -42,29 +43,50 @@
 	return false
 }
 
-// resume brings the new holder of the frontier stage to the frontier.
+// resume brings the new holder of the frontier stage to the frontier by the
+// cheapest way.
 func (t *Table) resume(s *stream, mayImport bool) {
 	if s.token == 0 {
 		t.drive(s)
 		return
 	}
+	best := Way("")
+	var bestCost time.Duration
 	for _, way := range t.cfg.Resume {
-		if t.resumeBy(s, way, mayImport) {
-			return
+		if !s.canResumeBy(way, mayImport) {
+			continue
 		}
+		cost := t.expectedGap(s, way)
+		if best == "" || cost < bestCost {
+			best = way
+			bestCost = cost
+		}
+	}
+	if best == "" {
+		t.cut(s, verdict.CauseBackendLost, "a lost stage could not be resumed")
+		return
 	}
-	t.cut(s, verdict.CauseBackendLost, "a lost stage could not be resumed")
+	t.resumeBy(s, best)
 }
 
-// resumeBy tries one way and reports whether it is possible.
-func (t *Table) resumeBy(s *stream, way Way, mayImport bool) bool {
+// canResumeBy reports whether what a way needs is there.
+func (s *stream) canResumeBy(way Way, mayImport bool) bool {
 	switch way {
 	case WayImport:
-		return mayImport && t.importCache(s)
+		position := s.stages[s.at].cache.position
+		return mayImport && position > 0 && position <= s.token && s.canReplayFrom(position)
+	case WayReplay:
+		return s.canReplayFrom(0)
+	default:
+		return true
+	}
+}
+
+func (t *Table) resumeBy(s *stream, way Way) {
+	switch way {
+	case WayImport:
+		t.importCache(s)
 	case WayReplay:
-		if s.token > t.cfg.ReplayMax || !s.canReplayFrom(0) {
-			return false
-		}
 		t.stats.Replayed++
 		t.drive(s)
 	case WayPrefill:
@@ -74,9 +96,10 @@
 		t.startOver(s)
 	case WayStartOver:
 		t.stats.StartedOver++
+		s.prompt = s.open.Prompt
+		s.base = 0
 		t.startOver(s)
 	}
-	return true
 }
 
 // restart begins all stages anew, if a way that does so is allowed. It helps
@@ -86,7 +109,7 @@
 	for _, way := range t.cfg.Resume {
 		if way == WayPrefill || way == WayStartOver {
 			if t.nextAttempt(s) {
-				t.resumeBy(s, way, false)
+				t.resumeBy(s, way)
 			}
 			return true
 		}
@@ -95,12 +118,8 @@
 }
 
 // importCache starts the import of the frontier stage's last checkpoint.
-func (t *Table) importCache(s *stream) bool {
+func (t *Table) importCache(s *stream) {
 	st := &s.stages[s.at]
-	position := st.cache.position
-	if position == 0 || s.token-position > t.cfg.ReplayMax || !s.canReplayFrom(position) {
-		return false
-	}
 	st.touched = true
 	s.phase = importing
 	s.until = t.now + t.cfg.PrefillTimeout
@@ -111,7 +130,6 @@
 		Server:  st.server,
 		Blob:    st.cache.blob,
 	})
-	return true
 }
 
 func (t *Table) importDone(ev ImportDone) {
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -28,6 +28,10 @@
 	repositioned bool // the holder was caught up once after a position answer
 	kept         keptInputs
 	cache        checkpoint
+	// prefillTook and stepTook are the observed times of token 0 and, averaged,
+	// of later tokens.
+	prefillTook time.Duration
+	stepTook    time.Duration
 }
 
 // stream is one request on its way. The frontier is the pair (token, at): the
@@ -47,8 +51,9 @@
 	phase     phase
 	until     time.Duration // when the wait of the phase ends
 	sent      int           // token of the step in flight
-	resends   int           // of the step in flight
-	fulls     int           // refusals in a row by a full stage
+	sentAt    time.Duration
+	resends   int // of the step in flight
+	fulls     int // refusals in a row by a full stage
 	lookSince time.Duration
 	exclude   []ident.BackendServer
 	attempts  uint32
@@ -85,10 +90,8 @@
 	st := &s.stages[s.at]
 	st.touched = true
 	s.phase = stepping
-	s.until = t.now + t.cfg.StepTimeout
-	if s.sent == 0 {
-		s.until = t.now + t.cfg.PrefillTimeout
-	}
+	s.sentAt = t.now
+	s.until = t.now + t.stepTimeout(s, st)
 	t.emit(SendStep{
 		Stream:        s.name,
 		Attempt:       st.attempt,
@@ -127,6 +130,7 @@
 	s.uncertain = true
 	s.fulls = 0
 	st := &s.stages[s.at]
+	st.observe(ev.Token, t.now-s.sentAt)
 	st.position++
 	if ev.Token < s.token {
 		t.replayed(s, ev)
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -45,7 +45,6 @@
 		cfg.Resume = rapid.SampledFrom([][]Way{
 			{WayImport, WayReplay, WayPrefill}, {WayImport, WayStartOver}, {WayReplay}, {WayPrefill}, {WayStartOver},
 		}).Draw(t, "resume")
-		cfg.ReplayMax = rapid.SampledFrom([]int{0, 2, 64}).Draw(t, "replay max")
 		cfg.CheckpointEvery = rapid.IntRange(0, 4).Draw(t, "checkpoint every")
 		cfg.KeepBytesPerStream = rapid.SampledFrom([]int{0, 100, 1 << 20}).Draw(t, "keep")
 		w := newWorld(cfg, stages, 3, rapid.Uint64().Draw(t, "seed"))
@@ -54,7 +53,7 @@
 			duplicate: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "duplicate"),
 			cross:     rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "cross"),
 		}
-		deaths := rapid.SliceOfN(rapid.IntRange(1, 80), 0, 4).Draw(t, "deaths at send")
+		deaths := rapid.SliceOfN(rapid.IntRange(1, 80), 0, 5).Draw(t, "deaths at send")
 		both := rapid.Bool().Draw(t, "two at once")
 		w.onSend = func(w *world, a SendStep) {
 			for i, at := range deaths {
@@ -72,12 +71,20 @@
 	})
 }
 
-// strike kills the server a step goes to, or lets it leave; with both, it also
+// strike kills the server a step goes to, lets it leave, restarts it without
+// its caches or silences it; with both, a kill also
 // kills the first living server of the next stage.
 func (w *world) strike(a SendStep, i int, both bool) {
-	if i%2 == 1 {
+	switch i % 4 {
+	case 1:
 		w.engines[a.Server].leaving = true
 		return
+	case 2:
+		w.engines[a.Server] = newFakeEngine()
+		return
+	case 3:
+		w.engines[a.Server].silent = true
+		return
 	}
 	w.engines[a.Server].dead = true
 	if !both {
@@ -104,6 +111,9 @@
 			require.Equal(t, want, got)
 		} else {
 			require.True(t, strings.HasPrefix(want, got), "%s: %q is no part of %q", request, got, want)
+			if w.cuts[request].Refusal.Verdict == verdict.NotRun {
+				require.False(t, w.ran(request), "%s ran", request)
+			}
 		}
 	}
 	for name, engine := range w.engines {
@@ -113,6 +123,18 @@
 	}
 }
 
+// ran reports whether any engine ran any step of a request.
+func (w *world) ran(request string) bool {
+	for _, engine := range w.engines {
+		for step := range engine.runs {
+			if strings.HasPrefix(step, request) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func TestDuplicateOpenLeavesTheFirstAlone(t *testing.T) {
 	w := newWorld(DefaultConfig(), 1, 0, 1)
 	w.open("a", 2)
