--- /dev/null
+++ b/internal/routing/fake_test.go
@@ -0,0 +1,281 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+)
+
+// The fake fleet: replicas with continuous batching in virtual time. A replica
+// has capacity for a number of requests; a token takes longer the fuller the
+// batch is; a request beyond the capacity waits.
+
+const (
+	fakeCapacity  = 16
+	fakeTokenTime = 30 * time.Millisecond // at speed 1, empty batch
+	fakePrefill   = 300 * time.Microsecond
+	fakeSlowdown  = 1.0 // a full batch is twice as slow as an empty one
+	fakeTokens    = 48  // mean
+	fakePrompt    = 512
+	fakeSlice     = 10 * time.Millisecond
+)
+
+var fakeSpeeds = map[string]float64{"slow": 0.5, "mid": 1, "fast": 2, "huge": 4}
+
+// fakeLinks are the one-way times to the domains: 100 times apart.
+var fakeLinks = []time.Duration{100 * time.Microsecond, time.Millisecond, 10 * time.Millisecond}
+
+type fakeRequest struct {
+	entry   int
+	id      uint64
+	arrived time.Duration
+	prompt  float64 // prefill tokens left
+	tokens  float64 // answer tokens left
+	total   float64
+	first   time.Duration
+	prefix  uint64
+}
+
+type fakeReplica struct {
+	id      ident.BackendServer
+	speed   float64
+	link    time.Duration
+	running []*fakeRequest
+	waiting []*fakeRequest
+	cached  map[uint64]bool
+	order   []uint64
+	seq     uint64
+	events  []CacheEvent // not yet told
+}
+
+type fakeLoad struct {
+	at              time.Duration
+	running, queued int
+}
+
+// fleetRun is one run of the fake fleet.
+type fleetRun struct {
+	policy   Policy
+	replicas int
+	entries  int
+	lag      time.Duration
+	load     float64 // share of the fleet's throughput that is offered
+	subset   int
+	choices  int
+	hints    string // "", "right", "wrong", "gaps"
+	duration time.Duration
+	seed     uint64
+
+	rng      *rand.Rand
+	fleet    []*fakeReplica
+	byID     map[ident.BackendServer]*fakeReplica
+	routers  []*Router
+	reports  map[ident.BackendServer][]fakeLoad
+	first    *hdrhistogram.Histogram // microseconds
+	between  *hdrhistogram.Histogram
+	served   float64 // tokens
+	offered  float64
+	noServer int
+	hits     int
+	total    int
+}
+
+// capacity returns the tokens per second of the whole fleet at full batches,
+// with prefill counted in.
+func (f *fleetRun) capacity() float64 {
+	sum := 0.0
+	for _, r := range f.fleet {
+		full := float64(fakeTokenTime)*(1+fakeSlowdown)/r.speed + 2*float64(r.link)
+		hold := full*fakeTokens + float64(fakePrefill)*fakePrompt/r.speed
+		sum += fakeCapacity * fakeTokens / (hold / float64(time.Second))
+	}
+	return sum
+}
+
+func (f *fleetRun) run() {
+	f.rng = rand.New(rand.NewPCG(f.seed, 9))
+	f.first = hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)
+	f.between = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	f.reports = map[ident.BackendServer][]fakeLoad{}
+	f.byID = map[ident.BackendServer]*fakeReplica{}
+	f.build()
+	perSlice := f.load * f.capacity() / fakeTokens * fakeSlice.Seconds()
+	due := 0.0
+	for now := time.Duration(0); now < f.duration; now += fakeSlice {
+		f.report(now)
+		due += perSlice
+		for due > f.rng.ExpFloat64()*1e-9 && due >= 1 {
+			due--
+			f.arrive(now)
+		}
+		for _, r := range f.fleet {
+			f.advance(now, r)
+		}
+	}
+}
+
+func (f *fleetRun) build() {
+	kinds := []string{"slow", "mid", "fast", "huge"}
+	var list []Server
+	for i := range f.replicas {
+		kind := kinds[i%4]
+		domain := i / 4 % len(fakeLinks)
+		id := ident.BackendServer(fmt.Sprintf("r%03d", i))
+		r := &fakeReplica{id: id, speed: fakeSpeeds[kind], link: fakeLinks[domain], cached: map[uint64]bool{}}
+		f.fleet = append(f.fleet, r)
+		f.byID[id] = r
+		list = append(list, Server{
+			ID: id, Service: "skrivar", Replica: string(id), Accelerator: kind, LayerTo: 8, LayersTotal: 8,
+			Place: ident.Place{FailureDomain: ident.FailureDomain(fmt.Sprint(domain))},
+		})
+	}
+	for e := range f.entries {
+		cfg := DefaultConfig()
+		cfg.Self = ident.VM(fmt.Sprintf("entry-%d", e))
+		cfg.Place.FailureDomain = "0"
+		cfg.Policy = f.policy
+		cfg.Seed = uint64(e) + f.seed*1000
+		cfg.SubsetPerDomain = f.subset
+		cfg.Choices = f.choices
+		router, err := New(cfg)
+		if err != nil {
+			panic(err)
+		}
+		router.Step(0, Servers{List: list})
+		for d, link := range fakeLinks {
+			router.Step(0, Link{To: ident.FailureDomain(fmt.Sprint(d)), OneWay: link})
+		}
+		f.routers = append(f.routers, router)
+	}
+}
+
+// report measures every 100 ms and tells each router what is f.lag old.
+func (f *fleetRun) report(now time.Duration) {
+	if now%(100*time.Millisecond) != 0 {
+		return
+	}
+	for _, r := range f.fleet {
+		f.reports[r.id] = append(f.reports[r.id], fakeLoad{at: now, running: len(r.running), queued: len(r.waiting)})
+		if f.reports[r.id][0].at > now-f.lag {
+			continue
+		}
+		old := f.reports[r.id][0]
+		f.reports[r.id] = f.reports[r.id][1:]
+		for _, router := range f.routers {
+			router.Step(now, Load{Server: r.id, Running: old.running, Waiting: old.queued, Capacity: fakeCapacity, MeasuredAt: old.at})
+		}
+	}
+	f.tellHints(now)
+}
+
+// tellHints passes the cache events on: late, and with gaps or wrong if asked.
+func (f *fleetRun) tellHints(now time.Duration) {
+	if f.hints == "" || now%time.Second != 0 {
+		return
+	}
+	for _, r := range f.fleet {
+		for _, ev := range r.events {
+			if f.hints == "gaps" && f.rng.IntN(10) < 3 {
+				continue
+			}
+			if f.hints == "wrong" {
+				ev.Prefix = uint64(f.rng.IntN(200))
+			}
+			for _, router := range f.routers {
+				router.Step(now, ev)
+			}
+		}
+		r.events = nil
+	}
+}
+
+// arrive sends one request through a random entry.
+func (f *fleetRun) arrive(now time.Duration) {
+	e := f.rng.IntN(f.entries)
+	tokens := 16 + f.rng.Float64()*2*(fakeTokens-16)
+	prefix := uint64(f.rng.IntN(200))
+	req := Request{Service: "skrivar", PromptTokens: fakePrompt}
+	if f.hints != "" {
+		req.Prefixes = []Prefix{{Hash: prefix, Tokens: fakePrompt * 3 / 4}}
+	}
+	p, ok := f.routers[e].Pick(now, req)
+	f.offered += tokens
+	f.total++
+	if !ok {
+		f.noServer++
+		return
+	}
+	r := f.byID[p.Stages[0].Server]
+	fr := &fakeRequest{entry: e, id: p.ID, arrived: now, prompt: fakePrompt, tokens: tokens, total: tokens, prefix: prefix}
+	if f.hints != "" && r.cached[prefix] {
+		f.hits++
+		fr.prompt /= 4
+	}
+	r.waiting = append(r.waiting, fr)
+}
+
+// advance runs one replica for one slice.
+func (f *fleetRun) advance(now time.Duration, r *fakeReplica) {
+	for len(r.running) < fakeCapacity && len(r.waiting) > 0 {
+		r.running = append(r.running, r.waiting[0])
+		r.waiting = r.waiting[1:]
+	}
+	load := float64(len(r.running)) / fakeCapacity
+	tokenTime := float64(fakeTokenTime)*(1+fakeSlowdown*load)/r.speed + 2*float64(r.link)
+	prefillTime := float64(fakePrefill) / r.speed
+	kept := r.running[:0]
+	for _, fr := range r.running {
+		left := float64(fakeSlice)
+		work := min(left, fr.prompt*prefillTime)
+		fr.prompt -= work / prefillTime
+		left -= work
+		if fr.prompt > 1e-9 {
+			kept = append(kept, fr)
+			continue
+		}
+		if fr.first == 0 {
+			fr.first = now + fakeSlice + time.Duration(tokenTime)
+			f.cache(r, fr.prefix)
+		}
+		fr.tokens -= left / tokenTime
+		if fr.tokens > 0 {
+			kept = append(kept, fr)
+			continue
+		}
+		f.finish(now+fakeSlice, fr)
+	}
+	r.running = kept
+}
+
+// cache keeps the last 20 prefixes of a replica.
+func (f *fleetRun) cache(r *fakeReplica, prefix uint64) {
+	if f.hints == "" || r.cached[prefix] {
+		return
+	}
+	if len(r.order) == 20 {
+		r.seq++
+		r.events = append(r.events, CacheEvent{Server: r.id, Seq: r.seq, Prefix: r.order[0]})
+		delete(r.cached, r.order[0])
+		r.order = r.order[1:]
+	}
+	r.seq++
+	r.events = append(r.events, CacheEvent{Server: r.id, Seq: r.seq, Prefix: prefix, Added: true})
+	r.cached[prefix] = true
+	r.order = append(r.order, prefix)
+}
+
+func (f *fleetRun) finish(now time.Duration, fr *fakeRequest) {
+	first := fr.first - fr.arrived
+	between := time.Duration(float64(max(0, now-fr.first)) / max(1, fr.total-1))
+	f.routers[fr.entry].Step(now, Done{ID: fr.id, FirstToken: first, TokenTime: between})
+	if now < f.duration/4 { // warm-up
+		return
+	}
+	f.served += fr.total
+	_ = f.first.RecordValue(max(1, first.Microseconds()))
+	_ = f.between.RecordValue(max(1, between.Microseconds()))
+}
