Add catkin-load, its checks and the HTML report

Cause: throughput, recovery and correctness have to be measured from outside, by callers that keep stale addresses and repeat with the same key.

--- /dev/null
+++ b/cmd/catkin-load/main.go
@@ -0,0 +1,200 @@
+// Command catkin-load offers load to a set of entries, checks every answer and
+// prints a JSON report.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/catkinstair/catkinstair/internal/load"
+	"github.com/catkinstair/catkinstair/internal/obs"
+	"github.com/catkinstair/catkinstair/internal/settings"
+	"github.com/catkinstair/catkinstair/internal/standin"
+)
+
+const program = "catkin-load"
+
+// exitFaults is the exit code of a run that found a fault in the answers.
+const exitFaults = 3
+
+var errFaults = errors.New("faults were found, see checks in the report")
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var faults settings.Faults
+	switch {
+	case errors.As(err, &faults):
+		return settings.ExitCode
+	case errors.Is(err, errFaults):
+		return exitFaults
+	default:
+		return 1
+	}
+}
+
+// options are the flags that are no plain field of the load's settings.
+type options struct {
+	cfg    load.Config
+	seed   int
+	faults []string
+	marks  []string
+	out    string
+}
+
+func command() *cobra.Command {
+	opt := options{cfg: load.DefaultConfig()}
+	cmd := &cobra.Command{
+		Use:           program,
+		Short:         "Offer load, check every answer, print a JSON report",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+	}
+	set := settings.On(cmd)
+	declareLoad(set, &opt)
+	declareBench(set, &opt)
+	// Not a list setting: the JSON of a fault holds commas.
+	cmd.Flags().StringArrayVar(&opt.faults, "fault", nil,
+		`fault to switch at the stand-ins, such as '10s:{"target":"kv","kind":"down"}'; may be repeated`)
+	cmd.Flags().StringArrayVar(&opt.marks, "mark", nil,
+		"time and name of a failure that something else brings about, such as '10s:entry killed'; may be repeated")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := set.Resolve(os.LookupEnv); err != nil {
+			return err
+		}
+		return run(cmd, opt)
+	}
+	cmd.AddCommand(&cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { cmd.Println(obs.Version()) },
+	})
+	return cmd
+}
+
+func declareLoad(set *settings.Set, opt *options) {
+	c := &opt.cfg
+	set.Strings(&c.Entries, "entries", nil, "addresses that callers ask first", settings.Required, settings.Addrs)
+	set.Strings(&c.Teams, "teams", c.Teams, "teams, given to the callers in turn", settings.Required)
+	set.Int(&c.Callers, "callers", c.Callers, "number of callers", settings.Positive)
+	set.Float(&c.CompletionsPerS, "completions", c.CompletionsPerS, "completions a second")
+	set.Float(&c.ReadsPerS, "reads", c.ReadsPerS, "reads of the service a second")
+	set.Float(&c.ReservationsPerS, "reservations", c.ReservationsPerS, "reservations a second")
+	set.Float(&c.StreamShare, "stream-share", c.StreamShare, "part of the completions that stream, 0 to 1")
+	set.Float(&c.OwnKeyShare, "own-key-share", c.OwnKeyShare, "part of the reservations with a key of the caller's own, 0 to 1")
+	set.String(&c.Model, "model", c.Model, "model to ask", settings.Required)
+	set.String(&c.Service, "service", c.Service, "plain service to call", settings.Required)
+	set.Int(&c.Layers, "layers", c.Layers, "layers of the model", settings.Positive)
+	set.Int(&c.PromptWords, "prompt-words", c.PromptWords, "random words of a prompt", settings.Positive)
+	set.Int(&c.MaxTokens, "max-tokens", c.MaxTokens, "most tokens of an answer", settings.Positive)
+	set.Float(&c.Bound.Completions, "bound-completions", 0, "accepted limit in completions a second, 0 for none")
+	set.Float(&c.Bound.Tokens, "bound-tokens", 0, "accepted limit in tokens a second, 0 for none")
+	set.Float(&c.Bound.Reads, "bound-reads", 0, "accepted limit in reads a second, 0 for none")
+	set.Float(&c.Bound.Reservations, "bound-reservations", 0, "accepted limit in reservations a second, 0 for none")
+}
+
+func declareBench(set *settings.Set, opt *options) {
+	c := &opt.cfg
+	set.String(&c.Name, "name", c.Name, "name of the run in reports", settings.Required)
+	set.Int(&opt.seed, "seed", int(c.Seed), "seed of arrivals, prompts and choices")
+	set.Duration(&c.Duration, "duration", c.Duration, "how long requests start", settings.Positive)
+	set.Duration(&c.Warmup, "warmup", c.Warmup, "start of the run that rates and percentiles leave out")
+	set.Duration(&c.Patience, "patience", c.Patience, "how long a caller tries one request", settings.Positive)
+	set.Duration(&c.AttemptTimeout, "attempt-timeout", c.AttemptTimeout, "longest attempt at a service call", settings.Positive)
+	set.Duration(&c.TokenTimeout, "token-timeout", c.TokenTimeout, "longest wait for the next token of a stream", settings.Positive)
+	set.Int(&c.MaxAttempts, "max-attempts", c.MaxAttempts, "most attempts at one request", settings.Positive)
+	set.Int(&c.MaxInFlight, "max-in-flight", c.MaxInFlight, "most requests under way", settings.Positive)
+	set.String(&c.Control, "control", "", "fault control of the stand-ins, for ledgers and faults", settings.Addr)
+	set.String(&opt.out, "out", "", "file for the report instead of standard output")
+}
+
+func run(cmd *cobra.Command, opt options) error {
+	opt.cfg.Seed = uint64(opt.seed)
+	var err error
+	if opt.cfg.Faults, err = parseFaults(opt.faults); err != nil {
+		return err
+	}
+	if opt.cfg.Marks, err = parseMarks(opt.marks); err != nil {
+		return err
+	}
+	result, err := load.Run(opt.cfg)
+	if err != nil && result.Requests == 0 {
+		return err
+	}
+	raw, marshalErr := json.MarshalIndent(result, "", "  ")
+	if marshalErr != nil {
+		return errors.Wrap(marshalErr, "report")
+	}
+	if writeErr := write(cmd, opt.out, append(raw, '\n')); writeErr != nil {
+		return writeErr
+	}
+	if err != nil {
+		return err
+	}
+	if result.Checks.Faults() > 0 {
+		return errFaults
+	}
+	return nil
+}
+
+func write(cmd *cobra.Command, path string, raw []byte) error {
+	if path != "" {
+		return errors.Wrap(os.WriteFile(path, raw, 0o644), "report")
+	}
+	_, err := cmd.OutOrStdout().Write(raw)
+	return err
+}
+
+func parseFaults(texts []string) ([]load.TimedFault, error) {
+	var out []load.TimedFault
+	for _, text := range texts {
+		at, rest, err := parseTimed("fault", text)
+		if err != nil {
+			return nil, err
+		}
+		var f standin.Fault
+		if err := json.Unmarshal([]byte(rest), &f); err != nil {
+			return nil, settings.Faults{{Name: "fault", Value: text, Reason: err.Error()}}
+		}
+		if err := f.Validate(); err != nil {
+			return nil, settings.Faults{{Name: "fault", Value: text, Reason: err.Error()}}
+		}
+		out = append(out, load.TimedFault{At: at, Fault: f})
+	}
+	return out, nil
+}
+
+func parseMarks(texts []string) ([]load.Mark, error) {
+	var out []load.Mark
+	for _, text := range texts {
+		at, rest, err := parseTimed("mark", text)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, load.Mark{At: at, Label: rest})
+	}
+	return out, nil
+}
+
+// parseTimed reads "10s:rest".
+func parseTimed(flag, text string) (time.Duration, string, error) {
+	head, rest, _ := strings.Cut(text, ":")
+	at, err := time.ParseDuration(head)
+	if err != nil || rest == "" {
+		return 0, "", settings.Faults{{Name: flag, Value: text, Reason: "want a time, a colon and what happens, such as 10s:..."}}
+	}
+	return at, rest, nil
+}
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -63,6 +64,30 @@
 // Do sends req to addr once and reads the whole answer into resp. Any status
 // is a success here. The error is always an *Error.
 func (c *Client) Do(addr string, req *fasthttp.Request, resp *fasthttp.Response, opt Options) error {
+	return c.exchange(addr, req, resp, opt, nil)
+}
+
+// BodyReader reads a streamed body up to its end.
+type BodyReader func(resp *fasthttp.Response, body io.Reader) error
+
+// DoStream is Do for an answer that comes in parts: read is called once the
+// header is there, and each part has to come within idle. An error of read ends
+// the connection and is returned inside an *Error with KindClosed or
+// KindTimeout.
+func (c *Client) DoStream(addr string, req *fasthttp.Request, resp *fasthttp.Response, opt Options, idle time.Duration, read BodyReader) error {
+	resp.StreamBody = true
+	return c.exchange(addr, req, resp, opt, func(cn *conn) error {
+		cn.idleRead = idle
+		defer func() { cn.idleRead = 0 }()
+		if err := read(resp, resp.BodyStream()); err != nil {
+			return err
+		}
+		return resp.CloseBodyStream()
+	})
+}
+
+// exchange makes one call; finish, if not nil, reads a streamed body.
+func (c *Client) exchange(addr string, req *fasthttp.Request, resp *fasthttp.Response, opt Options, finish func(*conn) error) error {
 	started := time.Now()
 	deadline := opt.deadline(started)
 	p := c.pool(addr)
@@ -70,7 +95,13 @@
 	if err != nil {
 		return withPlace(err, addr, req)
 	}
-	if err := roundTrip(cn, req, resp, deadline, c.cfg.MaxBodyBytes); err != nil {
+	err = roundTrip(cn, req, resp, deadline, c.cfg.MaxBodyBytes)
+	if err == nil && finish != nil {
+		if cause := finish(cn); cause != nil {
+			err = &Error{Kind: kindOf(cause), Sent: MayHaveArrived, Err: cause}
+		}
+	}
+	if err != nil {
 		_ = cn.Close()
 		p.release()
 		if err.Kind == KindTimeout {
@@ -124,17 +155,19 @@
 		p.release()
 		return nil, &Error{Kind: KindDial, Sent: SentNone, Err: err}
 	}
-	return &conn{
+	cn := &conn{
 		Conn:     raw,
-		r:        bufio.NewReaderSize(raw, bufferBytes),
 		w:        bufio.NewWriterSize(raw, bufferBytes),
 		answered: time.Now(),
-	}, nil
+	}
+	cn.r = bufio.NewReaderSize(cn, bufferBytes)
+	return cn, nil
 }
 
 // roundTrip writes req and reads resp. From its first line on the request may
 // have arrived.
 func roundTrip(cn *conn, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, maxBody int) *Error {
+	cn.deadline = deadline
 	if err := cn.SetDeadline(deadline); err != nil {
 		return &Error{Kind: KindClosed, Sent: SentNone, Err: err}
 	}
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -19,7 +19,24 @@
 	// answered is when the last answer on it was whole; the time of opening
 	// before the first answer.
 	answered time.Time
-	reused   bool
+	// idleRead, when positive, bounds each read of a streamed body.
+	idleRead time.Duration
+	// deadline bounds the whole call.
+	deadline time.Time
+}
+
+// Read sets the deadline of a streamed body's next part.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.idleRead > 0 {
+		next := time.Now().Add(c.idleRead)
+		if next.After(c.deadline) {
+			next = c.deadline
+		}
+		if err := c.SetReadDeadline(next); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(b)
 }
 
 // pool holds the connections to one address. The connection that answered last
@@ -41,7 +58,6 @@
 	c := p.idle[n-1]
 	p.idle[n-1] = nil
 	p.idle = p.idle[:n-1]
-	c.reused = true
 	return c
 }
 
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,73 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func sampleLoad(name string, perSecond int) Load {
+	l := Load{
+		Name:          name,
+		DurationS:     3,
+		Throughput:    Rates{Reads: float64(perSecond)},
+		LatencyMillis: map[string]Percentiles{"read": {Count: 9, P50: 2, P95: 5}},
+		Outcomes:      map[string]int{"read ok": 3 * perSecond},
+		Recoveries:    []Recovery{{AtS: 1, Label: "kv <down>", RecoveryS: 0.5, Recovered: true}},
+	}
+	for range 3 {
+		l.Series = append(l.Series, Second{Reads: perSecond})
+	}
+	return l
+}
+
+func TestPageIsSelfContainedAndEscaped(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, Write(&out, sampleLoad("base", 10), sampleLoad("other", 20)))
+	html := out.String()
+	require.Equal(t, 3, strings.Count(html, "<svg"))
+	require.Contains(t, html, "kv &lt;down&gt;")
+	require.Contains(t, html, "2.000")
+	for _, outside := range []string{"<script", "src=", "<link", "@import", "<?xml"} {
+		require.NotContains(t, html, outside)
+	}
+	require.ErrorIs(t, Write(&out), ErrNoReports)
+}
+
+func TestEmptyRunStillMakesAPage(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, Write(&out, Load{Name: "empty"}))
+	require.Contains(t, out.String(), "empty")
+}
+
+func TestCompareDividesByTheBase(t *testing.T) {
+	c := Compare(sampleLoad("a", 10), sampleLoad("b", 5))
+	factors := map[string]string{}
+	for _, r := range c.Ratios {
+		factors[r.Name] = r.Text()
+	}
+	require.Equal(t, "0.500", factors["reads a second"])
+	require.Equal(t, "1.000", factors["read p95 ms"])
+	require.Equal(t, "–", factors["tokens a second"])
+}
+
+func TestFaultsAreCounted(t *testing.T) {
+	require.Zero(t, Checks{Answers: 5, Unresolved: 2}.Faults())
+	require.Equal(t, 6, Checks{WrongAnswers: 1, Incomplete: 1, Lost: 1, Doubled: 1, WrongNotRun: 1, LedgerMissing: true}.Faults())
+}
+
+func FuzzReadAndWrite(f *testing.F) {
+	raw, err := json.Marshal(sampleLoad("seed", 1))
+	require.NoError(f, err)
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l, err := Read(bytes.NewReader(raw))
+		if err != nil {
+			return
+		}
+		_ = Write(&bytes.Buffer{}, l)
+	})
+}
