Control process: membership, configuration, lease and lending behind one facade

Cause: an entry needs a control process beside it that knows the fleet, the accepted limits and who lends them.

--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/catkinstair/catkinstair/internal/lease"
+	"github.com/catkinstair/catkinstair/internal/limits"
+	"github.com/catkinstair/catkinstair/internal/membership"
+	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/platform"
+	"github.com/catkinstair/catkinstair/internal/trace"
+)
+
+// query reads the core from its own goroutine.
+type query struct {
+	read func(now time.Duration, core *node.Control)
+	done chan struct{}
+}
+
+// loop steps the core: it is the only goroutine that touches it.
+func (s *Shell) loop() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	ticks := 0
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case event := <-s.inbox.Items():
+			s.take(event)
+		case <-ticker.C:
+			s.step(node.ControlTick{})
+			ticks++
+			if ticks%statesEvery == 1 {
+				s.publishState()
+			}
+		}
+	}
+}
+
+func (s *Shell) take(event any) {
+	if q, ok := event.(query); ok {
+		q.read(s.now(), s.core)
+		close(q.done)
+		return
+	}
+	s.step(event)
+}
+
+func (s *Shell) step(event any) {
+	now := s.now()
+	actions := s.core.Step(now, event)
+	if s.record != nil {
+		if err := trace.Record(s.record, now, event, actions); err != nil {
+			s.log.Error().Err(err).Msg("trace ends")
+			s.record = nil
+		}
+	}
+	for _, a := range actions {
+		s.do(a)
+	}
+}
+
+func (s *Shell) publishState() {
+	if s.core.Ready() {
+		s.health.SetReady(true, "")
+	}
+	held := 0
+	for slot := range s.slots() {
+		if _, ok := s.core.Holds(s.now(), slot); ok {
+			held++
+		}
+	}
+	gauge("catkin_control_slots_held", float64(held))
+	gauge("catkin_control_config_version", float64(s.core.Accepted().Head.Version))
+	gauge("catkin_control_members", float64(len(s.core.Members())))
+	gauge("catkin_control_service_up", oneIf(s.core.ServiceUp()))
+	gauge("catkin_control_inbox", float64(s.inbox.Len()))
+}
+
+func (s *Shell) slots() int { return limits.DefaultLenderConfig().Slots }
+
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func gauge(name string, value float64) {
+	metrics.GetOrCreateGauge(name, nil).Set(value)
+}
+
+// do carries out one action of the core.
+func (s *Shell) do(action any) {
+	switch a := action.(type) {
+	case membership.Ask:
+		s.askMember(a)
+	case membership.Reply:
+		s.waiters.answer(memberWaiter(a.Call), a.Message)
+	case membership.Superseded:
+		s.log.Error().Uint64("by", uint64(a.By)).Msg("a newer process of this VM runs: stopping")
+		s.end()
+	case lease.AskPromise:
+		s.askPromise(a)
+	case lease.GivePromise:
+		s.waiters.answer(leaseWaiter(a.Answer.To, a.Answer.Sent), a.Answer)
+	case lease.Gained:
+		s.log.Debug().Int("slot", a.Slot).Uint64("epoch", a.Epoch).Msg("slot gained")
+	case lease.Lost:
+		s.log.Debug().Int("slot", a.Slot).Uint64("epoch", a.Epoch).Msg("slot lost")
+	case limits.SendLoan:
+		s.waiters.answer(loanWaiter(a.To, a.Loan.Seq), a.Loan)
+	case node.Wake:
+		time.AfterFunc(a.After, func() { s.inbox.TrySend(any(node.LenderTick{})) })
+	case node.SendConfig:
+		s.sendConfig(a)
+	case node.SnapshotAnswered:
+		s.waiters.answer(idWaiter("snapshot", a.ID), a.Reply)
+	case node.ApplyEnded:
+		s.waiters.answer(idWaiter("apply", a.ID), a.Outcome)
+	case node.ListEnded:
+		s.waiters.answer(idWaiter("list", a.ID), a)
+	case node.MembersChanged:
+		s.log.Info().Str("member", a.Member.Instance.String()).Str("state", a.Member.State.String()).
+			Bool("leaving", a.Member.Leaving).Msg("member changed")
+	case node.Log:
+		s.logChange(a)
+	case node.HandedOver:
+		s.handed.Store(true)
+	case platform.Send:
+		s.callService(a)
+	case platform.Health:
+		s.log.Warn().Bool("up", a.Up).Msg("key-value service")
+	}
+}
+
+// logChange writes a record of the audit trail as a log line.
+func (s *Shell) logChange(a node.Log) {
+	r := a.Record
+	s.log.Info().Str("audit", r.What).Str("who", r.Who).Str("object", r.Object).Str("before", r.Before).
+		Str("after", r.After).Str("verdict", r.Verdict).Str("sheet", r.SheetHash).Msg(fmt.Sprintf("change: %s", r.Detail))
+}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -46,6 +46,8 @@
 	// EntryAddr is where callers connect, ControlAddr where peers do.
 	EntryAddr   string `json:"entry_addr"`
 	ControlAddr string `json:"control_addr"`
+	// EntryPeerAddr is where the entry processes of other VMs connect.
+	EntryPeerAddr string `json:"entry_peer_addr"`
 	// ConfigVersion is the configuration in force on the VM, RosterVersion the
 	// newest lease roster that it knows.
 	ConfigVersion uint64 `json:"config_version"`
@@ -80,6 +82,7 @@
 	FailureDomain ident.FailureDomain `json:"d"`
 	EntryAddr     string              `json:"e"`
 	ControlAddr   string              `json:"c"`
+	EntryPeerAddr string              `json:"p,omitempty"`
 }
 
 // entry is a member with what this VM itself keeps of it.
@@ -115,6 +118,7 @@
 			FailureDomain: e.Place.FailureDomain,
 			EntryAddr:     e.EntryAddr,
 			ControlAddr:   e.ControlAddr,
+			EntryPeerAddr: e.EntryPeerAddr,
 		}
 	}
 	return u
@@ -134,6 +138,7 @@
 	e.Place = ident.Place{Region: u.Static.Region, FailureDomain: u.Static.FailureDomain}
 	e.EntryAddr = u.Static.EntryAddr
 	e.ControlAddr = u.Static.ControlAddr
+	e.EntryPeerAddr = u.Static.EntryPeerAddr
 }
 
 // compare orders an update against the record held: above zero means newer.
--- /dev/null
+++ b/internal/node/controlsnapshot.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/membership"
+	"github.com/catkinstair/catkinstair/internal/peer"
+)
+
+// versions are those of the sections that the entry process gets.
+func (c *Control) versions() peer.SnapshotVersions {
+	return peer.SnapshotVersions{
+		Control:  c.cfg.Self.Incarnation,
+		Config:   c.configVersion,
+		Members:  c.memberVersion,
+		Backends: c.listVersion,
+		Roster:   c.rosterVersion(),
+	}
+}
+
+// answerWaiters answers the entry's question once something changed for it.
+func (c *Control) answerWaiters(now time.Duration) {
+	c.waiters = slices.DeleteFunc(c.waiters, func(w SnapshotAsked) bool {
+		if w.Held == c.versions() && now < w.Until {
+			return false
+		}
+		c.emit(SnapshotAnswered{ID: w.ID, Reply: c.snapshotSince(w.Held)})
+		return true
+	})
+}
+
+// snapshotSince carries the sections that differ from those held.
+func (c *Control) snapshotSince(held peer.SnapshotVersions) peer.SnapshotReply {
+	current := c.versions()
+	reply := peer.SnapshotReply{Versions: current}
+	all := held.Control != current.Control
+	if all || held.Config != current.Config {
+		reply.Config = c.configSection()
+	}
+	if all || held.Members != current.Members {
+		reply.Members = c.membersSection()
+	}
+	if all || held.Backends != current.Backends {
+		reply.Backends = &peer.BackendsSection{Servers: c.Servers()}
+	}
+	if roster := c.lease.Roster(); roster != nil && (all || held.Roster != current.Roster) {
+		reply.Roster = &peer.LeaseRosterEntry{Version: roster.Version, Holders: holdersOf(roster)}
+	}
+	return reply
+}
+
+func (c *Control) configSection() *peer.AcceptedConfig {
+	snapshot := c.spread.Snapshot()
+	section := &peer.AcceptedConfig{Known: c.spread.Ready(), Version: snapshot.Head.Version}
+	for _, key := range snapshot.State.Keys() {
+		limit, _ := snapshot.State.Get(key)
+		section.Limits = append(section.Limits, peer.AcceptedLimit{Team: key.Team, Service: key.Service,
+			Unit: string(key.Unit), PerSecond: float64(limit.Value)})
+	}
+	return section
+}
+
+func (c *Control) membersSection() *peer.MembersSection {
+	section := &peer.MembersSection{Self: c.cfg.Self}
+	for _, m := range c.fleet() {
+		if m.State == membership.Gone {
+			continue
+		}
+		section.Members = append(section.Members, peer.EntryMember{
+			Instance: m.Instance, Place: m.Place, EntryAddr: m.EntryAddr, EntryPeerAddr: m.EntryPeerAddr,
+			ControlAddr: m.ControlAddr, Serving: !m.Leaving, Reachable: m.State == membership.Alive,
+			Leaving: m.Leaving, ConfigVersion: m.ConfigVersion,
+		})
+	}
+	return section
+}
