--- a/internal/membership/call.go
+++ b/internal/membership/call.go
@@ -83,7 +83,9 @@
 	}
 	known := len(m.order)
 	if ev.OK {
+		m.catchingUp = ev.Message.Full
 		m.absorb(ev.Message)
+		m.catchingUp = false
 		m.contact(ev.Message.From.VM)
 	}
 	if ev.OK && ev.Message.To == nil {
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -59,8 +59,12 @@
 	return taken
 }
 
-// spread queues a member's record.
+// spread queues a member's record, unless it came with a peer's whole state:
+// that is news to this VM only.
 func (m *Membership) spread(e *entry, static bool) {
+	if m.catchingUp && e != &m.self {
+		return
+	}
 	m.queue.put(queued{vm: e.Instance.VM, static: static})
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -34,6 +34,7 @@
 	health     int
 	gossipTurn int
 	superseded bool
+	catchingUp bool // while a peer's whole state is read
 
 	started    bool
 	lastStep   time.Duration
@@ -118,6 +119,8 @@
 		m.seeds = slices.Clone(ev.Addrs)
 	case Versions:
 		m.setVersions(ev)
+	case EntryProcess:
+		m.setEntry(ev.Incarnation)
 	case Leave:
 		m.leave()
 	case Left:
@@ -183,6 +186,14 @@
 	m.changeSelf()
 }
 
+func (m *Membership) setEntry(life ident.Incarnation) {
+	if m.self.Entry == life {
+		return
+	}
+	m.self.Entry = life
+	m.changeSelf()
+}
+
 func (m *Membership) leave() {
 	if m.self.Leaving {
 		return
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -109,6 +109,30 @@
 	}
 }
 
+// A process that was paused while it suspected others gives them the time back.
+func TestPauseDoesNotCountAsSilenceOfOthers(t *testing.T) {
+	f := newFleet(t, 5, lan(0))
+	f.grow(6, 3)
+	f.run(10 * time.Second)
+	vm := memnet.Host(name(3))
+	for other := range f.nodes {
+		f.net.Cut(vm, memnet.Host(other), true)
+	}
+	f.run(2500 * time.Millisecond)
+	require.NotZero(t, f.nodes[name(3)].m.count[Suspect])
+	for other := range f.nodes {
+		f.net.Cut(vm, memnet.Host(other), false)
+	}
+	f.net.Pause(vm)
+	f.run(20 * time.Second)
+	f.net.Thaw(vm)
+	f.run(10 * time.Second)
+	f.requireWhole()
+	for _, e := range f.events {
+		require.False(t, e.on == name(3) && e.state >= Unreachable, "thawed %+v", e)
+	}
+}
+
 func TestLeavingIsKnownEverywhereWithinSeconds(t *testing.T) {
 	f := newFleet(t, 6, lan(0.02))
 	f.grow(48, 6)
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -75,6 +75,12 @@
 	Roster uint64 `json:"roster"`
 }
 
+// EntryProcess tells which life of the entry process runs on this VM; zero says
+// that none does.
+type EntryProcess struct {
+	Incarnation ident.Incarnation `json:"incarnation"`
+}
+
 // Leave says that this VM begins to leave.
 type Leave struct{}
 
@@ -91,15 +97,16 @@
 	Notes []Note `json:"notes"`
 }
 
-func (Tick) isEvent()     {}
-func (Request) isEvent()  {}
-func (Answer) isEvent()   {}
-func (Seeds) isEvent()    {}
-func (Versions) isEvent() {}
-func (Leave) isEvent()    {}
-func (Left) isEvent()     {}
-func (Publish) isEvent()  {}
-func (Keep) isEvent()     {}
+func (Tick) isEvent()         {}
+func (Request) isEvent()      {}
+func (Answer) isEvent()       {}
+func (Seeds) isEvent()        {}
+func (Versions) isEvent()     {}
+func (Leave) isEvent()        {}
+func (EntryProcess) isEvent() {}
+func (Left) isEvent()         {}
+func (Publish) isEvent()      {}
+func (Keep) isEvent()         {}
 
 // Action is what the machine gives out.
 type Action interface{ isAction() }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -54,7 +54,7 @@
 
 // orphaned reports whether a suspicion outlived those who raised it.
 func (m *Membership) orphaned(e *entry) bool {
-	return m.now-e.since > 2*m.cfg.SuspicionMax
+	return m.now-e.since > m.cfg.SuspicionMax
 }
 
 // startProbe begins a probe unless one is under way. A suspect is probed over a
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -46,6 +46,11 @@
 	// EntryAddr is where callers connect, ControlAddr where peers do.
 	EntryAddr   string `json:"entry_addr"`
 	ControlAddr string `json:"control_addr"`
+	// EntryPeerAddr is where the entry processes of other VMs connect.
+	EntryPeerAddr string `json:"entry_peer_addr"`
+	// Entry is the life of the VM's entry process, which may differ from that
+	// of its control process; zero while there is none.
+	Entry ident.Incarnation `json:"entry"`
 	// ConfigVersion is the configuration in force on the VM, RosterVersion the
 	// newest lease roster that it knows.
 	ConfigVersion uint64 `json:"config_version"`
@@ -67,6 +72,7 @@
 	Leaving       bool              `json:"l,omitempty"`
 	ConfigVersion uint64            `json:"c,omitempty"`
 	RosterVersion uint64            `json:"r,omitempty"`
+	Entry         ident.Incarnation `json:"e,omitempty"`
 	// Accusers are the VMs that had no answer themselves.
 	Accusers []ident.VM `json:"a,omitempty"`
 	// Static is what never changes within an incarnation; it is sent on with a
@@ -79,6 +85,7 @@
 	Region        ident.Region        `json:"r"`
 	FailureDomain ident.FailureDomain `json:"d"`
 	EntryAddr     string              `json:"e"`
+	EntryPeerAddr string              `json:"p"`
 	ControlAddr   string              `json:"c"`
 }
 
@@ -105,6 +112,7 @@
 		Leaving:       e.Leaving,
 		ConfigVersion: e.ConfigVersion,
 		RosterVersion: e.RosterVersion,
+		Entry:         e.Entry,
 	}
 	if e.State == Suspect {
 		u.Accusers = e.accusers
@@ -114,6 +122,7 @@
 			Region:        e.Place.Region,
 			FailureDomain: e.Place.FailureDomain,
 			EntryAddr:     e.EntryAddr,
+			EntryPeerAddr: e.EntryPeerAddr,
 			ControlAddr:   e.ControlAddr,
 		}
 	}
@@ -128,11 +137,13 @@
 	e.Leaving = u.Leaving
 	e.ConfigVersion = u.ConfigVersion
 	e.RosterVersion = u.RosterVersion
+	e.Entry = u.Entry
 	if u.Static == nil {
 		return
 	}
 	e.Place = ident.Place{Region: u.Static.Region, FailureDomain: u.Static.FailureDomain}
 	e.EntryAddr = u.Static.EntryAddr
+	e.EntryPeerAddr = u.Static.EntryPeerAddr
 	e.ControlAddr = u.Static.ControlAddr
 }
 
