--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -48,6 +48,9 @@
 	ControlAddr string `json:"control_addr"`
 	// EntryPeerAddr is where the entry processes of other VMs connect.
 	EntryPeerAddr string `json:"entry_peer_addr"`
+	// Entry is the life of the VM's entry process, which may differ from that
+	// of its control process; zero while there is none.
+	Entry ident.Incarnation `json:"entry"`
 	// ConfigVersion is the configuration in force on the VM, RosterVersion the
 	// newest lease roster that it knows.
 	ConfigVersion uint64 `json:"config_version"`
@@ -69,6 +72,7 @@
 	Leaving       bool              `json:"l,omitempty"`
 	ConfigVersion uint64            `json:"c,omitempty"`
 	RosterVersion uint64            `json:"r,omitempty"`
+	Entry         ident.Incarnation `json:"e,omitempty"`
 	// Accusers are the VMs that had no answer themselves.
 	Accusers []ident.VM `json:"a,omitempty"`
 	// Static is what never changes within an incarnation; it is sent on with a
@@ -81,8 +85,8 @@
 	Region        ident.Region        `json:"r"`
 	FailureDomain ident.FailureDomain `json:"d"`
 	EntryAddr     string              `json:"e"`
+	EntryPeerAddr string              `json:"p"`
 	ControlAddr   string              `json:"c"`
-	EntryPeerAddr string              `json:"p,omitempty"`
 }
 
 // entry is a member with what this VM itself keeps of it.
@@ -108,6 +112,7 @@
 		Leaving:       e.Leaving,
 		ConfigVersion: e.ConfigVersion,
 		RosterVersion: e.RosterVersion,
+		Entry:         e.Entry,
 	}
 	if e.State == Suspect {
 		u.Accusers = e.accusers
@@ -117,8 +122,8 @@
 			Region:        e.Place.Region,
 			FailureDomain: e.Place.FailureDomain,
 			EntryAddr:     e.EntryAddr,
-			ControlAddr:   e.ControlAddr,
 			EntryPeerAddr: e.EntryPeerAddr,
+			ControlAddr:   e.ControlAddr,
 		}
 	}
 	return u
@@ -132,13 +137,14 @@
 	e.Leaving = u.Leaving
 	e.ConfigVersion = u.ConfigVersion
 	e.RosterVersion = u.RosterVersion
+	e.Entry = u.Entry
 	if u.Static == nil {
 		return
 	}
 	e.Place = ident.Place{Region: u.Static.Region, FailureDomain: u.Static.FailureDomain}
 	e.EntryAddr = u.Static.EntryAddr
-	e.ControlAddr = u.Static.ControlAddr
 	e.EntryPeerAddr = u.Static.EntryPeerAddr
+	e.ControlAddr = u.Static.ControlAddr
 }
 
 // compare orders an update against the record held: above zero means newer.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -37,6 +37,8 @@
 	applyQueue    []ApplyAsked
 	work          serviceWork
 	leaving       bool
+	// entry is the life of this VM's entry process; zero while none reported.
+	entry ident.Incarnation
 
 	out []Action
 }
@@ -253,6 +255,11 @@
 
 // reported takes in what the entry process saw.
 func (c *Control) reported(now time.Duration, report peer.ReportRequest) {
+	if c.entry != report.Instance.Incarnation {
+		c.entry = report.Instance.Incarnation
+		c.membershipEvent(now, membership.EntryProcess{Incarnation: c.entry})
+		c.memberVersion++
+	}
 	for _, seen := range report.Observations {
 		if seen.Leaving {
 			c.backendsDo(now, c.backends.Step(now, membership.Refused{Server: seen.Server}))
--- a/internal/node/controlsnapshot.go
+++ b/internal/node/controlsnapshot.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/membership"
 	"github.com/catkinstair/catkinstair/internal/peer"
 )
@@ -68,8 +69,8 @@
 			continue
 		}
 		section.Members = append(section.Members, peer.EntryMember{
-			Instance: m.Instance, Place: m.Place, EntryAddr: m.EntryAddr, EntryPeerAddr: m.EntryPeerAddr,
-			ControlAddr: m.ControlAddr, Serving: !m.Leaving, Reachable: m.State == membership.Alive,
+			Instance: ident.Instance{VM: m.Instance.VM, Incarnation: m.Entry}, Place: m.Place, EntryAddr: m.EntryAddr, EntryPeerAddr: m.EntryPeerAddr,
+			ControlAddr: m.ControlAddr, Serving: !m.Leaving && m.Entry != 0, Reachable: m.State == membership.Alive,
 			Leaving: m.Leaving, ConfigVersion: m.ConfigVersion,
 		})
 	}
