--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,164 @@
+package ctl
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/adminapi"
+)
+
+// maxAnswerBytes bounds an answer of the API.
+const maxAnswerBytes = 64 << 20
+
+// exitError is an error with the exit code that it ends the program with.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func exit(code int, format string, args ...any) error {
+	return &exitError{code: code, err: errors.Newf(format, args...)}
+}
+
+// ExitCode is the exit code of what Execute returned.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return ExitUsage
+}
+
+// client calls the administration API at the first address that answers.
+type client struct {
+	http    *fasthttp.Client
+	scheme  string
+	addrs   []string
+	key     string
+	timeout time.Duration
+}
+
+func newClient(c connection) (*client, error) {
+	scheme, config := "http", (*tls.Config)(nil)
+	if c.tls || c.ca != "" {
+		scheme = "https"
+		config = &tls.Config{MinVersion: tls.VersionTLS12, ServerName: c.serverName}
+	}
+	if c.ca != "" {
+		pool, err := readPool(c.ca)
+		if err != nil {
+			return nil, err
+		}
+		config.RootCAs = pool
+	}
+	http := &fasthttp.Client{
+		Name: "catkinctl", TLSConfig: config, MaxResponseBodySize: maxAnswerBytes,
+		MaxIdemponentCallAttempts: 1, ReadTimeout: c.timeout, WriteTimeout: c.timeout,
+	}
+	return &client{http: http, scheme: scheme, addrs: c.addrs, key: c.key, timeout: c.timeout}, nil
+}
+
+func readPool(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, exit(ExitUsage, "tls-ca: %v", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, exit(ExitUsage, "tls-ca: %s holds no certificate, want a PEM file", file)
+	}
+	return pool, nil
+}
+
+// get reads a path into answer.
+func (c *client) get(path string, query map[string]string, answer any) error {
+	return c.call(fasthttp.MethodGet, path, query, nil, answer)
+}
+
+// post sends body. Every change of the API may be sent twice, so that the next
+// address is tried also where an answer was lost.
+func (c *client) post(path string, query map[string]string, body []byte, answer any) error {
+	return c.call(fasthttp.MethodPost, path, query, body, answer)
+}
+
+func (c *client) call(method, path string, query map[string]string, body []byte, answer any) error {
+	var last error
+	unknown := false
+	for _, addr := range c.addrs {
+		status, text, err := c.do(method, addr, path, query, body)
+		if err == nil && status == fasthttp.StatusOK {
+			return decode(addr, text, answer)
+		}
+		if err == nil && status != fasthttp.StatusServiceUnavailable {
+			return apiError(addr, status, text)
+		}
+		if err == nil {
+			err = apiError(addr, status, text)
+		}
+		unknown = unknown || (method == fasthttp.MethodPost && !dialFailed(err))
+		last = errors.CombineErrors(errors.Wrap(err, addr), last)
+	}
+	if unknown {
+		return exit(ExitUnknown, "the change may have been made, give the same command again: %v", last)
+	}
+	return exit(ExitUnavailable, "%v", last)
+}
+
+func decode(addr string, text []byte, answer any) error {
+	if err := json.Unmarshal(text, answer); err != nil {
+		return exit(ExitUnavailable, "%s: the answer is no JSON: %v", addr, err)
+	}
+	return nil
+}
+
+// dialFailed reports whether no byte of the request was sent.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, fasthttp.ErrDialTimeout) || (errors.As(err, &op) && op.Op == "dial")
+}
+
+func (c *client) do(method, addr, path string, query map[string]string, body []byte) (int, []byte, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(c.scheme + "://" + addr + adminapi.PathPrefix + path)
+	for name, value := range query {
+		request.URI().QueryArgs().Set(name, value)
+	}
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.key)
+	request.SetBody(body)
+	if err := c.http.DoTimeout(request, response, c.timeout); err != nil {
+		return 0, nil, err
+	}
+	return response.StatusCode(), append([]byte(nil), response.Body()...), nil
+}
+
+func apiError(addr string, status int, text []byte) error {
+	var body adminapi.Error
+	message := "no reason given"
+	if json.Unmarshal(text, &body) == nil && body.Error.Message != "" {
+		message = body.Error.Message
+	}
+	switch status {
+	case fasthttp.StatusUnauthorized:
+		return exit(ExitUnauthorized, "%s: the key is not accepted: %s", addr, message)
+	case fasthttp.StatusServiceUnavailable:
+		return errors.New(message)
+	}
+	return exit(ExitRefused, "%s: status %d: %s", addr, status, message)
+}
--- /dev/null
+++ b/internal/ctl/sheet.go
@@ -0,0 +1,168 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/catkinstair/catkinstair/internal/adminapi"
+	"github.com/catkinstair/catkinstair/internal/config"
+)
+
+// statusEvery is the time between two looks at who has a version.
+const statusEvery = 500 * time.Millisecond
+
+func sheetCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "sheet", Short: "Check, compare and apply the morning sheet"}
+	cmd.AddCommand(sheetCheckCommand(), sheetDiffCommand(), sheetApplyCommand())
+	return cmd
+}
+
+// sheetCheckCommand checks without the API: it needs no key.
+func sheetCheckCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE", Short: "Name every fault of a sheet by row and column, without sending it", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			name, text, err := readSheet(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			sheet, faults := config.ParseSheet(name, text)
+			if len(faults) > 0 {
+				return refusedSheet(cmd, faults)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %d rows for %s, no faults\n", name, len(sheet.Rows), sheet.Day)
+			return nil
+		},
+	}
+}
+
+func sheetDiffCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "diff FILE", Short: "Show what a sheet would change", Args: cobra.ExactArgs(1)}
+	return remote(cmd, func(s *session, args []string) error {
+		name, text, err := readSheet(s.cmd, args[0])
+		if err != nil {
+			return err
+		}
+		var answer adminapi.SheetAnswer
+		if err := s.post("sheet/diff", map[string]string{"file": name}, text, &answer); err != nil {
+			return err
+		}
+		if err := s.show(answer, changesTable(answer.Changes)); err != nil {
+			return err
+		}
+		return refusedSheet(s.cmd, answer.Faults)
+	})
+}
+
+func sheetApplyCommand() *cobra.Command {
+	var wait time.Duration
+	cmd := &cobra.Command{
+		Use: "apply FILE", Short: "Accept a sheet whole, or name every row that can't be", Args: cobra.ExactArgs(1),
+		Long: "Accept a sheet whole, or name every row that can't be. Applying the same sheet again is a\n" +
+			"success without effect, so an unknown outcome is settled by giving the command again.",
+	}
+	remote(cmd, func(s *session, args []string) error { return s.apply(args[0], wait) })
+	cmd.Flags().DurationVar(&wait, "wait", 0, "wait up to this long until every VM has the version")
+	return cmd
+}
+
+func (s *session) apply(file string, wait time.Duration) error {
+	name, text, err := readSheet(s.cmd, file)
+	if err != nil {
+		return err
+	}
+	var outcome config.Outcome
+	if err := s.post("sheet/apply", map[string]string{"file": name}, text, &outcome); err != nil {
+		return err
+	}
+	if err := s.show(outcome, changesTable(outcome.Changes)); err != nil {
+		return err
+	}
+	switch outcome.Kind {
+	case config.OutcomeAccepted, config.OutcomeUnchanged:
+		s.cmd.PrintErrf("%s: version %d %s\n", outcome.Kind, outcome.Version, outcome.Detail)
+		return s.awaitVersion(outcome.Version, wait)
+	case config.OutcomeRefused:
+		if outcome.Raced != "" {
+			s.cmd.PrintErrf("%s was faster: the sheet was judged against version %d\n", outcome.Raced, outcome.Version)
+		}
+		if err := refusedSheet(s.cmd, outcome.Faults); err != nil {
+			return err
+		}
+		return exit(ExitRefused, "refused: %s", outcome.Detail)
+	case config.OutcomeUnavailable:
+		return exit(ExitUnavailable, "%s", outcome.Detail)
+	}
+	return exit(ExitUnknown, "%s", outcome.Detail)
+}
+
+// awaitVersion waits until every VM has the version.
+func (s *session) awaitVersion(version uint64, wait time.Duration) error {
+	if wait <= 0 {
+		return nil
+	}
+	began := time.Now()
+	for {
+		var status adminapi.ConfigStatus
+		err := s.get("config/status", nil, &status)
+		lagging := countBelow(status, version)
+		if err == nil && lagging == 0 && status.Newest >= version {
+			s.cmd.PrintErrf("in force on %d VMs after %s\n", len(status.VMs), time.Since(began).Round(time.Millisecond))
+			return nil
+		}
+		if time.Since(began) >= wait {
+			return exit(ExitRefused, "version %d is accepted, but %d of %d VMs lag after %s", version, lagging, len(status.VMs), wait)
+		}
+		time.Sleep(statusEvery)
+	}
+}
+
+func countBelow(status adminapi.ConfigStatus, version uint64) int {
+	n := 0
+	for _, vm := range status.VMs {
+		if vm.Version < version {
+			n++
+		}
+	}
+	return n
+}
+
+// readSheet reads a file, or standard input for "-".
+func readSheet(cmd *cobra.Command, file string) (string, []byte, error) {
+	if file == "-" {
+		text, err := io.ReadAll(io.LimitReader(cmd.InOrStdin(), config.MaxSheetBytes+1))
+		if err != nil {
+			return "", nil, exit(ExitUsage, "standard input: %v", err)
+		}
+		return "stdin", text, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", nil, exit(ExitUsage, "%v", err)
+	}
+	return filepath.Base(file), text, nil
+}
+
+func refusedSheet(cmd *cobra.Command, faults []config.Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	for _, fault := range faults {
+		cmd.PrintErrln(fault)
+	}
+	return exit(ExitRefused, "%d faults, nothing was changed", len(faults))
+}
+
+func changesTable(changes []config.Change) func(t *table) {
+	return func(t *table) {
+		t.header = []string{"TEAM", "SERVICE", "UNIT", "BEFORE", "AFTER"}
+		for _, c := range changes {
+			t.add(c.Key.Team, c.Key.Service, c.Key.Unit, c.Before, c.After)
+		}
+	}
+}
