Prove calls and planned stops under failure

Calls: 2 to 5 entries, an application with a ledger, the key-value service, and callers who repeat a key through other entries while entries are killed, replaced and frozen, links are cut, servers are dead, leaving or busy, messages are late or doubled and the service is down or silent.

The age bound, the renewed tombstone, the recorded NotRun and the restamp are too rare for that mix and have tests of their own.

--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,17 +51,103 @@
 	require.Equal(t, verdict.MayHaveRun, actions[0].(Refuse).Refusal.Verdict)
 }
 
+// forwarded is a forward of request id by another entry.
+func forwarded(id, fromID RequestID, key string, accepted time.Duration) Request {
+	r := request1(id, key)
+	r.Deadline = 1000 * second
+	r.Forwarded = &Forwarded{From: ident.Instance{VM: "b"}, FromID: fromID, Accepted: accepted}
+	return r
+}
+
+func refusal(t *testing.T, actions []Action) verdict.Refusal {
+	require.NotEmpty(t, actions)
+	require.IsType(t, Refuse{}, actions[0])
+	return actions[0].(Refuse).Refusal
+}
+
+var noReplica = verdict.Refusal{Cause: verdict.CauseNoBackend}
+
 func TestForwardAcceptedBeforeNotRunIsRefused(t *testing.T) {
 	c := newCore(t)
 	key := KeyPrefix(home, 0) + "x"
 	c.Step(2*second, request1(1, key))
-	refused := c.Step(3*second, NonePicked{ID: 1, Try: 1, Refusal: verdict.Refusal{Cause: verdict.CauseNoBackend}})
-	require.Equal(t, verdict.NotRun, refused[0].(Refuse).Refusal.Verdict)
-	late := request1(2, key)
-	late.Forwarded = &Forwarded{From: ident.Instance{VM: "b"}, FromID: 9, Accepted: 3 * second}
-	require.Equal(t, verdict.MayHaveRun, c.Step(4*second, late)[0].(Refuse).Refusal.Verdict)
-	late.ID, late.Forwarded = 3, &Forwarded{From: ident.Instance{VM: "b"}, FromID: 10, Accepted: 3*second + 1}
-	require.IsType(t, PickReplica{}, c.Step(4*second, late)[0])
+	require.Equal(t, verdict.NotRun, refusal(t, c.Step(3*second, NonePicked{ID: 1, Try: 1, Refusal: noReplica})).Verdict)
+	require.Equal(t, verdict.MayHaveRun, refusal(t, c.Step(4*second, forwarded(2, 9, key, 3*second))).Verdict)
+	require.IsType(t, PickReplica{}, c.Step(4*second, forwarded(3, 10, key, 3*second+1))[0])
+}
+
+func TestForwardOlderThanTheTombstonesIsRefused(t *testing.T) {
+	c := newCore(t)
+	key := KeyPrefix(home, 0) + "x"
+	c.Step(2*second, request1(1, key))
+	c.Step(3*second, NonePicked{ID: 1, Try: 1, Refusal: noReplica})
+	c.Step(90*second, Tick{})
+	require.Equal(t, verdict.MayHaveRun, refusal(t, c.Step(90*second, forwarded(2, 9, key, 2*second))).Verdict)
+}
+
+func TestForwardFromTheFutureReadsTheClockAgain(t *testing.T) {
+	c := newCore(t)
+	require.Equal(t, []Action{Restamp{ID: 2}}, c.Step(4*second, forwarded(2, 9, KeyPrefix(home, 0)+"x", 5*second)))
+	require.Zero(t, c.Open())
+}
+
+// TestRepeatedForwardGetsTheSameNotRun repeats a forward whose answer was lost:
+// giving NotRun once more renews the fence against attempts accepted since.
+func TestRepeatedForwardGetsTheSameNotRun(t *testing.T) {
+	c := newCore(t)
+	key := KeyPrefix(home, 0) + "x"
+	c.Step(2*second, forwarded(1, 9, key, 2*second))
+	require.Equal(t, verdict.NotRun, refusal(t, c.Step(3*second, NonePicked{ID: 1, Try: 1, Refusal: noReplica})).Verdict)
+	require.Equal(t, verdict.NotRun, refusal(t, c.Step(5*second, forwarded(2, 9, key, 2*second))).Verdict)
+	require.Equal(t, verdict.MayHaveRun, refusal(t, c.Step(6*second, forwarded(3, 10, key, 4*second))).Verdict)
+}
+
+// TestNotRunOfAClaimWaitsForItsRecord loses the reply of the outcome's write.
+func TestNotRunOfAClaimWaitsForItsRecord(t *testing.T) {
+	c := newCore(t)
+	c.Step(second, request1(1, "order-7"))
+	claim := c.Step(second, Picked{ID: 1, Try: 1, Server: "s1"})[0].(Claim)
+	c.Step(second, ClaimEnded{ID: 1, Result: Written, Record: claim.Record, Revision: 4})
+	c.Step(second, SendEnded{ID: 1, Try: 1, Result: NotRunByServer})
+	actions := c.Step(second, NonePicked{ID: 1, Try: 2, Refusal: noReplica})
+	require.Len(t, actions, 1)
+	outcome := actions[0].(RecordOutcome)
+	require.Equal(t, StateNotRun, outcome.Record.State)
+	require.Empty(t, c.Step(2*second, OutcomeRecorded{ID: 1, Result: WriteUnknown}))
+	require.IsType(t, RecordOutcome{}, c.Step(3*second, Tick{})[0])
+	stands := OutcomeRecorded{ID: 1, Result: Exists, Record: outcome.Record, Revision: 5}
+	require.Equal(t, verdict.NotRun, refusal(t, c.Step(3*second, stands)).Verdict)
+	require.Zero(t, c.Open())
+}
+
+// TestIdempotentCallIsHedgedAndRetriedWithinItsBudget counts the extra sends of
+// calls of which every first send is lost.
+func TestIdempotentCallIsHedgedAndRetriedWithinItsBudget(t *testing.T) {
+	c := newCore(t)
+	sends, calls, now := 0, 2000, second
+	for id := range RequestID(calls) {
+		r := request1(id+1, "")
+		r.Idempotent, r.Deadline = true, now+10*second
+		actions := c.Step(now, r)
+		for len(actions) > 0 {
+			var next []Action
+			switch a := actions[0].(type) {
+			case PickReplica:
+				next = c.Step(now, Picked{ID: a.ID, Try: a.Try, Server: ident.BackendServer(fmt.Sprint(a.Try))})
+			case Send:
+				sends++
+				result := SendEnded{ID: a.ID, Try: a.Try, Result: ReplyLost}
+				if a.Try > 1 {
+					result.Result = Replied
+				}
+				next = c.Step(now, result)
+			}
+			actions = append(actions[1:], next...)
+		}
+	}
+	t.Logf("%d sends for %d calls: amplification %.3f", sends, calls, float64(sends)/float64(calls))
+	require.Less(t, float64(sends), 1.1*float64(calls))
+	require.Zero(t, c.Open())
 }
 
 func FuzzParseKey(f *testing.F) {
--- a/internal/call/failure_test.go
+++ b/internal/call/failure_test.go
@@ -125,7 +125,7 @@
 			w.net.RunUntil(time.Minute)
 			require.Empty(t, w.check())
 			counts, share := w.outcomes()
-			t.Logf("%-32s issued=%-5v answered %.4f, %v", c.name, issued, 1-share, counts)
+			t.Logf("%-32s issued=%-5v answered %.4f, writes a call %.2f, %v", c.name, issued, 1-share, float64(w.kv.writes)/3000, counts)
 			require.LessOrEqual(t, share, c.most[issued], c.name)
 		}
 	}
--- a/internal/entrylist/event.go
+++ b/internal/entrylist/event.go
@@ -17,7 +17,8 @@
 type Answer struct {
 	Addresses []Address `json:"addresses"`
 	// Lifetime is how long the caller may use Addresses and KeyPrefix, from the
-	// moment at which it has the answer in hand.
+	// moment at which it asked. A caller that counts from the receipt is covered
+	// up to the Slack of the entries named.
 	Lifetime time.Duration `json:"lifetime_ns"`
 	// KeyPrefix starts every idempotency key that the caller makes up while it
 	// keeps the answer. Empty where this entry is leaving.
