Close three gaps: stopped entries, stale domains, keys across services

A stopped entry that resumes reads requests whose callers have gone on to another entry; one that was then answered NotRun elsewhere could still run. The entry now notices the gap between its ticks and refuses keyed requests for 300 ms after (MayHaveRun). The test's callers no longer hang up for stopped entries: without the guard it says "was refused as not run and ran", with it 4000 runs pass (go test -run AtMost ./internal/call -rapid.checks=4000).

A VM that starts in an outage served the first version that any peer gave, also one from a failure domain that had missed the last change. It now waits for two other domains, 2 s at most; with one domain the new test finds version 1 instead of 2.

The same key and body sent to another service of the team was answered with the first one's reply; the service now belongs to what a key stands for. Besides, an older version is shown to be adopted by no way in (without the guard: the check finds config.Adopted).

--- a/internal/call/config.go
+++ b/internal/call/config.go
@@ -67,6 +67,13 @@
 	// CleanupWait is the wait between two such writes. Default 5 s.
 	CleanupWait time.Duration `json:"cleanup_wait_ns"`
 
+	// StallAfter is the gap between two Ticks that shows that the process was
+	// stopped; it is to be shorter than callers wait. Default 250 ms.
+	StallAfter time.Duration `json:"stall_after_ns"`
+	// StallGrace is for how long after a stop a request with a key is taken for
+	// one that waited through it. Default 300 ms.
+	StallGrace time.Duration `json:"stall_grace_ns"`
+
 	// BusyRetryAfter is the Retry-After for a key in use. Default 1 s.
 	BusyRetryAfter time.Duration `json:"busy_retry_after_ns"`
 }
@@ -80,7 +87,7 @@
 		MaxAge: time.Minute, MaxTombstones: 50_000, ReadingLife: 10 * time.Second, MaxDrift: 0.001,
 		ForwardTries: 3, ForwardWait: 100 * time.Millisecond,
 		ClaimTries: 3, ClaimWait: 100 * time.Millisecond, CleanupFor: 10 * time.Minute, CleanupWait: 5 * time.Second,
-		BusyRetryAfter: time.Second,
+		StallAfter: 250 * time.Millisecond, StallGrace: 300 * time.Millisecond, BusyRetryAfter: time.Second,
 	}
 }
 
@@ -113,6 +120,8 @@
 	fault(c.ClaimWait <= 0, "ClaimWait is %s, want more than 0", c.ClaimWait)
 	fault(c.CleanupFor < 0, "CleanupFor is %s, want 0 or more", c.CleanupFor)
 	fault(c.CleanupWait <= 0, "CleanupWait is %s, want more than 0", c.CleanupWait)
+	fault(c.StallAfter <= 0, "StallAfter is %s, want more than 0", c.StallAfter)
+	fault(c.StallGrace < 0, "StallGrace is %s, want 0 or more", c.StallGrace)
 	fault(c.BusyRetryAfter <= 0, "BusyRetryAfter is %s, want more than 0", c.BusyRetryAfter)
 	return err
 }
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
@@ -61,6 +63,7 @@
 	clocks   map[ident.Instance]reading
 	asking   map[ident.Instance]time.Duration
 	revision uint64
+	stall    stall
 	out      []Action
 }
 
@@ -74,6 +77,7 @@
 		budget:  budget{share: cfg.RetryShare, most: cfg.RetryBurst, saved: cfg.RetryBurst},
 		latency: map[ident.Service]time.Duration{},
 		home:    newHomeTable(cfg),
+		stall:   stall{after: cfg.StallAfter, grace: cfg.StallGrace},
 		clocks:  map[ident.Instance]reading{}, asking: map[ident.Instance]time.Duration{},
 	}, nil
 }
@@ -116,6 +120,7 @@
 	case CallerGone:
 		c.callerGone(now, ev.ID)
 	case Tick:
+		c.stall.tick(now)
 		c.tick(now)
 	}
 	return c.out
@@ -127,6 +132,8 @@
 	if _, ok := c.open[ev.ID]; ok {
 		return
 	}
+	// The same key and body for another service is another call.
+	ev.BodyHash ^= xxhash.Sum64String(string(ev.Service))
 	r := &request{Request: ev, accepted: now, kind: c.classify(ev)}
 	if fault := c.unfit(now, r); fault != nil {
 		c.emit(Refuse{ID: ev.ID, Refusal: *fault})
@@ -179,6 +186,8 @@
 		return refuse(verdict.CauseBadRequest, 0, "the idempotency key is longer than 256 bytes")
 	case r.Forwarded != nil && r.kind != kindHome:
 		return refuse(verdict.CauseKeyHomeGone, 0, "this VM is not the home of the key")
+	case r.kind >= kindHome && r.Forwarded == nil && c.stall.suspects(now):
+		return refuse(verdict.CauseInternalFailure, c.cfg.BusyRetryAfter, "this entry was stopped and the request may have waited; try another entry")
 	case now >= r.Deadline:
 		return refuse(verdict.CauseDeadline, 0, "the deadline had passed on arrival")
 	case len(c.open) >= c.cfg.MaxOpen:
--- a/internal/call/event.go
+++ b/internal/call/event.go
@@ -160,7 +160,8 @@
 	ID RequestID `json:"id"`
 }
 
-// Tick lets time pass.
+// Tick lets time pass. The first one comes before the first Request, the others
+// every 10 ms or so: a long gap shows that the process was stopped.
 type Tick struct{}
 
 func (Request) isEvent()         {}
--- a/internal/call/world_test.go
+++ b/internal/call/world_test.go
@@ -138,6 +138,7 @@
 	}
 	e.core = core
 	e.w.net.Join(e.host(), e.handle)
+	e.step(Tick{})
 	e.w.net.After(e.host(), 10*ms, tickNow{e.self.Incarnation})
 }
 
@@ -382,11 +383,13 @@
 // caller makes one call, repeating it with the same key through any entry. It
 // waits for one attempt at a time.
 type caller struct {
-	w        *world
-	key      string
-	attempt  int
-	tries    int
-	giveUp   bool
+	w       *world
+	key     string
+	attempt int
+	tries   int
+	giveUp  bool
+	// waits is set while the present attempt has no answer.
+	waits    bool
 	done     bool
 	final    verdict.Verdict
 	cause    verdict.Cause
@@ -402,6 +405,7 @@
 
 func (c *caller) try() {
 	c.attempt++
+	c.waits = true
 	attempt := c.attempt
 	e := c.w.entries[c.w.net.Rand().IntN(len(c.w.entries))]
 	c.w.net.At(c.w.net.Now()+c.w.patience, func() { c.timeout(attempt) })
@@ -418,11 +422,9 @@
 	c.arrive(e, attempt)
 }
 
-// arrive hands an attempt to the entry, unless the caller has hung up.
+// arrive hands an attempt to the entry, also where the caller has hung up while
+// the entry was stopped.
 func (c *caller) arrive(e *entry, attempt int) {
-	if attempt != c.attempt || c.done {
-		return
-	}
 	e.accept(Request{Team: "clubs", Service: "ordrebok", Key: c.key, BodyHash: 7}, func(action Action) {
 		switch a := action.(type) {
 		case Answer:
@@ -437,15 +439,17 @@
 	if string(a.Body) != "reply to "+c.key {
 		c.w.fault("%s got %q", c.key, a.Body)
 	}
-	if attempt == c.attempt && !c.done {
+	if attempt == c.attempt && c.waits {
+		c.waits = false
 		c.done, c.answered, c.final = true, true, verdict.Ran
 	}
 }
 
 func (c *caller) refused(attempt int, r verdict.Refusal) {
-	if attempt != c.attempt || c.done {
+	if attempt != c.attempt || !c.waits {
 		return
 	}
+	c.waits = false
 	c.final, c.cause = r.Verdict, r.Cause
 	if c.attempt >= c.tries || (c.giveUp && r.Verdict == verdict.NotRun) {
 		c.done = true
--- a/internal/config/failure_test.go
+++ b/internal/config/failure_test.go
@@ -103,6 +103,60 @@
 	require.Less(t, fresh.adopted-fresh.started, 300*ms)
 }
 
+// TestFreshVMPassesOverAStaleDomain starts a VM during an outage, while one
+// failure domain has missed a version and answers first.
+func TestFreshVMPassesOverAStaleDomain(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 3, 2, 0, 2*ms)
+		w.kv.raised = map[string]int{}
+		w.apply(w.vms[0], sheetOf(t, "2026-12-04", map[string]int{"clubs": 40}), "kari")
+		w.net.RunUntil(5 * time.Second)
+		for _, stale := range w.vms[4:] {
+			w.net.Cut(stale.host(), "kv", true)
+			for _, other := range w.vms[:4] {
+				w.net.Cut(stale.host(), other.host(), true)
+			}
+		}
+		w.apply(w.vms[0], sheetOf(t, "2026-12-05", map[string]int{"clubs": 60}), "kari")
+		w.net.RunUntil(10 * time.Second)
+		w.kv.down = true
+		fresh := w.vms[3]
+		w.net.Cut(fresh.host(), w.vms[4].host(), false)
+		w.net.Cut(fresh.host(), w.vms[5].host(), false)
+		fresh.restart()
+		for !fresh.spread.Ready() && w.net.Now() < 14*time.Second {
+			w.net.RunUntil(w.net.Now() + ms)
+		}
+		require.Equal(t, uint64(2), fresh.spread.Version())
+		require.Less(t, w.net.Now()-fresh.started, 1200*ms)
+	}
+}
+
+// TestOlderVersionIsNeverAdopted offers an older version by every way in.
+func TestOlderVersionIsNeverAdopted(t *testing.T) {
+	snapshotOf := func(version, value uint64) Snapshot {
+		key := LimitKey{Team: "clubs", Service: "skrivar", Unit: UnitTokens}
+		state := NewState(map[LimitKey]Limit{key: {Value: value}})
+		return newSnapshot(Head{Version: version, Parts: state.Hashes()}, state)
+	}
+	older, newer := snapshotOf(3, 40), snapshotOf(4, 60)
+	s, err := NewSpread(DefaultSpreadConfig("a", "d1"))
+	require.NoError(t, err)
+	s.Step(0, SelfApplied{Snapshot: newer})
+	for _, ev := range []SpreadEvent{
+		SelfApplied{Snapshot: older},
+		PeerParts{From: "b", Head: older.Head, Texts: older.Texts()},
+		HeadRead{Found: true, Head: older.Head, Revision: 9},
+		PartsRead{Texts: older.Texts()},
+		PeerVersion{From: "b", Version: 3},
+	} {
+		for _, action := range s.Step(time.Second, ev) {
+			require.NotContains(t, []string{"config.Adopted", "config.ReadParts", "config.SendPull"}, fmt.Sprintf("%T", action))
+		}
+		require.Equal(t, newer, s.Snapshot())
+	}
+}
+
 // TestTwoOperatorsAtOnce races two sheets that clash in one row: one wins whole,
 // the other is told the row.
 func TestTwoOperatorsAtOnce(t *testing.T) {
--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -37,6 +37,12 @@
 	PullTimeout time.Duration `json:"pull_timeout_ns"`
 	// WatchRetry is the wait after a failed read of the service. Default 1 s.
 	WatchRetry time.Duration `json:"watch_retry_ns"`
+	// SeekDomains is how many other failure domains a fresh VM hears from before
+	// it trusts that no newer version is known than the one it took from them.
+	// Default 2.
+	SeekDomains int `json:"seek_domains"`
+	// SeekFor ends that wait where so many do not answer. Default 2 s.
+	SeekFor time.Duration `json:"seek_for_ns"`
 	// WatchTimeout is the longest wait for the answer of a watch, which the
 	// service holds open for up to 30 s. Default 40 s.
 	WatchTimeout time.Duration `json:"watch_timeout_ns"`
@@ -47,7 +53,7 @@
 	return SpreadConfig{
 		Self: self, Domain: domain, WatchersPerDomain: 2, Fanout: 4, GossipEvery: time.Second,
 		ReportEvery: 10 * time.Second, Collectors: 2, PullTimeout: 500 * time.Millisecond,
-		WatchRetry: time.Second, WatchTimeout: 40 * time.Second,
+		WatchRetry: time.Second, WatchTimeout: 40 * time.Second, SeekDomains: 2, SeekFor: 2 * time.Second,
 	}
 }
 
@@ -65,7 +71,7 @@
 	}
 	for name, d := range map[string]time.Duration{
 		"GossipEvery": c.GossipEvery, "ReportEvery": c.ReportEvery, "PullTimeout": c.PullTimeout,
-		"WatchRetry": c.WatchRetry, "WatchTimeout": c.WatchTimeout,
+		"WatchRetry": c.WatchRetry, "WatchTimeout": c.WatchTimeout, "SeekFor": c.SeekFor,
 	} {
 		if d <= 0 {
 			err = errors.Join(err, errors.Newf("%s is %s, want more than 0", name, d))
--- a/internal/config/spreadcore.go
+++ b/internal/config/spreadcore.go
@@ -17,8 +17,13 @@
 	watches bool
 	collect []ident.VM
 
-	held     Snapshot
-	ready    bool
+	held  Snapshot
+	ready bool
+	// heard holds the failure domains that answered while not ready; taken is
+	// when a first version came from a peer.
+	heard    map[ident.FailureDomain]bool
+	taken    time.Duration
+	isTaken  bool
 	revision uint64
 	// wanted is a head that the service gave and whose parts are being read.
 	wanted *Head
@@ -43,7 +48,7 @@
 	return &Spread{
 		cfg:  cfg,
 		rng:  rand.New(rand.NewPCG(cfg.Seed, rank(cfg.Self, "spread"))),
-		seen: map[ident.VM]Seen{}, texts: map[PartHash]string{},
+		seen: map[ident.VM]Seen{}, texts: map[PartHash]string{}, heard: map[ident.FailureDomain]bool{},
 		members: []Member{{VM: cfg.Self, Domain: cfg.Domain}},
 	}, nil
 }
@@ -54,8 +59,9 @@
 // Snapshot is what is in force here.
 func (s *Spread) Snapshot() Snapshot { return s.held }
 
-// Ready reports whether this VM may serve: it holds a version, or the service
-// itself said that nothing was accepted yet.
+// Ready reports whether this VM may serve: the service itself said which version
+// is in force, or that none is, or peers in several failure domains know of none
+// newer than the one held.
 func (s *Spread) Ready() bool { return s.ready }
 
 // Watching reports whether this VM follows the head in the service.
@@ -88,6 +94,7 @@
 	case PeerParts:
 		return s.peerParts(now, ev)
 	case SelfApplied:
+		s.ready = true
 		return s.adopt(now, ev.Snapshot)
 	}
 	return nil
@@ -119,6 +126,7 @@
 
 func (s *Spread) tick(now time.Duration) []SpreadAction {
 	var actions []SpreadAction
+	s.settle(now)
 	actions = append(actions, s.watch(now)...)
 	actions = append(actions, s.seek(now)...)
 	if now >= s.nextGossip {
@@ -147,9 +155,32 @@
 	return []SpreadAction{WatchHead{After: s.revision}}
 }
 
-// seek asks one peer in each failure domain while this VM holds nothing.
+// settle makes this VM ready once enough failure domains were heard.
+func (s *Spread) settle(now time.Duration) {
+	if s.ready || !s.isTaken {
+		return
+	}
+	if len(s.heard) >= s.cfg.SeekDomains || now-s.taken >= s.cfg.SeekFor {
+		s.ready = true
+	}
+}
+
+// hear notes an answer of a peer that knows of no newer version than the one
+// held here.
+func (s *Spread) hear(from ident.VM, version uint64) {
+	if s.ready || version == 0 || version > s.Version() {
+		return
+	}
+	for _, member := range s.members {
+		if member.VM == from && member.Domain != s.cfg.Domain {
+			s.heard[member.Domain] = true
+		}
+	}
+}
+
+// seek asks one peer in each failure domain while this VM is not ready.
 func (s *Spread) seek(now time.Duration) []SpreadAction {
-	if s.held.Head.Version > 0 || now < s.nextSeek {
+	if s.ready || now < s.nextSeek {
 		return nil
 	}
 	s.nextSeek = now + s.cfg.PullTimeout
@@ -182,6 +213,7 @@
 		return nil
 	}
 	if ev.Head.Version <= s.Version() {
+		s.ready = true
 		return s.watch(now)
 	}
 	return s.want(now, ev.Head)
@@ -192,7 +224,9 @@
 	s.texts = s.held.Texts()
 	lacking := Lacking(head, s.texts)
 	if len(lacking) == 0 {
-		return s.assemble(now, head, s.texts)
+		actions := s.assemble(now, head, s.texts)
+		s.ready = s.ready || s.Version() >= head.Version
+		return actions
 	}
 	s.wanted = &head
 	s.reading, s.readSince = true, now
@@ -212,7 +246,9 @@
 		s.readAgain = now + s.cfg.WatchRetry
 		return nil
 	}
-	return append(s.assemble(now, head, s.texts), s.watch(now)...)
+	actions := s.assemble(now, head, s.texts)
+	s.ready = s.ready || s.Version() >= head.Version
+	return append(actions, s.watch(now)...)
 }
 
 func (s *Spread) assemble(now time.Duration, head Head, texts map[PartHash]string) []SpreadAction {
@@ -231,7 +267,9 @@
 	}
 	snapshot.State = snapshot.State.Join(s.held.State)
 	s.held = snapshot
-	s.ready = true
+	if !s.isTaken {
+		s.isTaken, s.taken = true, now
+	}
 	s.pullFrom = ""
 	s.wanted = nil
 	actions := []SpreadAction{Adopted{Snapshot: snapshot}}
@@ -271,6 +309,8 @@
 
 func (s *Spread) peerVersion(now time.Duration, ev PeerVersion) []SpreadAction {
 	s.seen[ev.From] = Seen{Version: ev.Version, At: now}
+	s.hear(ev.From, ev.Version)
+	s.settle(now)
 	if ev.Asks || ev.Version < s.Version() {
 		if s.Version() == 0 {
 			return nil
@@ -318,5 +358,8 @@
 	}
 	texts := s.held.Texts()
 	maps.Copy(texts, ev.Texts)
-	return s.assemble(now, ev.Head, texts)
+	actions := s.assemble(now, ev.Head, texts)
+	s.hear(ev.From, ev.Head.Version)
+	s.settle(now)
+	return actions
 }
