The whole path as separate processes: six VMs on loopback

Cause: a caller's request had to pass the real programs before anything else. A planned stop of a whole fleet waited 2 min: nobody was left to take the slots over, and grants outlived short address lifetimes. The hand-over now waits 5 s at most and the grants scale with the lifetime.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,9 @@
 
 test: lint build
 	$(GO) test -race ./...
+
+# Starts stand-ins and six VMs' worth of processes, shows one completion and one
+# reservation, and keeps running until interrupted.
+.PHONY: run
+run: build
+	scripts/run.sh
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -50,7 +50,8 @@
 	leaseTimeout  = time.Second
 	borrowWait    = time.Second
 	statesEvery   = 10
-	adminWait     = 30 * time.Second
+	// handOverWithin bounds the wait for others to take over the slots.
+	handOverWithin = 5 * time.Second
 	// entryQuiet is how long the entry process has to be silent before the
 	// control process takes it to have ended.
 	entryQuiet = time.Second
--- a/internal/control/shell.go
+++ b/internal/control/shell.go
@@ -164,6 +164,7 @@
 	s.log.Info().Msg("planned stop begins")
 	s.send(node.DrainAsked{Operator: string(s.cfg.Self.VM)})
 	limit := time.After(s.cfg.StopWithin)
+	handOver := time.Now().Add(handOverWithin)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -172,7 +173,8 @@
 			s.log.Warn().Msg("planned stop takes too long, stopping now")
 			return
 		case <-ticker.C:
-			if s.handed.Load() && s.now()-time.Duration(s.lastEntry.Load()) > entryQuiet {
+			handed := s.handed.Load() || time.Now().After(handOver)
+			if handed && s.now()-time.Duration(s.lastEntry.Load()) > entryQuiet {
 				s.farewell()
 				return
 			}
--- a/internal/entry/shell.go
+++ b/internal/entry/shell.go
@@ -89,7 +89,7 @@
 		StartUnix: s.start.Unix(), Seed: uint64(s.start.UnixNano()),
 	}
 	cfg := node.DefaultEntryConfig(settings)
-	cfg.List.Lifetime = s.cfg.Lifetime
+	cfg.List = cfg.List.WithLifetime(s.cfg.Lifetime)
 	cfg.Stream.CheckpointEvery = s.cfg.CheckpointEvery
 	core, err := node.NewEntry(cfg)
 	if err != nil {
--- a/internal/entrylist/config.go
+++ b/internal/entrylist/config.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// WithLifetime returns c with another lifetime of answers, and with the times
+// that depend on it in the proportions of the defaults.
+func (c Config) WithLifetime(d time.Duration) Config {
+	c.Lifetime = d
+	c.MinLifetime = d / 6
+	c.RefreshEvery = d * 2 / 3
+	c.GrantTerm = d * 2
+	return c
+}
+
 // Validate names every faulty field.
 func (c Config) Validate() error {
 	var err error
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,67 @@
+# Functions that start and stop a fleet on loopback addresses. Sourced by the
+# other scripts; a process starts no other, so a shell does.
+#
+# VM n has the address 127.0.1.n: callers connect to port 8080, other entries to
+# 8081, control processes to 8082, operators to 8083.
+
+BIN=${BIN:-bin}
+OUT=${OUT:-out}
+STANDIN_IP=${STANDIN_IP:-127.0.2.1}
+KV=$STANDIN_IP:18000
+VM_LIST=$STANDIN_IP:18001
+FAULTS=$STANDIN_IP:18003
+OPERATOR_KEY=${OPERATOR_KEY:-operator-key-for-loopback-only}
+DOMAINS=(${DOMAINS:-bergen-a bergen-b stord})
+declare -A PID
+
+vm_ip() { echo "127.0.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
+vm_domain() { echo "${DOMAINS[$(($1 % ${#DOMAINS[@]}))]}"; }
+vm_name() { echo "$(vm_domain "$1")-$(($1 / ${#DOMAINS[@]} + 1))"; }
+
+start_standins() { # topology file; its addresses move to STANDIN_IP
+  sed "s/127\.0\.0\.1/$STANDIN_IP/g" "$1" >"$OUT/topology.json"
+  "$BIN/catkin-standin" --topology "$OUT/topology.json" 2>"$OUT/standin.log" &
+  PID[standin]=$!
+}
+
+start_control() { # VM number, then further flags
+  local n=$1 ip; ip=$(vm_ip "$n"); shift
+  "$BIN/catkin-control" --vm "$(vm_name "$n")" --failure-domain "$(vm_domain "$n")" --region vestland \
+    --listen "$ip:8082" --admin-listen "$ip:8083" --entry-addr "$ip:8080" --entry-peer-addr "$ip:8081" \
+    --kv $KV --vm-list $VM_LIST --seeds "$(vm_ip 0):8082,$(vm_ip 1):8082,$(vm_ip 2):8082" \
+    --admin-keys "morning=$OPERATOR_KEY" "$@" 2>>"$OUT/$(vm_name "$n").control.log" &
+  PID[control$n]=$!
+}
+
+start_entry() { # VM number, then further flags
+  local n=$1 ip; ip=$(vm_ip "$n"); shift
+  "$BIN/catkin-entry" --vm "$(vm_name "$n")" --failure-domain "$(vm_domain "$n")" --region vestland \
+    --listen "$ip:8080" --peer-listen "$ip:8081" --control "$ip:8082" --kv $KV "$@" \
+    2>>"$OUT/$(vm_name "$n").entry.log" &
+  PID[entry$n]=$!
+}
+
+start_vm() { start_control "$@"; start_entry "$@"; }
+
+wait_ready() { # address
+  for _ in $(seq 1 300); do
+    if curl -fs -o /dev/null "http://$1/readyz"; then return 0; fi
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  return 1
+}
+
+fault() { curl -fsS -X POST "http://$FAULTS/fault" -d "$1" >/dev/null; }
+
+stop_all() { # gracefully, then at once
+  local p
+  for p in "${!PID[@]}"; do
+    [ "$p" = standin ] || kill -TERM "${PID[$p]}" 2>/dev/null || true
+  done
+  for p in "${!PID[@]}"; do
+    [ "$p" = standin ] || wait "${PID[$p]}" 2>/dev/null || true
+  done
+  [ -z "${PID[standin]:-}" ] || kill -TERM "${PID[standin]}" 2>/dev/null || true
+  wait 2>/dev/null || true
+}
