Routing: correct others' load by own changes; share what kinds of accelerators showed

Cause: with reports 5 s old, entries herd to what was idle 5 s ago. Token and prefill times are learned per kind of accelerator as well as per server, and not from requests that waited. Hints: those that proved true are compared besides the random choices.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -62,11 +63,49 @@
 }
 
 // leastTime returns the replica with the least expected time out of a few
-// random ones.
+// random ones and those that are hoped to have the prompt's prefix cached.
 func (r *Router) leastTime(now time.Duration, candidates []*replica, req Request) *replica {
-	return least(r, candidates, func(rep *replica) time.Duration {
+	hinted := hintedOf(candidates, req)
+	best := least(r, candidates, func(rep *replica) time.Duration {
 		return r.replicaCost(now, rep.stages, req)
 	})
+	bestCost := r.replicaCost(now, best.stages, req)
+	for _, rep := range r.sampleHinted(hinted) {
+		cost := r.replicaCost(now, rep.stages, req)
+		if cost < bestCost {
+			best = rep
+			bestCost = cost
+		}
+	}
+	return best
+}
+
+// sampleHinted returns a few random ones, fewer the less hints proved true. It
+// reorders the replicas.
+func (r *Router) sampleHinted(from []*replica) []*replica {
+	n := len(from)
+	if r.cfg.Choices > 0 {
+		n = min(n, int(math.Round(r.trust*float64(r.cfg.Choices))))
+	}
+	for i := range n {
+		j := i + r.rng.IntN(len(from)-i)
+		from[i], from[j] = from[j], from[i]
+	}
+	return from[:n]
+}
+
+// hintedOf returns the replicas whose first stage is hoped to have a prefix.
+func hintedOf(candidates []*replica, req Request) []*replica {
+	if len(req.Prefixes) == 0 {
+		return nil
+	}
+	var hinted []*replica
+	for _, rep := range candidates {
+		if rep.stages[0].hints.longest(req.Prefixes) > 0 {
+			hinted = append(hinted, rep)
+		}
+	}
+	return hinted
 }
 
 // leastStage returns the server with the least expected time out of a few
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -43,6 +43,9 @@
 	// Smoothing is the least time constant with which others' load is
 	// averaged. Default 500 ms.
 	Smoothing time.Duration
+	// PeerGain is how much the other entries are expected to follow what this
+	// one did since the last report, 0 to 1. Default 1.
+	PeerGain float64
 	// ReportMaxAge is the age from which a load report says nothing any more.
 	// Default 15 s.
 	ReportMaxAge time.Duration
@@ -91,6 +94,7 @@
 		SubsetPerDomain: 16,
 		Choices:         4,
 		Smoothing:       500 * time.Millisecond,
+		PeerGain:        1,
 		ReportMaxAge:    15 * time.Second,
 		DefaultCapacity: 16,
 		TokenTime:       40 * time.Millisecond,
@@ -121,6 +125,7 @@
 	check(c.SubsetPerDomain >= 0, "SubsetPerDomain is %d: want 0 (all) or more", c.SubsetPerDomain)
 	check(c.Choices >= 0, "Choices is %d: want 0 (all) or more", c.Choices)
 	check(c.Smoothing > 0, "Smoothing is %s: want more than 0", c.Smoothing)
+	check(c.PeerGain >= 0 && c.PeerGain <= 1, "PeerGain is %g: want 0 to 1", c.PeerGain)
 	check(c.ReportMaxAge > 0, "ReportMaxAge is %s: want more than 0", c.ReportMaxAge)
 	check(c.DefaultCapacity > 0, "DefaultCapacity is %d: want at least 1", c.DefaultCapacity)
 	check(c.TokenTime > 0, "TokenTime is %s: want more than 0", c.TokenTime)
--- a/internal/routing/fake_test.go
+++ b/internal/routing/fake_test.go
@@ -20,7 +20,6 @@
 	fakePrefill   = 300 * time.Microsecond
 	fakeSlowdown  = 1.0 // a full batch is twice as slow as an empty one
 	fakeTokens    = 48  // mean
-	fakePrompt    = 512
 	fakeSlice     = 10 * time.Millisecond
 )
 
@@ -67,6 +66,8 @@
 	subset   int
 	choices  int
 	hints    string // "", "right", "wrong", "gaps"
+	gain     float64
+	prompt   float64 // tokens
 	duration time.Duration
 	seed     uint64
 
@@ -74,9 +75,12 @@
 	fleet    []*fakeReplica
 	byID     map[ident.BackendServer]*fakeReplica
 	routers  []*Router
+	watching map[ident.BackendServer][]*Router
+	skew     float64 // share of the requests that the first entry takes beyond its own
 	reports  map[ident.BackendServer][]fakeLoad
 	first    *hdrhistogram.Histogram // microseconds
 	between  *hdrhistogram.Histogram
+	whole    *hdrhistogram.Histogram
 	served   float64 // tokens
 	offered  float64
 	noServer int
@@ -90,7 +94,7 @@
 	sum := 0.0
 	for _, r := range f.fleet {
 		full := float64(fakeTokenTime)*(1+fakeSlowdown)/r.speed + 2*float64(r.link)
-		hold := full*fakeTokens + float64(fakePrefill)*fakePrompt/r.speed
+		hold := full*fakeTokens + float64(fakePrefill)*f.prompt/r.speed
 		sum += fakeCapacity * fakeTokens / (hold / float64(time.Second))
 	}
 	return sum
@@ -99,17 +103,17 @@
 func (f *fleetRun) run() {
 	f.rng = rand.New(rand.NewPCG(f.seed, 9))
 	f.first = hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)
+	f.whole = hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)
 	f.between = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	f.reports = map[ident.BackendServer][]fakeLoad{}
+	f.watching = map[ident.BackendServer][]*Router{}
 	f.byID = map[ident.BackendServer]*fakeReplica{}
 	f.build()
 	perSlice := f.load * f.capacity() / fakeTokens * fakeSlice.Seconds()
 	due := 0.0
 	for now := time.Duration(0); now < f.duration; now += fakeSlice {
 		f.report(now)
-		due += perSlice
-		for due > f.rng.ExpFloat64()*1e-9 && due >= 1 {
-			due--
+		for due += perSlice * f.rng.ExpFloat64(); due >= 1; due-- {
 			f.arrive(now)
 		}
 		for _, r := range f.fleet {
@@ -141,11 +145,15 @@
 		cfg.Seed = uint64(e) + f.seed*1000
 		cfg.SubsetPerDomain = f.subset
 		cfg.Choices = f.choices
+		cfg.PeerGain = f.gain
 		router, err := New(cfg)
 		if err != nil {
 			panic(err)
 		}
-		router.Step(0, Servers{List: list})
+		watch := router.Step(0, Servers{List: list})[0].(Watch)
+		for _, id := range watch.Servers {
+			f.watching[id] = append(f.watching[id], router)
+		}
 		for d, link := range fakeLinks {
 			router.Step(0, Link{To: ident.FailureDomain(fmt.Sprint(d)), OneWay: link})
 		}
@@ -165,7 +173,7 @@
 		}
 		old := f.reports[r.id][0]
 		f.reports[r.id] = f.reports[r.id][1:]
-		for _, router := range f.routers {
+		for _, router := range f.watching[r.id] {
 			router.Step(now, Load{Server: r.id, Running: old.running, Waiting: old.queued, Capacity: fakeCapacity, MeasuredAt: old.at})
 		}
 	}
@@ -174,7 +182,7 @@
 
 // tellHints passes the cache events on: late, and with gaps or wrong if asked.
 func (f *fleetRun) tellHints(now time.Duration) {
-	if f.hints == "" || now%time.Second != 0 {
+	if f.hints == "" || f.hints == "ignored" || now%time.Second != 0 {
 		return
 	}
 	for _, r := range f.fleet {
@@ -185,7 +193,7 @@
 			if f.hints == "wrong" {
 				ev.Prefix = uint64(f.rng.IntN(200))
 			}
-			for _, router := range f.routers {
+			for _, router := range f.watching[r.id] {
 				router.Step(now, ev)
 			}
 		}
@@ -196,11 +204,14 @@
 // arrive sends one request through a random entry.
 func (f *fleetRun) arrive(now time.Duration) {
 	e := f.rng.IntN(f.entries)
+	if f.rng.Float64() < f.skew {
+		e = 0
+	}
 	tokens := 16 + f.rng.Float64()*2*(fakeTokens-16)
 	prefix := uint64(f.rng.IntN(200))
-	req := Request{Service: "skrivar", PromptTokens: fakePrompt}
+	req := Request{Service: "skrivar", PromptTokens: int(f.prompt)}
 	if f.hints != "" {
-		req.Prefixes = []Prefix{{Hash: prefix, Tokens: fakePrompt * 3 / 4}}
+		req.Prefixes = []Prefix{{Hash: prefix, Tokens: int(f.prompt) * 3 / 4}}
 	}
 	p, ok := f.routers[e].Pick(now, req)
 	f.offered += tokens
@@ -210,7 +221,7 @@
 		return
 	}
 	r := f.byID[p.Stages[0].Server]
-	fr := &fakeRequest{entry: e, id: p.ID, arrived: now, prompt: fakePrompt, tokens: tokens, total: tokens, prefix: prefix}
+	fr := &fakeRequest{entry: e, id: p.ID, arrived: now, prompt: f.prompt, tokens: tokens, total: tokens, prefix: prefix}
 	if f.hints != "" && r.cached[prefix] {
 		f.hits++
 		fr.prompt /= 4
@@ -277,5 +288,6 @@
 	}
 	f.served += fr.total
 	_ = f.first.RecordValue(max(1, first.Microseconds()))
+	_ = f.whole.RecordValue(max(1, (now - fr.arrived).Microseconds()))
 	_ = f.between.RecordValue(max(1, between.Microseconds()))
 }
--- a/internal/routing/hints.go
+++ b/internal/routing/hints.go
@@ -65,14 +65,19 @@
 	h.oldest = h.oldest[half:]
 }
 
-// judgeHint learns how much of the hoped-for prefill was really saved.
-func (r *Router) judgeHint(f *flight, perToken time.Duration) {
-	usual := f.lead.prefillTime
-	if usual == 0 {
-		return
+// judgeHint learns from a prefill that was hoped to be short: whether it was,
+// and if not, how long a whole one takes. It reports whether the prefill was
+// whole.
+func (r *Router) judgeHint(f *flight, perToken time.Duration) bool {
+	if f.lead.seen.prefill == 0 && r.kinds[f.lead.kind()].prefill == 0 {
+		return true
 	}
 	hoped := float64(f.hinted) / float64(f.req.PromptTokens)
-	saved := (1 - float64(perToken)/float64(usual)) / hoped
-	saved = min(1, max(0, saved))
-	r.trust = (1-observeWeight)*r.trust + observeWeight*saved
+	halfway := (1 - hoped/2) * float64(r.prefillTimeOf(f.lead))
+	if float64(perToken) < halfway {
+		r.trust += observeWeight * (1 - r.trust)
+		return false
+	}
+	r.trust -= observeWeight * r.trust
+	return true
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -36,7 +36,11 @@
 	flights  map[uint64]*flight
 	nextID   uint64
 	trust    float64
-	stats    Stats
+	kinds    map[kind]times
+	// othersSum and ownSum are the sums of the servers' others and ownThen.
+	othersSum float64
+	ownSum    float64
+	stats     Stats
 }
 
 // flight is a picked request that is not done.
@@ -45,7 +49,7 @@
 	servers []*server
 	lead    *server // first stage: bears the prefill observations
 	hinted  int
-	start   time.Duration
+	queued  bool // it was expected to wait for a place in the batch
 }
 
 // New returns a Router that knows no backend server yet.
@@ -61,6 +65,7 @@
 		links:    map[ident.FailureDomain]time.Duration{},
 		flights:  map[uint64]*flight{},
 		trust:    initialTrust,
+		kinds:    map[kind]times{},
 	}, nil
 }
 
@@ -124,7 +129,8 @@
 // start counts a request in flight at its servers.
 func (r *Router) start(now time.Duration, req Request, stages []*server) Pipeline {
 	r.nextID++
-	f := &flight{req: req, servers: slices.Clone(stages), lead: stages[0], start: now}
+	f := &flight{req: req, servers: slices.Clone(stages), lead: stages[0]}
+	f.queued = r.estimate(now, f.lead)+1 > float64(f.lead.capacity)
 	f.hinted = f.lead.hints.longest(req.Prefixes)
 	r.flights[r.nextID] = f
 	r.stats.Picked++
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -26,16 +26,13 @@
 	report    Load
 	reported  bool
 	others    float64
-	othersAt  time.Duration
+	ownThen   float64 // own requests when others was true, smoothed alike
 	capacity  int
 	since     time.Duration // of its ramp
 	slowStart bool
 	health    health
 	hints     hints
-	// tokenTime and prefillTime are observed, at no load and per prompt
-	// token; zero means not yet.
-	tokenTime   time.Duration
-	prefillTime time.Duration
+	seen      times
 }
 
 // addOwn changes the own requests in flight.
@@ -62,21 +59,25 @@
 	return 0
 }
 
-// load takes a report. An older one than the last says nothing new.
+// load takes a report. An older one than the last says nothing new. What others
+// have there is averaged over the age of the reports, and so is what this entry
+// had at the same time.
 func (r *Router) load(now time.Duration, ev Load) {
 	s, ok := r.servers[ev.Server]
 	if !ok || s.reported && ev.MeasuredAt <= s.report.MeasuredAt {
 		return
 	}
-	others := float64(max(0, ev.Running+ev.Waiting-s.ownAt(ev.MeasuredAt)))
+	own := s.ownAt(ev.MeasuredAt)
+	others := float64(max(0, ev.Running+ev.Waiting-own))
+	keep := 0.0
 	if s.reported {
-		lag := now - ev.MeasuredAt
-		tau := max(r.cfg.Smoothing, lag)
-		keep := math.Exp(-float64(ev.MeasuredAt-s.report.MeasuredAt) / float64(tau))
-		others = keep*s.others + (1-keep)*others
+		tau := max(r.cfg.Smoothing, now-ev.MeasuredAt)
+		keep = math.Exp(-float64(ev.MeasuredAt-s.report.MeasuredAt) / float64(tau))
 	}
-	s.others = others
-	s.othersAt = now
+	r.othersSum += (1 - keep) * (others - s.others)
+	r.ownSum += (1 - keep) * (float64(own) - s.ownThen)
+	s.others += (1 - keep) * (others - s.others)
+	s.ownThen += (1 - keep) * (float64(own) - s.ownThen)
 	s.report = ev
 	s.reported = true
 	if ev.Capacity > 0 {
@@ -84,11 +85,23 @@
 	}
 }
 
-// estimate returns the expected requests at a server now.
+// estimate returns the expected requests at a server now: the own ones, and
+// those of others when the reports were true, corrected by how the own ones
+// changed since. The other entries see the same reports and decide by the same
+// rules, so they are expected to have done the same, in proportion.
 func (r *Router) estimate(now time.Duration, s *server) float64 {
 	own := float64(s.own)
 	if !s.reported || now-s.report.MeasuredAt > r.cfg.ReportMaxAge {
 		return own
 	}
-	return own + s.others
+	change := r.cfg.PeerGain * r.peerRatio() * (own - s.ownThen)
+	return own + max(0, s.others+change)
+}
+
+// peerRatio is how many requests others have in flight for each own one.
+func (r *Router) peerRatio() float64 {
+	if r.ownSum < 1 {
+		return 0
+	}
+	return max(0, r.othersSum) / r.ownSum
 }
