--- a/cmd/catkin-load/main.go
+++ b/cmd/catkin-load/main.go
@@ -95,6 +95,7 @@
 	set.Float(&c.ReservationsPerS, "reservations", c.ReservationsPerS, "reservations a second")
 	set.Float(&c.StreamShare, "stream-share", c.StreamShare, "part of the completions that stream, 0 to 1")
 	set.Float(&c.OwnKeyShare, "own-key-share", c.OwnKeyShare, "part of the reservations with a key of the caller's own, 0 to 1")
+	set.Float(&c.StaleShare, "stale-share", c.StaleShare, "part of the callers that keep addresses for their whole lifetime whatever happens, 0 to 1")
 	set.String(&c.Model, "model", c.Model, "model to ask", settings.Required)
 	set.String(&c.Service, "service", c.Service, "plain service to call", settings.Required)
 	set.Int(&c.Layers, "layers", c.Layers, "layers of the model", settings.Positive)
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -115,7 +115,7 @@
 		p.release()
 		return nil
 	}
-	p.put(cn, time.Now(), c.cfg.IdleTimeout)
+	p.put(cn, time.Now(), c.cfg.IdleTimeout, c.cfg.MaxIdlePerAddr)
 	return nil
 }
 
--- a/internal/adapter/httpcall/config.go
+++ b/internal/adapter/httpcall/config.go
@@ -16,6 +16,8 @@
 	// MaxConnsPerAddr bounds the connections to one address, idle and in use.
 	// Default 512.
 	MaxConnsPerAddr int
+	// MaxIdlePerAddr bounds the idle connections to one address. Default 64.
+	MaxIdlePerAddr int
 	// MaxBodyBytes bounds the body of an answer. Default 16 MiB.
 	MaxBodyBytes int
 }
@@ -26,6 +28,7 @@
 		DialTimeout:     time.Second,
 		IdleTimeout:     15 * time.Second,
 		MaxConnsPerAddr: 512,
+		MaxIdlePerAddr:  64,
 		MaxBodyBytes:    16 << 20,
 	}
 }
@@ -42,6 +45,9 @@
 	if c.MaxConnsPerAddr <= 0 {
 		faults = append(faults, "MaxConnsPerAddr: want at least 1")
 	}
+	if c.MaxIdlePerAddr <= 0 {
+		faults = append(faults, "MaxIdlePerAddr: want at least 1")
+	}
 	if c.MaxBodyBytes <= 0 {
 		faults = append(faults, "MaxBodyBytes: want at least 1")
 	}
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -61,11 +61,17 @@
 	return c
 }
 
-// put gives a connection back after a whole answer.
-func (p *pool) put(c *conn, now time.Time, idleTimeout time.Duration) {
+// put gives a connection back after a whole answer. Of more than maxIdle the one
+// that answered first is closed.
+func (p *pool) put(c *conn, now time.Time, idleTimeout time.Duration, maxIdle int) {
 	c.answered = now
 	p.mu.Lock()
 	p.idle = append(p.idle, c)
+	if len(p.idle) > maxIdle {
+		_ = p.idle[0].Close()
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+	}
 	p.mu.Unlock()
 	p.dropBefore(now.Add(-idleTimeout))
 }
--- a/internal/load/addresses.go
+++ b/internal/load/addresses.go
@@ -90,7 +90,7 @@
 func (b *addressBook) ask(entry string) error {
 	var body addressesBody
 	uri := "/v1/addresses?team=" + url.QueryEscape(b.team)
-	if err := b.calls.JSON(entry, "GET", uri, nil, &body, httpcall.Within(askTimeout).OnFresh()); err != nil {
+	if err := b.calls.JSON(entry, "GET", uri, nil, &body, httpcall.Within(askTimeout)); err != nil {
 		return err
 	}
 	if len(body.Addresses) == 0 || body.LifetimeMillis <= 0 {
@@ -108,6 +108,13 @@
 	return nil
 }
 
+// askAgain ends the lifetime of what is known.
+func (b *addressBook) askAgain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expires = time.Time{}
+}
+
 // leave turns to the next address if addr is still the current one.
 func (b *addressBook) leave(addr string) {
 	b.mu.Lock()
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -33,6 +33,8 @@
 	book   *addressBook
 	stats  *stats
 	record *record
+	// stale says that the caller keeps addresses for their whole lifetime.
+	stale  bool
 	serial atomic.Int64
 
 	mu     sync.Mutex
@@ -51,6 +53,7 @@
 		book:   newAddressBook(calls, team, cfg.Entries, rand.New(rand.NewPCG(cfg.Seed, uint64(id)+1e6))),
 		stats:  st,
 		record: rec,
+		stale:  random.Float64() < cfg.StaleShare,
 		random: random,
 	}
 }
@@ -109,9 +112,15 @@
 	}
 	opt := httpcall.Options{Deadline: p.deadline, Fresh: fresh}
 	r := p.try(addr, opt)
-	if r != nil && r.cause != string(verdict.CauseOverLimit) {
+	if r == nil {
+		return nil
+	}
+	if r.cause != string(verdict.CauseOverLimit) {
 		c.book.leave(addr)
 	}
+	if !c.stale && (!r.answered || r.cause == string(verdict.CauseKeyHomeGone)) {
+		c.book.askAgain()
+	}
 	return r
 }
 
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -38,6 +38,10 @@
 	// OwnKeyShare is the part of the reservations whose key the caller chose
 	// itself instead of building on the system's prefix, 0 to 1.
 	OwnKeyShare float64
+	// StaleShare is the part of the callers that keep addresses for their whole
+	// lifetime; the others ask anew after an attempt without an answer or when
+	// the home of a key is gone, 0 to 1.
+	StaleShare float64
 	// Patience is how long a caller tries; AttemptTimeout bounds one unary
 	// attempt, TokenTimeout the wait for each next token of a stream.
 	Patience       time.Duration
@@ -84,6 +88,7 @@
 		Model:            "skrivar",
 		Service:          "ordrebok",
 		Layers:           24,
+		StaleShare:       0.5,
 		PromptWords:      20,
 		MaxTokens:        24,
 		Patience:         15 * time.Second,
@@ -109,7 +114,7 @@
 	check(c.Warmup >= 0 && c.Warmup < c.Duration, "Warmup: want 0 to less than Duration")
 	check(c.Callers > 0, "Callers: want at least 1")
 	check(c.CompletionsPerS >= 0 && c.ReadsPerS >= 0 && c.ReservationsPerS >= 0, "rates: want 0 or more")
-	check(share(c.StreamShare) && share(c.OwnKeyShare), "shares: want 0 to 1")
+	check(share(c.StreamShare) && share(c.OwnKeyShare) && share(c.StaleShare), "shares: want 0 to 1")
 	check(c.Layers > 0 && c.PromptWords > 0 && c.MaxTokens > 0, "Layers, PromptWords, MaxTokens: want at least 1")
 	check(c.Patience > 0 && c.AttemptTimeout > 0 && c.TokenTimeout > 0, "timeouts: want more than 0")
 	check(c.MaxAttempts > 0 && c.MaxInFlight > 0, "MaxAttempts, MaxInFlight: want at least 1")
