--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -28,6 +28,8 @@
 type caller struct {
 	cfg    Config
 	id     int
+	// run tells this run's requests from those of other runs.
+	run    string
 	team   string
 	calls  *httpcall.Client
 	book   *addressBook
@@ -48,6 +50,7 @@
 	return &caller{
 		cfg:    cfg,
 		id:     id,
+		run:    strconv.FormatInt(st.started.UnixMilli(), 36),
 		team:   team,
 		calls:  calls,
 		book:   newAddressBook(calls, team, cfg.Entries, rand.New(rand.NewPCG(cfg.Seed, uint64(id)+1e6))),
@@ -163,6 +166,11 @@
 	c.stats.succeeded(kindCompletion, planned, tokens, got.tokens)
 }
 
+// name returns a name that no other request has.
+func (c *caller) name() string {
+	return fmt.Sprintf("%s-%d-%d", c.run, c.id, c.serial.Add(1))
+}
+
 // prompt returns a text that no other request has. Its start is shared with
 // some others, as prompts of one template are.
 func (c *caller) prompt() string {
@@ -171,7 +179,7 @@
 	for range c.cfg.PromptWords {
 		text.WriteString(" g" + strconv.Itoa(c.intN(1000)))
 	}
-	fmt.Fprintf(&text, " request %d-%d-%d", c.cfg.Seed, c.id, c.serial.Add(1))
+	text.WriteString(" request " + c.name())
 	return text.String()
 }
 
@@ -201,7 +209,7 @@
 
 // runReservation makes one call that may not be repeated, with a key.
 func (c *caller) runReservation(planned time.Time) {
-	name := fmt.Sprintf("%d-%d-%d", c.cfg.Seed, c.id, c.serial.Add(1))
+	name := c.name()
 	call := serviceCall{
 		method: "POST",
 		path:   "/reservations",
