--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -26,8 +26,8 @@
 
 // caller is one program that uses the system.
 type caller struct {
-	cfg    Config
-	id     int
+	cfg Config
+	id  int
 	// run tells this run's requests from those of other runs.
 	run    string
 	team   string
