--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -23,6 +23,7 @@
 type pool struct {
 	options []grpc.DialOption
 	max     int
+	traffic *traffic
 
 	mu     sync.Mutex
 	conns  map[string]*conn
@@ -54,8 +55,9 @@
 	}
 	redial := backoff.Config{BaseDelay: baseRedialDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxRedialDelay}
 	return &pool{
-		max:   cfg.MaxConnections,
-		conns: map[string]*conn{},
+		max:     cfg.MaxConnections,
+		traffic: t,
+		conns:   map[string]*conn{},
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(creds),
 			grpc.WithContextDialer(dial),
