Control: entry processes watched, budget by duty, seeds from the roster

Cause: an audit of the control process. A dead entry process was still named to callers; a control process that restarts alone must not make its VM's keys look homeless; a list of 120 servers read every 2 s costs about 13 KB/s (worked out: 220 bytes a server), above the budget of a VM; a version just accepted was read back by its maker instead of being pushed at once; parts had 2 s for a budget that can take longer; the peers' counters were not on /metrics.

The VM list is now read at most at 4 KB/s.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -116,6 +116,8 @@
 		s.waiters.answer(loanWaiter(a.To, a.Loan.Seq), a.Loan)
 	case node.Wake:
 		time.AfterFunc(a.After, func() { s.inbox.TrySend(any(node.LenderTick{})) })
+	case node.ListNext:
+		s.readListAfter(a.After)
 	case node.SendConfig:
 		s.sendConfig(a)
 	case node.SnapshotAnswered:
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -142,24 +142,20 @@
 	})
 }
 
-// pollList reads the platform's VM list.
-func (s *Shell) pollList() {
-	ticker := time.NewTicker(s.cfg.ListEvery)
-	defer ticker.Stop()
-	for {
-		s.readList()
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
+// readListAfter reads the platform's VM list after a time.
+func (s *Shell) readListAfter(d time.Duration) {
+	time.AfterFunc(d, func() {
+		if s.ctx.Err() == nil && !s.submit(s.readList) {
+			s.readListAfter(s.cfg.ListEvery)
 		}
-	}
+	})
 }
 
 func (s *Shell) readList() {
 	vms, err := s.list.List(listTimeout)
 	if err != nil {
 		s.log.Debug().Err(err).Msg("VM list")
+		s.send(node.ListFailed{})
 		return
 	}
 	var listed node.ServersListed
--- a/internal/control/shell.go
+++ b/internal/control/shell.go
@@ -75,7 +75,7 @@
 func (s *Shell) buildCore() error {
 	cfg := node.DefaultControlConfig(node.ControlSettings{
 		Self: s.cfg.Self, Place: s.cfg.Place, EntryAddr: s.cfg.EntryAddr, EntryPeerAddr: s.cfg.EntryPeerAddr,
-		ControlAddr: s.cfg.Listen, StartUnix: s.start.Unix(), Seed: uint64(s.start.UnixNano()),
+		ControlAddr: s.cfg.Listen, Seeds: s.cfg.Seeds, ListEvery: s.cfg.ListEvery, StartUnix: s.start.Unix(), Seed: uint64(s.start.UnixNano()),
 	})
 	core, err := node.NewControl(cfg)
 	if err != nil {
@@ -133,7 +133,7 @@
 	}
 	s.send(membership.Seeds{Addrs: s.cfg.Seeds})
 	s.duty(s.loop)
-	s.duty(s.pollList)
+	s.readListAfter(0)
 	s.duty(func() { s.logEnd("peer server", s.server.Serve(peers)) })
 	s.duty(func() { s.logEnd("administration server", s.serveAdminOn(admin)) })
 	s.log.Info().Str("listen", s.cfg.Listen).Str("admin", s.cfg.AdminListen).Msg("serving")
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -120,7 +120,7 @@
 	case Versions:
 		m.setVersions(ev)
 	case EntryProcess:
-		m.setEntry(ev.Incarnation)
+		m.setEntry(ev)
 	case Leave:
 		m.leave()
 	case Left:
@@ -186,11 +186,11 @@
 	m.changeSelf()
 }
 
-func (m *Membership) setEntry(life ident.Incarnation) {
-	if m.self.Entry == life {
+func (m *Membership) setEntry(ev EntryProcess) {
+	if m.self.Entry == ev.Incarnation && m.self.EntryDown == ev.Down {
 		return
 	}
-	m.self.Entry = life
+	m.self.Entry, m.self.EntryDown = ev.Incarnation, ev.Down
 	m.changeSelf()
 }
 
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -75,10 +75,11 @@
 	Roster uint64 `json:"roster"`
 }
 
-// EntryProcess tells which life of the entry process runs on this VM; zero says
-// that none does.
+// EntryProcess tells which life of the entry process was last seen on this VM,
+// and whether it went silent.
 type EntryProcess struct {
 	Incarnation ident.Incarnation `json:"incarnation"`
+	Down        bool              `json:"down,omitempty"`
 }
 
 // Leave says that this VM begins to leave.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -48,9 +48,11 @@
 	ControlAddr string `json:"control_addr"`
 	// EntryPeerAddr is where the entry processes of other VMs connect.
 	EntryPeerAddr string `json:"entry_peer_addr"`
-	// Entry is the life of the VM's entry process, which may differ from that
-	// of its control process; zero while there is none.
+	// Entry is the last known life of the VM's entry process, which may differ
+	// from that of its control process; zero while none is known.
 	Entry ident.Incarnation `json:"entry"`
+	// EntryDown says that the entry process is not running.
+	EntryDown bool `json:"entry_down,omitempty"`
 	// ConfigVersion is the configuration in force on the VM, RosterVersion the
 	// newest lease roster that it knows.
 	ConfigVersion uint64 `json:"config_version"`
@@ -73,6 +75,7 @@
 	ConfigVersion uint64            `json:"c,omitempty"`
 	RosterVersion uint64            `json:"r,omitempty"`
 	Entry         ident.Incarnation `json:"e,omitempty"`
+	EntryDown     bool              `json:"d,omitempty"`
 	// Accusers are the VMs that had no answer themselves.
 	Accusers []ident.VM `json:"a,omitempty"`
 	// Static is what never changes within an incarnation; it is sent on with a
@@ -113,6 +116,7 @@
 		ConfigVersion: e.ConfigVersion,
 		RosterVersion: e.RosterVersion,
 		Entry:         e.Entry,
+		EntryDown:     e.EntryDown,
 	}
 	if e.State == Suspect {
 		u.Accusers = e.accusers
@@ -138,6 +142,7 @@
 	e.ConfigVersion = u.ConfigVersion
 	e.RosterVersion = u.RosterVersion
 	e.Entry = u.Entry
+	e.EntryDown = u.EntryDown
 	if u.Static == nil {
 		return
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -32,13 +32,13 @@
 	listVersion   uint64
 	memberVersion uint64
 	configVersion uint64
+	entry         entryWatch
+	share         platform.Fleet
 	waiters       []SnapshotAsked
 	apply         *applying
 	applyQueue    []ApplyAsked
 	work          serviceWork
 	leaving       bool
-	// entry is the life of this VM's entry process; zero while none reported.
-	entry ident.Incarnation
 
 	out []Action
 }
@@ -84,6 +84,8 @@
 		c.lend(c.lender.Step(now, limits.Tick{}))
 	case ServersListed:
 		c.serversListed(now, ev)
+	case ListFailed:
+		c.emit(ListNext{After: c.cfg.ListEvery})
 	case Reported:
 		c.reported(now, ev.Report)
 	case SnapshotAsked:
@@ -113,6 +115,7 @@
 func (c *Control) emit(a Action) { c.out = append(c.out, a) }
 
 func (c *Control) tick(now time.Duration) {
+	c.watchEntry(now)
 	c.membershipEvent(now, membership.Tick{})
 	c.leaseEvent(now, lease.Tick{})
 	c.lend(c.lender.Step(now, limits.Tick{}))
@@ -160,7 +163,7 @@
 	}
 	c.spreadDo(now, c.spread.Step(now, config.MembersSeen{Members: live}))
 	c.leaseEvent(now, lease.Candidates{Alive: candidates})
-	c.serviceDo(now, c.service.Step(now, platform.Fleet{Processes: len(live)}))
+	c.shareBudget(now)
 }
 
 // present lists the members that answer, this VM included, by name.
@@ -193,6 +196,8 @@
 			c.writeRoster(now, a)
 		case lease.RosterChanged:
 			c.tellVersions(now)
+			c.membershipEvent(now, membership.Seeds{Addrs: c.seeds(a.Roster)})
+			c.shareBudget(now)
 		case lease.Left:
 			c.emit(HandedOver{})
 		default:
@@ -239,6 +244,14 @@
 	}
 	c.listed = next
 	c.backendsDo(now, c.backends.Step(now, membership.ListSeen{Servers: seen}))
+	c.emit(ListNext{After: c.listPeriod(len(next))})
+}
+
+// listPeriod is the time until the VM list is read again: longer for a long
+// list, so that its bytes a second stay bounded.
+func (c *Control) listPeriod(servers int) time.Duration {
+	bytes := float64(servers * listedServerBytes)
+	return max(c.cfg.ListEvery, time.Duration(bytes/c.cfg.ListBytesPerSecond*float64(time.Second)))
 }
 
 func sameServers(a, b map[ident.BackendServer]peer.BackendServer) bool {
@@ -255,11 +268,7 @@
 
 // reported takes in what the entry process saw.
 func (c *Control) reported(now time.Duration, report peer.ReportRequest) {
-	if c.entry != report.Instance.Incarnation {
-		c.entry = report.Instance.Incarnation
-		c.membershipEvent(now, membership.EntryProcess{Incarnation: c.entry})
-		c.memberVersion++
-	}
+	c.entrySeen(now, report.Instance.Incarnation)
 	for _, seen := range report.Observations {
 		if seen.Leaving {
 			c.backendsDo(now, c.backends.Step(now, membership.Refused{Server: seen.Server}))
--- a/internal/node/controlapply.go
+++ b/internal/node/controlapply.go
@@ -43,6 +43,7 @@
 		return
 	}
 	c.apply = &applying{ask: ask, machine: machine}
+	c.shareBudget(now)
 	c.applyStep(now, config.ApplyBegin{})
 }
 
@@ -123,7 +124,7 @@
 	left := len(a.Texts)
 	stored := true
 	for _, hash := range sortedHashes(a.Texts) {
-		call := platform.Call{Op: platform.OpPut, Key: keyPartPrefix + string(hash), Value: []byte(a.Texts[hash])}
+		call := platform.Call{Op: platform.OpPut, Key: keyPartPrefix + string(hash), Value: []byte(a.Texts[hash]), Give: partsWait}
 		c.ask(now, call, func(now time.Duration, done platform.Done) {
 			left--
 			stored = stored && (done.Status == platform.OK || done.Status == platform.Conflict)
@@ -171,8 +172,9 @@
 	c.apply = nil
 	c.emit(ApplyEnded{ID: by.ask.ID, Outcome: outcome})
 	c.auditApply(now, by.ask, outcome)
-	if outcome.Kind == config.OutcomeAccepted {
-		c.readHead(now, 0)
+	c.shareBudget(now)
+	if made, ok := by.machine.Made(outcome.Version); ok && outcome.Kind == config.OutcomeAccepted {
+		c.spreadDo(now, c.spread.Step(now, config.SelfApplied{Snapshot: made}))
 	}
 	if len(c.applyQueue) > 0 {
 		next := c.applyQueue[0]
--- a/internal/node/controlconfig.go
+++ b/internal/node/controlconfig.go
@@ -20,6 +20,16 @@
 	// dates the audit trail.
 	StartUnix int64 `json:"start_unix"`
 
+	// Seeds are control addresses at which the fleet may be found.
+	Seeds []string `json:"seeds,omitempty"`
+	// ListEvery is the least time between two reads of the VM list, and
+	// ListBytesPerSecond bounds the bytes of those reads. Defaults 2 s, 4 KB/s.
+	ListEvery          time.Duration `json:"list_every_ns"`
+	ListBytesPerSecond float64       `json:"list_bytes_per_second"`
+	// EntryQuiet is how long the VM's entry process may be silent before it
+	// counts as down. Default 1.5 s.
+	EntryQuiet time.Duration `json:"entry_quiet_ns"`
+
 	Membership membership.Config         `json:"membership"`
 	Backends   membership.BackendsConfig `json:"backends"`
 	Lease      lease.Config              `json:"lease"`
@@ -41,6 +51,10 @@
 	ControlAddr   string
 	// StartUnix is the wall clock at time zero, in seconds.
 	StartUnix int64
+	// Seeds are control addresses of other VMs.
+	Seeds []string
+	// ListEvery is the least time between two reads of the VM list.
+	ListEvery time.Duration
 	// Seed fixes every random choice.
 	Seed uint64
 }
@@ -49,6 +63,12 @@
 func DefaultControlConfig(s ControlSettings) ControlConfig {
 	cfg := ControlConfig{
 		Self:       s.Self,
+		Seeds:      s.Seeds,
+		ListEvery:  s.ListEvery,
+		EntryQuiet: 1500 * time.Millisecond,
+
+		ListBytesPerSecond: 4 << 10,
+
 		StartUnix:  s.StartUnix,
 		Membership: membership.DefaultConfig(),
 		Backends:   membership.DefaultBackendsConfig(),
@@ -80,5 +100,8 @@
 	keyTrail      = "catkin/"
 )
 
+// listedServerBytes is about what one backend server takes in the VM list.
+const listedServerBytes = 220
+
 // watchWait is how long the service holds a watch open.
 const watchWait = 25 * time.Second
--- a/internal/node/controlmessages.go
+++ b/internal/node/controlmessages.go
@@ -24,6 +24,14 @@
 	Servers []peer.BackendServer `json:"servers"`
 }
 
+// ListFailed says that the VM list could not be read.
+type ListFailed struct{}
+
+// ListNext asks the shell to read the VM list again after a time.
+type ListNext struct {
+	After time.Duration `json:"after_ns"`
+}
+
 // Reported is what the VM's own entry process observed.
 type Reported struct {
 	Report peer.ReportRequest `json:"report"`
@@ -109,7 +117,7 @@
 // ControlEvents has a sample of every event that a Control takes.
 func ControlEvents() []any {
 	return []any{
-		ControlTick{}, LenderTick{}, ServersListed{}, Reported{}, SnapshotAsked{}, ApplyAsked{}, ListAsked{}, DrainAsked{},
+		ControlTick{}, LenderTick{}, ServersListed{}, ListFailed{}, Reported{}, SnapshotAsked{}, ApplyAsked{}, ListAsked{}, DrainAsked{},
 		ConfigMessage{},
 		membership.Request{}, membership.Answer{}, membership.Seeds{}, membership.Left{},
 		lease.PromiseAsked{}, lease.PromiseGiven{}, lease.Gone{},
--- a/internal/node/controlservice.go
+++ b/internal/node/controlservice.go
@@ -121,13 +121,16 @@
 	return head, err
 }
 
+// partsWait is the time that the parts of a version may take within the budget.
+const partsWait = 12 * time.Second
+
 // readParts reads every part, then hands all of them on, or none.
 func (c *Control) readParts(now time.Duration, hashes []config.PartHash, then func(time.Duration, map[config.PartHash]string, bool)) {
 	texts := map[config.PartHash]string{}
 	left := len(hashes)
 	whole := true
 	for _, hash := range hashes {
-		call := platform.Call{Op: platform.OpGet, Key: keyPartPrefix + string(hash)}
+		call := platform.Call{Op: platform.OpGet, Key: keyPartPrefix + string(hash), Give: partsWait}
 		c.ask(now, call, func(now time.Duration, done platform.Done) {
 			left--
 			switch {
--- a/internal/node/entrysnapshot.go
+++ b/internal/node/entrysnapshot.go
@@ -74,6 +74,10 @@
 	e.listEvent(now, entrylist.Peers{Peers: peers})
 	for _, vm := range slices.Sorted(maps.Keys(before)) {
 		old := before[vm].Instance
+		if next, ok := e.members[vm]; ok && next.Instance.Incarnation == 0 {
+			next.Instance = old // its control process restarted and has not seen it yet
+			e.members[vm] = next
+		}
 		if e.members[vm].Instance != old {
 			e.callEvent(now, call.HomeGone{Home: old})
 		}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -31,7 +31,7 @@
 	IdleTimeout time.Duration
 	// TryTimeout bounds one try of a call that has no shorter deadline.
 	TryTimeout time.Duration
-	// Metrics receives the counters; nil means a set of the client's own.
+	// Metrics receives the counters; nil means the process's default set.
 	Metrics *metrics.Set
 }
 
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -33,7 +33,7 @@
 // newTraffic registers counters for one side, "client" or "server".
 func newTraffic(set *metrics.Set, side string) *traffic {
 	if set == nil {
-		set = metrics.NewSet()
+		set = metrics.GetDefaultSet()
 	}
 	wire := func(direction string) *metrics.Counter {
 		return set.GetOrCreateCounter(fmt.Sprintf(`catkin_peer_wire_bytes_total{side=%q,direction=%q}`, side, direction))
