--- /dev/null
+++ b/internal/call/bench_test.go
@@ -0,0 +1,48 @@
+package call
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// BenchmarkKeyedCall takes calls with issued keys through their home.
+func BenchmarkKeyedCall(b *testing.B) {
+	c, err := New(DefaultConfig(home))
+	require.NoError(b, err)
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i) * 100 * time.Microsecond
+		id := RequestID(i + 1)
+		r := request1(id, fmt.Sprintf("%s%d", KeyPrefix(home, int64(now/second)), i))
+		r.Deadline = now + 10*second
+		c.Step(now, r)
+		c.Step(now, Picked{ID: id, Try: 1, Server: "s1"})
+		c.Step(now, SendEnded{ID: id, Try: 1, Result: Replied, Status: 201, Body: "body", Bytes: 100})
+		c.Step(now, Tick{})
+	}
+}
+
+// TestMemoryOfAHome reports what a home's table takes when it is full.
+func TestMemoryOfAHome(t *testing.T) {
+	c := newCore(t)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range 250_000 {
+		id := RequestID(i + 1)
+		r := request1(id, fmt.Sprintf("%s%032d", KeyPrefix(home, 0), i))
+		c.Step(second, r)
+		c.Step(second, Picked{ID: id, Try: 1, Server: "s1"})
+		c.Step(second, SendEnded{ID: id, Try: 1, Result: Replied, Status: 201, Body: "body", Bytes: 100})
+	}
+	c.Step(20*second, Tick{})
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	held := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+	t.Logf("%d keys: %.1f MB, %.0f B a key", c.Keys(), held/1e6, held/float64(c.Keys()))
+	require.LessOrEqual(t, c.Keys(), 200_000)
+}
--- a/internal/call/claim.go
+++ b/internal/call/claim.go
@@ -26,8 +26,10 @@
 	outcome *Record
 	// refusal is given once a NotRun outcome is recorded.
 	refusal *verdict.Refusal
-	// until ends the writes that go on after the caller was answered.
-	until time.Duration
+	// until ends the writes that go on after the caller was answered; cleanups
+	// counts them.
+	until    time.Duration
+	cleanups int
 }
 
 // pending reports whether something is still to be written.
@@ -148,7 +150,19 @@
 		return
 	}
 	r.claim.asked = true
-	c.timers.add(now+c.cfg.CleanupWait, r.ID, timerClaim)
+	c.timers.add(now+c.cleanupWait(r), r.ID, timerClaim)
+}
+
+// maxCleanupDoublings bounds the wait between two writes after the answer to
+// CleanupWait times 2^maxCleanupDoublings.
+const maxCleanupDoublings = 4
+
+// cleanupWait doubles with every write that follows the caller's answer, so that
+// a long outage leaves the service no queue of them.
+func (c *Core) cleanupWait(r *request) time.Duration {
+	wait := c.cfg.CleanupWait << min(r.claim.cleanups, maxCleanupDoublings)
+	r.claim.cleanups++
+	return wait
 }
 
 func (c *Core) claimAgain(now time.Duration, r *request) {
@@ -237,7 +251,7 @@
 	}
 	wait := c.cfg.ClaimWait
 	if r.answered {
-		wait = c.cfg.CleanupWait
+		wait = c.cleanupWait(r)
 	}
 	c.timers.add(now+wait, r.ID, timerClaim)
 }
--- a/internal/call/config.go
+++ b/internal/call/config.go
@@ -64,7 +64,8 @@
 	// CleanupFor is for how long the outcome of a claimed key is still written
 	// after its caller was answered. Default 10 min.
 	CleanupFor time.Duration `json:"cleanup_for_ns"`
-	// CleanupWait is the wait between two such writes. Default 5 s.
+	// CleanupWait is the wait before the first such write; it doubles up to 16
+	// times that. Default 5 s.
 	CleanupWait time.Duration `json:"cleanup_wait_ns"`
 
 	// StallAfter is the gap between two Ticks that shows that the process was
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -50,7 +50,7 @@
 	var c connection
 	var output string
 	set := settings.On(cmd)
-	set.Strings(&c.addrs, "admin", []string{"127.0.0.1:8081"}, "administration addresses, tried in order", settings.Required, settings.Addrs)
+	set.Strings(&c.addrs, "addr", []string{"127.0.0.1:8081"}, "administration addresses, tried in order", settings.Required, settings.Addrs)
 	set.String(&c.key, "key", "", "operator's key", settings.Required)
 	set.Bool(&c.tls, "tls", false, "use TLS with the machine's authorities")
 	set.String(&c.ca, "tls-ca", "", "PEM file of the authority that signs the API's certificate; implies --tls")
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -101,7 +101,7 @@
 	faulty := sheetFile(t, "2026-12-04,clubs,skrivar,many,tokens/s")
 	b := &backend{}
 	addr, closed := serve(t, b), closedAddr(t)
-	with := func(args ...string) []string { return append(args, "--admin", closed+","+addr, "--key", operatorKey) }
+	with := func(args ...string) []string { return append(args, "--addr", closed+","+addr, "--key", operatorKey) }
 	for _, c := range []struct {
 		args    []string
 		outcome config.OutcomeKind
@@ -126,10 +126,10 @@
 		{args: with("drain", "bergen-a-1"), code: ExitOK, says: "bergen-a-1"},
 		{args: with("orders"), code: ExitOK, says: "ORDER"},
 		{args: with("backends"), code: ExitOK, says: "BACKEND SERVER"},
-		{args: []string{"vms", "--admin", addr, "--key", "fedcba9876543210"}, code: ExitUnauthorized},
-		{args: []string{"vms", "--admin", closed, "--key", operatorKey}, code: ExitUnavailable, says: closed},
-		{args: []string{"sheet", "apply", good, "--admin", closed, "--key", operatorKey}, code: ExitUnavailable},
-		{args: []string{"vms", "--admin", "nowhere"}, code: ExitUsage, says: "CATKIN_KEY"},
+		{args: []string{"vms", "--addr", addr, "--key", "fedcba9876543210"}, code: ExitUnauthorized},
+		{args: []string{"vms", "--addr", closed, "--key", operatorKey}, code: ExitUnavailable, says: closed},
+		{args: []string{"sheet", "apply", good, "--addr", closed, "--key", operatorKey}, code: ExitUnavailable},
+		{args: []string{"vms", "--addr", "nowhere"}, code: ExitUsage, says: "CATKIN_KEY"},
 		{args: with("vms", "-o", "xml"), code: ExitUsage, says: "table or json"},
 		{args: []string{"trace", "replay", good}, code: ExitUsage, says: "trace line 1"},
 		{args: []string{"nothing"}, code: ExitUsage},
