Replay traces of the real processes made under failure

Three traces, recorded from three VMs' processes on loopback by internal/ctl/testdata/record.sh: keys (silent connections, a lost reply, leaving replicas, an outage, a home killed and replaced), the sheet (a race, a lost reply, an outage), and a planned stop with a stale address and an open stream. The datadriven test states what callers and operators got.

--- /dev/null
+++ b/internal/ctl/replay_test.go
@@ -0,0 +1,103 @@
+package ctl
+
+import (
+	"compress/gzip"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinstair/catkinstair/internal/call"
+	"github.com/catkinstair/catkinstair/internal/entrylist"
+	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/trace"
+)
+
+// TestRecordedTraces replays traces that real processes recorded while failures
+// were made (testdata/record.sh) and states what today's cores do with them.
+func TestRecordedTraces(t *testing.T) {
+	datadriven.RunTest(t, "testdata/replay", func(t *testing.T, d *datadriven.TestData) string {
+		var file string
+		d.ScanArgs(t, "file", &file)
+		var o outcomes
+		replayRecorded(t, file, o.see)
+		return o.String()
+	})
+}
+
+func replayRecorded(t *testing.T, file string, observe func(time.Duration, any, []any)) {
+	in, err := os.Open(filepath.Join("testdata", "traces", file+".jsonl.gz"))
+	require.NoError(t, err)
+	defer in.Close()
+	plain, err := gzip.NewReader(in)
+	require.NoError(t, err)
+	reader, err := trace.NewReader(plain)
+	require.NoError(t, err)
+	registry, core, err := rebuild(reader.Header)
+	require.NoError(t, err)
+	_, err = trace.Replay(reader, registry, core, observe)
+	require.NoError(t, err)
+}
+
+// outcomes lists what callers, operators and replicas saw, in order.
+type outcomes struct {
+	lines []string
+	keys  map[call.RequestID]string
+}
+
+func (o *outcomes) String() string { return strings.Join(o.lines, "\n") + "\n" }
+
+func (o *outcomes) add(format string, args ...any) {
+	o.lines = append(o.lines, fmt.Sprintf(format, args...))
+}
+
+func (o *outcomes) see(_ time.Duration, event any, actions []any) {
+	if request, ok := event.(call.Request); ok {
+		if o.keys == nil {
+			o.keys = map[call.RequestID]string{}
+		}
+		o.keys[request.ID] = request.Key[strings.LastIndexByte(request.Key, '.')+1:]
+	}
+	for _, action := range actions {
+		o.action(action)
+	}
+}
+
+func (o *outcomes) action(action any) {
+	switch a := action.(type) {
+	case call.Send:
+		o.add("%s: sent, try %d", o.keys[a.ID], a.Try)
+	case call.ForwardHome:
+		o.add("%s: forwarded", o.keys[a.ID])
+	case call.Answer:
+		o.add("%s: answered %d, stored %v", o.keys[a.ID], a.Status, a.Stored)
+	case call.Refuse:
+		o.add("%s: %s %s", o.keys[a.ID], a.Refusal.Verdict, a.Refusal.Cause)
+	case node.ApplyEnded:
+		o.add("sheet: %s, version %d, %d faults", a.Outcome.Kind, a.Outcome.Version, len(a.Outcome.Faults))
+	case node.AddressesAnswered:
+		o.addresses(a)
+	case entrylist.AnnounceLeaving, entrylist.CloseListener, entrylist.Stop:
+		o.add("%T", a)
+	case node.SnapshotAnswered:
+		o.snapshot(a)
+	}
+}
+
+func (o *outcomes) addresses(a node.AddressesAnswered) {
+	named := slices.ContainsFunc(a.Answer.Addresses, func(x entrylist.Address) bool { return x.VM == "bergen-a-1" })
+	o.add("addresses: names itself %v", named)
+}
+
+// snapshot notes the versions that the entry process was given.
+func (o *outcomes) snapshot(a node.SnapshotAnswered) {
+	if a.Reply.Config != nil {
+		o.add("in force: version %d", a.Reply.Config.Version)
+	}
+}
