--- a/internal/ctl/replay_test.go
+++ b/internal/ctl/replay_test.go
@@ -16,6 +16,7 @@
 	"github.com/catkinstair/catkinstair/internal/call"
 	"github.com/catkinstair/catkinstair/internal/entrylist"
 	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/stream"
 	"github.com/catkinstair/catkinstair/internal/trace"
 )
 
@@ -47,8 +48,9 @@
 
 // outcomes lists what callers, operators and replicas saw, in order.
 type outcomes struct {
-	lines []string
-	keys  map[call.RequestID]string
+	lines  []string
+	keys   map[call.RequestID]string
+	tokens int
 }
 
 func (o *outcomes) String() string { return strings.Join(o.lines, "\n") + "\n" }
@@ -83,6 +85,12 @@
 		o.add("sheet: %s, version %d, %d faults", a.Outcome.Kind, a.Outcome.Version, len(a.Outcome.Faults))
 	case node.AddressesAnswered:
 		o.addresses(a)
+	case stream.EmitToken:
+		o.tokens++
+	case stream.Finish:
+		o.add("stream: finished after %d tokens", o.tokens)
+	case stream.Cut:
+		o.add("stream: cut after %d tokens", o.tokens)
 	case entrylist.AnnounceLeaving, entrylist.CloseListener, entrylist.Stop:
 		o.add("%T", a)
 	case node.SnapshotAnswered:
