lease: prove each guard, take in only candidates that answer

Cause: a guard that no test can miss is a claim. Members that fail together now leave in one version, and a candidate is taken in only when it answers.

--- a/internal/lease/chaos_test.go
+++ b/internal/lease/chaos_test.go
@@ -19,7 +19,7 @@
 }
 
 var faultKinds = []string{
-	"kill", "restart", "pause", "thaw", "cut", "mend", "cut-domain", "mend-all",
+	"kill", "restart", "pause", "thaw", "cut", "mend", "cut-one-way", "cut-domain", "mend-all",
 	"service-down", "service-up", "lose-replies", "keep-replies", "hide-service", "show-service", "leave",
 }
 
@@ -55,6 +55,8 @@
 		s.thaw(host)
 	case "cut", "mend":
 		s.net.Cut(host, peer, f.Kind == "cut")
+	case "cut-one-way":
+		s.oneWay[[2]memnet.Host{host, peer}] = true
 	case "cut-domain":
 		s.cutDomain(host)
 	case "mend-all":
@@ -85,6 +87,7 @@
 }
 
 func (s *sim) mendAll() {
+	clear(s.oneWay)
 	for _, a := range s.hosts() {
 		for _, b := range s.hosts() {
 			s.net.Cut(a, b, false)
@@ -113,6 +116,9 @@
 func TestNoTwoHoldersUnderChaos(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"), 6, 3)
+		s.hearsay = time.Duration(rapid.SampledFrom([]int{100, 3000}).Draw(rt, "hearsay_ms")) * time.Millisecond
+		suspect := time.Duration(rapid.SampledFrom([]int{500, 1200}).Draw(rt, "suspect_ms")) * time.Millisecond
+		s.adjust = func(cfg *Config) { cfg.SuspectAfter = suspect }
 		s.settleDown()
 		for _, f := range drawFaults(rt) {
 			s.run(f.After)
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -37,8 +37,13 @@
 	removed map[ident.Instance]time.Duration
 
 	candidates []Member
-	leaving    bool
-	left       bool
+	// wantedMembers are those of the roster that is wanted since wantedSince.
+	wantedMembers []Member
+	wantedSince   time.Duration
+	// probed holds when candidates that may become members last answered.
+	probed  map[ident.Instance]time.Duration
+	leaving bool
+	left    bool
 
 	lastTick  time.Duration
 	nextAsk   time.Duration
@@ -80,6 +85,7 @@
 		held:       map[int]uint64{},
 		ended:      map[ident.Instance]time.Duration{},
 		removed:    map[ident.Instance]time.Duration{},
+		probed:     map[ident.Instance]time.Duration{},
 		settledAt:  never,
 	}, nil
 }
@@ -147,6 +153,7 @@
 	if c.isMember() || c.mustRescue() {
 		if now >= c.nextAsk {
 			out = append(out, c.askRound(now)...)
+			out = append(out, c.probe(now)...)
 		}
 		out = append(out, c.readRoster(now, c.cfg.ReadEvery)...)
 		out = append(out, c.propose(now)...)
@@ -218,6 +225,11 @@
 			c.removed[m.Instance] = now
 		}
 	}
+	for in, at := range c.probed {
+		if now-at > c.cfg.SuspectAfter {
+			delete(c.probed, in)
+		}
+	}
 	for in, at := range c.removed {
 		if now-at > 2*c.cfg.ReaddAfter {
 			delete(c.removed, in)
--- a/internal/lease/promise.go
+++ b/internal/lease/promise.go
@@ -98,6 +98,7 @@
 	}
 	p := c.peers[answer.From]
 	if p == nil {
+		c.probed[answer.From] = now
 		return out
 	}
 	p.heardAt = now
--- a/internal/lease/propose.go
+++ b/internal/lease/propose.go
@@ -107,7 +107,7 @@
 	if c.service.failures > 0 && now < c.service.nextRead {
 		return nil
 	}
-	if _, wanted := c.wanted(now); !wanted {
+	if !c.wantedForLong(now) {
 		return nil
 	}
 	c.service.nextRead = now
@@ -115,6 +115,18 @@
 	return c.readRoster(now, c.cfg.ReadEvery)
 }
 
+// wantedForLong reports whether one and the same change was wanted for most of
+// a round, so that instances that failed together leave in one version.
+func (c *Core) wantedForLong(now time.Duration) bool {
+	next, wanted := c.wanted(now)
+	if !wanted || !sameMembers(next.Members, c.wantedMembers) {
+		c.wantedMembers = next.Members
+		c.wantedSince = now
+		return false
+	}
+	return now-c.wantedSince >= c.cfg.AskEvery*3/4
+}
+
 // mayPropose holds rule 1: the next version is written only after the present
 // one is settled. Beyond the rule, it is left to those who know what became of
 // a majority of the members, so that an instance cut off from its peers but not
@@ -168,22 +180,57 @@
 }
 
 // usable lists the instances that may be members: present ones that the
-// majority doesn't call silent, and candidates.
+// majority doesn't call silent, and candidates that answered of late.
 func (c *Core) usable(now time.Duration) []Member {
+	out := c.usableMembers(now)
+	for _, m := range c.usableCandidates(now) {
+		if c.roster == nil || m.Instance == c.cfg.Self || c.probedOfLate(now, m.Instance) {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, compareMembers)
+	return out
+}
+
+func (c *Core) usableMembers(now time.Duration) []Member {
 	var out []Member
-	if c.roster != nil {
-		for _, m := range c.roster.Members {
-			if !c.unusable(m.Instance) && !c.silentForMajority(now, m.Instance) {
-				out = append(out, m)
-			}
+	if c.roster == nil {
+		return nil
+	}
+	for _, m := range c.roster.Members {
+		if !c.unusable(m.Instance) && !c.silentForMajority(now, m.Instance) {
+			out = append(out, m)
 		}
 	}
+	return out
+}
+
+func (c *Core) usableCandidates(now time.Duration) []Member {
+	var out []Member
 	for _, m := range c.withSelf(c.candidates) {
 		if c.roster.Index(m.Instance) == noIndex && !c.unusable(m.Instance) && !c.recentlyRemoved(now, m.Instance) {
 			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, compareMembers)
+	return out
+}
+
+func (c *Core) probedOfLate(now time.Duration, in ident.Instance) bool {
+	at, ok := c.probed[in]
+	return ok && at+c.cfg.SuspectAfter >= now
+}
+
+// probe asks the candidates that would become members, so that none is taken
+// in on hearsay.
+func (c *Core) probe(now time.Duration) []Action {
+	usable := append(c.usableMembers(now), c.usableCandidates(now)...)
+	slices.SortFunc(usable, compareMembers)
+	var out []Action
+	for _, m := range chooseMembers(c.roster.Members, usable, c.cfg.MaxMembers) {
+		if c.roster.Index(m.Instance) == noIndex && m.Instance != c.cfg.Self {
+			out = append(out, c.ask(now, m.Instance, m.Addr))
+		}
+	}
 	return out
 }
 
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -47,9 +47,14 @@
 	procs   map[memnet.Host]*process
 	zombies []*process
 	places  map[memnet.Host]ident.Place
+	// oneWay holds the directions that are cut while the other way works.
+	oneWay  map[[2]memnet.Host]bool
 	slots   int
 	drift   bool
 	adjust  func(*Config)
+	hearsay time.Duration
+	// onWrite is called when a write took effect.
+	onWrite func(writer memnet.Host)
 	// gaps holds the longest time that a slot had no holder since the mark.
 	unheldSince map[int]time.Duration
 	longestGap  time.Duration
@@ -59,10 +64,11 @@
 
 func newSim(t require.TestingT, seed uint64, vms, domains int) *sim {
 	s := &sim{
-		t: t, slots: 4, drift: true,
+		t: t, slots: 4, drift: true, hearsay: 3 * time.Second,
 		net:         memnet.New(memnet.Config{Seed: seed, MinDelay: 200 * time.Microsecond, MaxDelay: 3 * time.Millisecond, Loss: 0.01, Duplicate: 0.01}),
 		procs:       map[memnet.Host]*process{},
 		places:      map[memnet.Host]ident.Place{},
+		oneWay:      map[[2]memnet.Host]bool{},
 		unheldSince: map[int]time.Duration{},
 	}
 	s.net.Join(serviceHost, s.serve)
@@ -105,7 +111,7 @@
 	require.NoError(s.t, err)
 	p := &process{host: host, core: core, rate: 1, born: s.net.Now()}
 	if s.drift {
-		p.rate = 0.99 + 0.02*s.net.Rand().Float64()
+		p.rate = 0.99 + 0.02*float64(s.net.Rand().IntN(2))
 	}
 	s.procs[host] = p
 	s.net.Join(host, func(now time.Duration, from memnet.Host, payload any) { s.receive(p, now, payload) })
@@ -118,9 +124,9 @@
 	s.net.Kill(host)
 }
 
-// tellCandidates stands in for the membership, 3 s late.
+// tellCandidates stands in for the membership, which is some time late.
 func (s *sim) tellCandidates() {
-	s.net.At(s.net.Now()+3*time.Second, func() {
+	s.net.At(s.net.Now()+s.hearsay, func() {
 		alive := s.alive()
 		for _, h := range s.hosts() {
 			if p := s.procs[h]; p != nil && !p.dead && !p.paused {
@@ -177,9 +183,9 @@
 	for _, a := range p.core.Step(p.local(now), ev) {
 		switch a := a.(type) {
 		case AskPromise:
-			s.net.Send(p.host, memnet.Host(a.Addr), a.Ask)
+			s.send(p.host, memnet.Host(a.Addr), a.Ask)
 		case GivePromise:
-			s.net.Send(p.host, memnet.Host(a.Addr), a.Answer)
+			s.send(p.host, memnet.Host(a.Addr), a.Answer)
 		case ReadRoster, WriteRoster:
 			if !p.noKV {
 				s.net.Send(p.host, serviceHost, a)
@@ -191,6 +197,12 @@
 	s.check(now)
 }
 
+func (s *sim) send(from, to memnet.Host, payload any) {
+	if !s.oneWay[[2]memnet.Host{from, to}] {
+		s.net.Send(from, to, payload)
+	}
+}
+
 func (s *sim) serve(_ time.Duration, from memnet.Host, payload any) {
 	if s.service.down {
 		return
@@ -210,6 +222,9 @@
 			s.service.roster = &m.Roster
 			result.Outcome = CASOK
 			result.Revision = s.service.revision
+			if s.onWrite != nil {
+				s.onWrite(from)
+			}
 		}
 		if lost {
 			result.Outcome = CASUnknown
--- a/internal/limits/account.go
+++ b/internal/limits/account.go
@@ -12,9 +12,6 @@
 	// lots are the unspent loans, the oldest first; the first n are in use.
 	lots [maxLots]lot
 	n    int
-	// epoch and lastGrant number the newest grant received.
-	epoch     uint64
-	lastGrant uint64
 	// debt is what settled counts were above what was held.
 	debt int64
 	// refund is what settled counts were below their estimates, not yet told.
@@ -27,6 +24,9 @@
 	missing, grain int64
 	// asked is what the last ask wanted, until it is answered or given up.
 	asked int64
+	// taken counts the requests since sampledAt, recent those of the last
+	// second or so.
+	taken, recent float64
 	// demand is the estimate of the demand, in units per second.
 	demand float64
 	// supply is the estimate of what the lender gives, in units per second.
@@ -34,6 +34,9 @@
 	grantedAt time.Duration
 	usedAt    time.Duration
 	askedAt   time.Duration
+	// counted is what the lender counts as held: the last report and the loans
+	// that arrived since.
+	counted int64
 	// short says that the lender could not give what all wanted.
 	short bool
 	// idle says that the account is not among the active ones.
@@ -128,33 +131,58 @@
 // payDebt pays the debt from the balance.
 func (a *account) payDebt() { a.debt -= a.spend(a.debt) }
 
-// sample renews the estimate of the demand. It follows a rise at once and a
-// fall by half, and so forgets requests that no longer wait.
+// The parts by which the estimate of the demand follows a rise and a fall with
+// each sample.
+const (
+	risePart = 0.5
+	fallPart = 0.2
+)
+
+// loneRequest is the count of recent requests up to which nothing is held in
+// advance: a limit that is used now and then costs one ask a request.
+const loneRequest = 1.5
+
+// sample renews the estimate of the demand. What is missing is bounded by it,
+// for requests that were refused don't say so.
 func (a *account) sample(now, every time.Duration) {
 	passed := now - a.sampledAt
 	if passed < every {
 		return
 	}
 	seen := float64(a.spent+a.missed) / passed.Seconds()
-	a.demand = max(seen, (a.demand+seen)/2)
+	part := fallPart
+	if seen > a.demand {
+		part = risePart
+	}
+	a.demand += (seen - a.demand) * part
 	if a.demand < 0.01 {
 		a.demand = 0
 	}
+	a.recent = a.recent*(1-fallPart) + a.taken
+	a.taken = 0
 	a.spent = 0
 	a.missed = 0
-	a.missing /= 2
+	waiting := int64(math.Ceil(a.demand * 2 * every.Seconds()))
+	a.missing = min(a.missing, max(a.grain, waiting))
 	a.sampledAt = now
 }
 
 // want is what should be asked for, so that what is held covers the demand of
 // the time ahead, what was found wanting, and the debt.
 func (a *account) want(ahead time.Duration) int64 {
-	need := a.missing + a.debt + int64(math.Round(a.demand*ahead.Seconds()))
+	need := a.missing + a.debt
+	if a.recent > loneRequest {
+		need += int64(math.Round(a.demand * ahead.Seconds()))
+	}
 	return max(0, need-a.balance()-a.asked)
 }
 
-// surplus is what is held beyond twice the demand of the time ahead.
+// surplus is what is held beyond twice the demand of the time ahead. Where the
+// lender has enough for all it is kept, and saves the messages.
 func (a *account) surplus(ahead time.Duration) int64 {
+	if !a.short {
+		return 0
+	}
 	need := a.missing + a.debt + int64(math.Ceil(2*a.demand*ahead.Seconds()))
 	return max(0, a.balance()-need)
 }
--- a/internal/limits/borrower.go
+++ b/internal/limits/borrower.go
@@ -87,6 +87,7 @@
 	if a.debt == 0 && a.balance() >= n {
 		a.spend(n)
 		a.spent += n
+		a.taken++
 		return Granted
 	}
 	a.missed += n
@@ -266,17 +267,12 @@
 	a.short = item.Short
 	a.asked = 0
 	b.noteSupply(now, a, item.Amount)
-	newer := item.Epoch > a.epoch || item.Epoch == a.epoch && item.Number > a.lastGrant
 	until := sent + b.cfg.LoanTerm
-	if item.Amount <= 0 || !newer {
-		return false
-	}
-	a.epoch = item.Epoch
-	a.lastGrant = item.Number
-	if now >= until {
+	if item.Amount <= 0 || now >= until {
 		return false
 	}
 	a.expire(now)
+	a.counted += item.Amount
 	a.put(lot{amount: item.Amount, until: until, epoch: item.Epoch})
 	a.missing = 0
 	a.grain = 0
@@ -350,8 +346,13 @@
 	return !a.idle
 }
 
-func (b *Borrower) ahead() time.Duration {
-	return time.Duration(b.cfg.Ahead * float64(b.cfg.AskEvery))
+// ahead is the time of which the demand is held: little where the lender is
+// short, half of the loan's life where it has enough for all.
+func (b *Borrower) ahead(a *account) time.Duration {
+	if a.short {
+		return time.Duration(b.cfg.Ahead * float64(b.cfg.AskEvery))
+	}
+	return b.cfg.LoanTerm / 2
 }
 
 // wantsAsk reports whether an ask for the account would be of use.
@@ -359,7 +360,13 @@
 	if a.idle || now < a.noLimitTo {
 		return false
 	}
-	return a.want(b.ahead()) > 0 || a.refund > 0 || a.surplus(b.ahead()) > 0
+	if a.surplus(b.ahead(a)) > 0 || a.refund > 0 {
+		return true
+	}
+	if a.short && a.counted > a.balance() {
+		return true // the lender can lend what was spent meanwhile
+	}
+	return a.want(b.ahead(a)) > a.balance()/2
 }
 
 // mayAsk reports whether the account's need may send an ask to the holder now.
@@ -376,7 +383,8 @@
 	link := b.lenders[holder]
 	link.askedAt = now
 	b.seq++
-	ask := Ask{From: b.cfg.Self, Addr: b.cfg.Addr, Seq: b.seq, Sent: now}
+	ask := Ask{From: b.cfg.Self, Addr: b.cfg.Addr, Seq: b.seq}
+	ask.Oldest = link.dropLate(now, b.cfg.AskEvery, b.seq)
 	for _, a := range accounts {
 		ask.Items = append(ask.Items, b.askItem(now, a))
 	}
@@ -384,23 +392,32 @@
 	return SendAsk{To: holder, Addr: link.addr, Ask: ask}
 }
 
+// dropLate gives up the asks that were not answered in time, and returns the
+// oldest one whose answer is still taken.
+func (l *lenderLink) dropLate(now, after time.Duration, oldest uint64) uint64 {
+	for i := range l.asks {
+		ask := &l.asks[i]
+		if ask.seq != 0 && now-ask.sent >= after {
+			*ask = openAsk{}
+		}
+		if ask.seq != 0 {
+			oldest = min(oldest, ask.seq)
+		}
+	}
+	return oldest
+}
+
 func (b *Borrower) askItem(now time.Duration, a *account) AskItem {
 	epoch := b.holders[a.slot].Epoch
-	if epoch > a.epoch {
-		a.epoch = epoch
-		a.lastGrant = 0
-	}
-	item := AskItem{Key: a.key, Epoch: epoch, Want: a.want(b.ahead()), Refund: a.refund}
-	if surplus := a.surplus(b.ahead()); surplus > 0 {
+	item := AskItem{Key: a.key, Epoch: epoch, Want: a.want(b.ahead(a)), Refund: a.refund}
+	if surplus := a.surplus(b.ahead(a)); surplus > 0 {
 		item.Return = a.handBack(surplus, epoch)
 	}
 	if a.grain > 1 {
 		item.Grain = max(1, a.grain+a.debt-a.balance())
 	}
 	item.Holding = a.holding(epoch)
-	if epoch == a.epoch {
-		item.LastGrant = a.lastGrant
-	}
+	a.counted = item.Holding
 	a.refund = 0
 	a.asked = item.Want
 	a.askedAt = now
--- a/internal/limits/bucket.go
+++ b/internal/limits/bucket.go
@@ -18,7 +18,8 @@
 	at time.Duration
 	// cautiousUntil ends the time in which a former lender's loans may live.
 	cautiousUntil time.Duration
-	debtors       map[ident.Instance]*debtor
+	debtors       []*debtor
+	byInstance    map[ident.Instance]*debtor
 	// pending are the asks that wait for the next division.
 	pending []pendingAsk
 }
@@ -30,9 +31,8 @@
 	// holding is what it reported as unspent; it can't last past holdingUntil.
 	holding      int64
 	holdingUntil time.Duration
-	// sent are the grants that it has not yet reported.
-	sent      []grant
-	lastGrant uint64
+	// sent are the grants that it may still receive or has not yet reported.
+	sent []grant
 	// want and grain are those of its last ask, at askedAt.
 	want, grain int64
 	askedAt     time.Duration
@@ -41,7 +41,7 @@
 
 // grant is an amount on its way to a borrower.
 type grant struct {
-	number uint64
+	seq    uint64
 	amount int64
 	until  time.Duration
 }
@@ -96,13 +96,14 @@
 }
 
 // report takes in what a borrower says of its own account. What was handed
-// back is credited at most up to what thereby stops being outstanding.
-func (b *bucket) report(now time.Duration, d *debtor, item AskItem, life time.Duration) {
+// back is credited at most up to what thereby stops being outstanding; the next
+// fill bounds the level.
+func (b *bucket) report(now time.Duration, d *debtor, ask Ask, item AskItem, life time.Duration) {
 	before := d.outstanding(now)
-	d.lastGrant = max(d.lastGrant, item.LastGrant)
+	d.seq = ask.Seq
 	d.holding = item.Holding
 	d.sent = slices.DeleteFunc(d.sent, func(g grant) bool {
-		return g.number <= item.LastGrant || g.until <= now
+		return g.seq < ask.Oldest || g.until <= now
 	})
 	d.holdingUntil = max(d.holdingUntil, now)
 	if item.Holding > 0 {
@@ -113,7 +114,6 @@
 	d.want = max(0, item.Want)
 	d.grain = min(max(1, item.Grain), max(1, d.want))
 	d.askedAt = now
-	b.fill(now)
 }
 
 // divide answers the pending asks. Each gets at most its max-min fair share of
@@ -160,10 +160,8 @@
 	if amount == 0 {
 		return
 	}
-	d.lastGrant++
-	item.Number = d.lastGrant
 	item.Amount = amount
-	d.sent = append(d.sent, grant{number: d.lastGrant, amount: amount, until: now + life})
+	d.sent = append(d.sent, grant{seq: d.seq, amount: amount, until: now + life})
 	d.servedAt = now
 	d.want -= amount
 	b.level -= float64(amount)
@@ -186,11 +184,13 @@
 
 // forget drops those who hold nothing and have not asked for a while.
 func (b *bucket) forget(now, after time.Duration) {
-	for in, d := range b.debtors {
-		if now-d.askedAt > after && d.outstanding(now) == 0 {
-			delete(b.debtors, in)
+	b.debtors = slices.DeleteFunc(b.debtors, func(d *debtor) bool {
+		gone := now-d.askedAt > after && d.outstanding(now) == 0
+		if gone {
+			delete(b.byInstance, d.self)
 		}
-	}
+		return gone
+	})
 }
 
 func maxWant(debtors []*debtor) int64 {
--- /dev/null
+++ b/internal/limits/chaos_test.go
@@ -0,0 +1,143 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/memnet"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// fault is one thing that goes wrong, or is mended, in a chaos run.
+type fault struct {
+	After time.Duration
+	Kind  string
+	VM    int
+	Gap   time.Duration
+}
+
+var faultKinds = []string{"kill", "pause", "thaw", "cut", "mend", "pause-lender", "thaw-lender", "hand-over", "raise", "demand"}
+
+func drawFaults(t *rapid.T) []fault {
+	one := rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			After: time.Duration(rapid.IntRange(0, 3000).Draw(t, "after_ms")) * time.Millisecond,
+			Kind:  rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			VM:    rapid.IntRange(0, 5).Draw(t, "vm"),
+			Gap:   time.Duration(rapid.IntRange(0, 2000).Draw(t, "gap_ms")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(one, 1, 25).Draw(t, "faults")
+}
+
+func (l *lending) inject(f fault) {
+	v := l.vms[f.VM%len(l.vms)]
+	lender := l.lenders[f.VM%len(l.lenders)]
+	switch f.Kind {
+	case "kill":
+		l.replace(v, f.Gap)
+	case "pause":
+		l.net.Pause(v.host)
+	case "thaw":
+		l.net.Thaw(v.host)
+	case "cut", "mend":
+		l.net.Cut(v.host, lender.host, f.Kind == "cut")
+	case "pause-lender":
+		l.net.Pause(lender.host)
+	case "thaw-lender":
+		l.net.Thaw(lender.host)
+	case "hand-over":
+		l.handOver(f.VM%len(l.lenders), f.Gap)
+	case "raise":
+		l.raise(l.limits[0].Rate * 1.5)
+	case "demand":
+		v.demand = float64(f.Gap / time.Millisecond)
+	}
+}
+
+// In every window of length w, all VMs together admit at most rate*w + burst,
+// whatever fails, and over changes of the lender at least one loan's life apart.
+func TestBoundHoldsUnderChaos(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := float64(rapid.SampledFrom([]int{1, 3, 20, 200, 1000}).Draw(rt, "rate"))
+		l := newLending(rt, rapid.Uint64().Draw(rt, "seed"), rate, 0.05, 6, 3)
+		l.size = int64(rapid.SampledFrom([]int{1, 1, 1, 2}).Draw(rt, "size"))
+		if rate < 20 {
+			l.size = 1 // half of the burst is the most that one request can take
+		}
+		for _, v := range l.vms {
+			v.demand = rate
+		}
+		lastChange := time.Duration(0)
+		for _, f := range drawFaults(rt) {
+			l.run(f.After)
+			if f.Kind == "hand-over" {
+				wait := lastChange + DefaultLenderConfig().loanLife() - l.net.Now()
+				l.run(max(0, wait))
+				lastChange = l.net.Now() + f.Gap
+			}
+			l.inject(f)
+			require.LessOrEqual(rt, l.check.most, 0.0, "admitted above rate*w + burst")
+		}
+		l.run(5 * time.Second)
+		require.LessOrEqual(rt, l.check.most, 0.0, "admitted above rate*w + burst")
+		l.heal()
+		l.run(6 * time.Second)
+		got := float64(l.admitted(l.net.Now()-3*time.Second, l.net.Now()))
+		require.Greater(rt, got, 0.5*3*l.limits[0].Rate-2*float64(l.size), "nothing flows after healing")
+	})
+}
+
+// heal ends every fault and asks for more than the limit everywhere.
+func (l *lending) heal() {
+	for _, v := range l.vms {
+		l.net.Thaw(v.host)
+		v.demand = l.limits[0].Rate
+		for _, lender := range l.lenders {
+			l.net.Cut(v.host, lender.host, false)
+		}
+	}
+	for _, lender := range l.lenders {
+		l.net.Thaw(lender.host)
+	}
+	l.tellHolders(l.net.Now() + 2*time.Second)
+}
+
+// A paused VM that wakes up spends nothing of what it held before.
+func TestThawedVMSpendsNothing(t *testing.T) {
+	l := newLending(t, 3, 100, 0, 6, 1)
+	for _, v := range l.vms {
+		v.demand = 100
+	}
+	l.run(5 * time.Second)
+	v := l.vms[2]
+	l.net.Pause(v.host)
+	l.run(DefaultBorrowerConfig().LoanTerm + 50*time.Millisecond)
+	require.Zero(t, v.policy.(*borrowing).core.Balance(v.local(l.net.Now()), simKey))
+	l.net.Thaw(v.host)
+	l.run(5 * time.Second)
+	require.LessOrEqual(t, l.check.most, 0.0)
+}
+
+// An idle limit costs no message.
+func TestIdleLimitCostsNoMessage(t *testing.T) {
+	l := newLending(t, 3, 100, 0, 2, 1)
+	l.vms[0].demand = 50
+	l.run(5 * time.Second)
+	l.vms[0].demand = 0
+	l.run(4 * time.Second)
+	sent := l.net.Sent[l.vms[0].host]
+	l.run(time.Minute)
+	require.Equal(t, sent, l.net.Sent[l.vms[0].host])
+	require.Zero(t, l.net.Sent[memnet.Host("entry-001")])
+}
+
+func TestTakeDoesNotAllocate(t *testing.T) {
+	l := newLending(t, 3, 1e6, 0, 1, 1)
+	l.vms[0].demand = 1000
+	l.run(5 * time.Second)
+	core := l.vms[0].policy.(*borrowing).core
+	now := l.vms[0].local(l.net.Now())
+	require.Zero(t, testing.AllocsPerRun(50, func() { core.Take(now, simKey, 1) }))
+}
--- a/internal/limits/config.go
+++ b/internal/limits/config.go
@@ -96,7 +96,7 @@
 	// AskEvery. Default 1.25.
 	Ahead float64 `json:"ahead"`
 	// IdleAfter is the time without demand after which all is handed back.
-	// Default 400 ms.
+	// Default 600 ms.
 	IdleAfter time.Duration `json:"idle_after_ns"`
 	// ForgetAfter is the time without demand after which a limit's account is
 	// dropped. Default 1 min.
@@ -117,7 +117,7 @@
 		AskEvery:      200 * time.Millisecond,
 		UrgentAfter:   20 * time.Millisecond,
 		Ahead:         1.25,
-		IdleAfter:     400 * time.Millisecond,
+		IdleAfter:     600 * time.Millisecond,
 		ForgetAfter:   time.Minute,
 		MaxAccounts:   50_000,
 		MaxRetryAfter: 30 * time.Second,
--- /dev/null
+++ b/internal/limits/experiment_test.go
@@ -0,0 +1,220 @@
+package limits
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/memnet"
+)
+
+// experiment is one scenario on one fleet under one policy.
+type experiment struct {
+	Policy   string  `json:"policy"`
+	Scenario string  `json:"scenario"`
+	VMs      int     `json:"vms"`
+	Domains  int     `json:"domains"`
+	Rate     float64 `json:"rate"`
+	Seed     uint64  `json:"seed"`
+}
+
+// result is what an experiment gave.
+type result struct {
+	experiment
+	// Throughput is admitted/bound from 5 s after the event on.
+	Throughput float64 `json:"throughput_of_bound"`
+	// Overshoot is the most that was admitted above rate*w + burst in any
+	// window, in units and as a share of the burst.
+	Overshoot      float64 `json:"overshoot"`
+	OvershootShare float64 `json:"overshoot_of_burst"`
+	// Recovery is the time from the event until a second reached 0.9 of bound.
+	Recovery float64 `json:"recovery_s"`
+}
+
+const (
+	expEvent = 10 * time.Second
+	expEnd   = 30 * time.Second
+)
+
+var expScenarios = []string{
+	"even", "one-vm", "moving", "raise", "vm-killed", "holder-killed", "service-down-10min",
+	"domain-cut", "holder-domain-cut",
+}
+
+// expFleet is a fleet with the means to make the scenarios happen.
+type expFleet struct {
+	*lending
+	exp     experiment
+	policy  func(host memnet.Host) admitter
+	raiseFn func(rate float64)
+}
+
+func newExpFleet(t testing.TB, e experiment) *expFleet {
+	x := &expFleet{exp: e}
+	vms := e.VMs
+	if e.Policy != "borrowed" {
+		vms = 0
+	}
+	x.lending = newLending(t, e.Seed, e.Rate, 0.001, vms, 2)
+	x.fleet.drift = e.Policy == "borrowed"
+	if e.Policy == "borrowed" {
+		x.raiseFn = x.raise
+		return x
+	}
+	var hosts []memnet.Host
+	for i := range e.VMs {
+		hosts = append(hosts, memnet.Host(fmt.Sprintf("entry-%03d", i)))
+	}
+	x.policy = func(host memnet.Host) admitter {
+		if e.Policy == "equal" {
+			return newEqualShares(x.limits[0].Rate, x.check.burst, e.VMs)
+		}
+		return newGossipShares(x.fleet, host, hosts, x.limits[0].Rate, x.check.burst)
+	}
+	for _, h := range hosts {
+		x.add(h, x.policy(h))
+	}
+	x.raiseFn = x.raiseBaseline
+	return x
+}
+
+func (x *expFleet) raiseBaseline(rate float64) {
+	x.raise(rate)
+	for _, v := range x.vms {
+		switch p := v.policy.(type) {
+		case *equalShares:
+			p.rate = rate / float64(x.exp.VMs)
+			p.burst = max(1, x.check.burst/float64(x.exp.VMs))
+		case *gossipShares:
+			p.limit, p.full = rate, x.check.burst
+		}
+	}
+}
+
+// setDemand gives the fleet 1.5 times the rate, evenly or at one VM.
+func (x *expFleet) setDemand(hot int) {
+	total := 1.5 * x.limits[0].Rate
+	for i, v := range x.vms {
+		v.demand = total / float64(len(x.vms))
+		if hot >= 0 {
+			v.demand = 0.02 * total / float64(len(x.vms))
+		}
+		if i == hot {
+			v.demand = 0.98 * total
+		}
+	}
+}
+
+func (x *expFleet) killVM() {
+	v := x.vms[1]
+	x.net.Kill(v.host)
+	x.net.At(x.net.Now()+5*time.Second, func() {
+		if x.policy == nil {
+			x.addBorrower(v.host).demand = v.demand
+			return
+		}
+		x.add(v.host, x.policy(v.host)).demand = v.demand
+	})
+}
+
+// killHolder is followed by a take-over as the lease measured it.
+func (x *expFleet) killHolder() {
+	x.net.Kill(x.lenders[0].host)
+	x.handOver(1, 2100*time.Millisecond)
+}
+
+// cutDomain cuts every Domains-th VM, and the holder where withHolder, off the
+// others. A holder that is cut off goes on for its promise term.
+func (x *expFleet) cutDomain(withHolder bool) {
+	inside := func(i int) bool { return i%x.exp.Domains == 0 }
+	for i, a := range x.vms {
+		for j, b := range x.vms {
+			if inside(i) != inside(j) {
+				x.net.Cut(a.host, b.host, true)
+			}
+		}
+		x.net.Cut(a.host, x.lenders[0].host, inside(i) != withHolder)
+		x.net.Cut(a.host, x.lenders[1].host, inside(i))
+	}
+	if withHolder {
+		x.net.At(x.net.Now()+2*time.Second, func() { x.handOver(1, 200*time.Millisecond) })
+	}
+}
+
+// play runs one scenario; the event falls at expEvent.
+func (x *expFleet) play() time.Duration {
+	end := expEnd
+	hot := -1
+	if x.exp.Scenario == "one-vm" || x.exp.Scenario == "moving" || x.exp.Scenario == "service-down-10min" {
+		hot = 0
+	}
+	x.setDemand(hot)
+	x.run(expEvent)
+	switch x.exp.Scenario {
+	case "moving":
+		for i := range 4 {
+			x.setDemand(i + 1)
+			x.run(5 * time.Second)
+		}
+	case "raise":
+		x.raiseFn(2 * x.exp.Rate)
+		x.setDemand(-1)
+	case "vm-killed":
+		x.killVM()
+	case "holder-killed":
+		x.killHolder()
+	case "service-down-10min":
+		end = expEvent + 10*time.Minute
+	case "domain-cut":
+		x.cutDomain(false)
+	case "holder-domain-cut":
+		x.cutDomain(true)
+	}
+	x.net.RunUntil(end)
+	return end
+}
+
+func runExperiment(t testing.TB, e experiment) result {
+	x := newExpFleet(t, e)
+	end := x.play()
+	rate := x.limits[0].Rate
+	span := (end - expEvent - 5*time.Second).Seconds()
+	r := result{experiment: e}
+	r.Throughput = float64(x.admitted(expEvent+5*time.Second, end)) / (rate * span)
+	r.Overshoot = max(0, x.check.most)
+	r.OvershootShare = r.Overshoot / x.check.burst
+	r.Recovery = -1
+	for at := expEvent; at+time.Second <= end; at += fleetBin {
+		if float64(x.admitted(at, at+time.Second)) >= 0.9*rate {
+			r.Recovery = (at - expEvent).Seconds()
+			break
+		}
+	}
+	return r
+}
+
+// BenchmarkPolicies reports throughput/bound, overshoot and recovery of each
+// policy in each scenario, as metrics and as one line of JSON.
+func BenchmarkPolicies(b *testing.B) {
+	sizes := []experiment{{VMs: 6, Domains: 3, Rate: 300}, {VMs: 330, Domains: 7, Rate: 5300}}
+	for _, size := range sizes {
+		for _, scenario := range expScenarios {
+			for _, policy := range []string{"borrowed", "equal", "gossip"} {
+				e := size
+				e.Policy, e.Scenario, e.Seed = policy, scenario, 1
+				b.Run(fmt.Sprintf("%d-vms/%s/%s", e.VMs, scenario, policy), func(b *testing.B) {
+					var r result
+					for range b.N {
+						r = runExperiment(b, e)
+					}
+					b.ReportMetric(r.Throughput, "throughput/bound")
+					b.ReportMetric(r.Overshoot, "overshoot")
+					b.ReportMetric(r.Recovery, "recovery-s")
+					line, _ := json.Marshal(r)
+					b.Log(string(line))
+				})
+			}
+		}
+	}
+}
--- a/internal/limits/lender.go
+++ b/internal/limits/lender.go
@@ -121,13 +121,13 @@
 		burst:         l.cfg.burst(limit),
 		at:            now,
 		cautiousUntil: now + l.cfg.loanLife(),
-		debtors:       map[ident.Instance]*debtor{},
+		byInstance:    map[ident.Instance]*debtor{},
 	}
 }
 
 // gather notes an ask's items for the next division.
 func (l *Lender) gather(now time.Duration, ask Ask) {
-	loan := &Loan{To: ask.From, Seq: ask.Seq, Sent: ask.Sent}
+	loan := &Loan{To: ask.From, Seq: ask.Seq}
 	loan.Items = make([]LoanItem, len(ask.Items))
 	for i, item := range ask.Items {
 		loan.Items[i].Index = i
@@ -160,8 +160,7 @@
 	if ask.Seq <= d.seq {
 		return
 	}
-	d.seq = ask.Seq
-	b.report(now, d, item, l.cfg.loanLife())
+	b.report(now, d, ask, item, l.cfg.loanLife())
 	if len(b.pending) == 0 {
 		s.touched = append(s.touched, b)
 	}
@@ -169,10 +168,11 @@
 }
 
 func (b *bucket) debtor(in ident.Instance) *debtor {
-	d := b.debtors[in]
+	d := b.byInstance[in]
 	if d == nil {
 		d = &debtor{self: in}
-		b.debtors[in] = d
+		b.byInstance[in] = d
+		b.debtors = append(b.debtors, d)
 	}
 	return d
 }
--- a/internal/limits/messages.go
+++ b/internal/limits/messages.go
@@ -1,8 +1,6 @@
 package limits
 
 import (
-	"time"
-
 	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 	"github.com/cespare/xxhash/v2"
@@ -85,9 +83,10 @@
 	// Seq grows with each ask of this borrower; an ask that isn't newer than
 	// the last one is ignored.
 	Seq uint64 `json:"seq"`
-	// Sent is the moment of the ask on the borrower's clock; the loan echoes it.
-	Sent  time.Duration `json:"sent"`
-	Items []AskItem     `json:"items"`
+	// Oldest is the oldest ask to this holder whose answer the borrower still
+	// takes. Loans that answered earlier ones are either in Holding or void.
+	Oldest uint64    `json:"old"`
+	Items  []AskItem `json:"items"`
 }
 
 // AskItem asks for one limit.
@@ -105,18 +104,14 @@
 	Return int64 `json:"r,omitempty"`
 	// Refund is what settled counts were below their estimates.
 	Refund int64 `json:"f,omitempty"`
-	// LastGrant numbers the newest grant of this epoch that was received; the
-	// borrower takes no grant up to it any more.
-	LastGrant uint64 `json:"g,omitempty"`
 }
 
 // Loan answers an Ask.
 type Loan struct {
 	To ident.Instance `json:"to"`
-	// Seq and Sent echo the ask's.
-	Seq   uint64        `json:"seq"`
-	Sent  time.Duration `json:"sent"`
-	Items []LoanItem    `json:"items"`
+	// Seq echoes the ask's.
+	Seq   uint64     `json:"seq"`
+	Items []LoanItem `json:"items"`
 }
 
 // LoanItem lends an amount of one limit, or refuses.
@@ -124,9 +119,7 @@
 	// Index is the item's index in the ask.
 	Index int `json:"i"`
 	// Epoch is the lender's.
-	Epoch uint64 `json:"e"`
-	// Number numbers the grants of this epoch to this borrower.
-	Number uint64 `json:"g,omitempty"`
+	Epoch  uint64 `json:"e"`
 	Amount int64  `json:"a,omitempty"`
 	// Short says that the supply didn't cover what all want.
 	Short bool `json:"s,omitempty"`
--- a/internal/limits/sim_test.go
+++ b/internal/limits/sim_test.go
@@ -52,7 +52,6 @@
 	demand float64
 	next   float64
 	queue  []time.Duration
-	dead   bool
 }
 
 func (v *entryVM) local(now time.Duration) time.Duration {
@@ -67,10 +66,8 @@
 	check   conformance
 	size    int64
 	admits  []int64 // by 100 ms
-	offers  []int64
 	maxWait time.Duration
 	drift   bool
-	onTick  func(now time.Duration)
 }
 
 const fleetBin = 100 * time.Millisecond
@@ -117,18 +114,13 @@
 func (f *fleet) arrive(v *entryVM, now time.Duration) {
 	v.next += v.demand * simTick.Seconds() * (0.5 + f.net.Rand().Float64())
 	for ; v.next >= float64(f.size); v.next -= float64(f.size) {
-		f.count(&f.offers, now, f.size)
-		if len(v.queue) > 0 || !f.take(v, now) {
+		if !f.take(v, now) {
 			v.queue = append(v.queue, now)
 		}
 	}
 	for len(v.queue) > 0 && v.queue[0]+f.maxWait < now {
 		v.queue = v.queue[1:]
 	}
-	// Requests behind a queue make their demand known through the head.
-	if len(v.queue) > 0 {
-		f.drainQueue(v, now)
-	}
 }
 
 func (f *fleet) drainQueue(v *entryVM, now time.Duration) {
@@ -142,29 +134,21 @@
 		return false
 	}
 	f.check.admit(now, f.size)
-	f.count(&f.admits, now, f.size)
-	return true
-}
-
-func (f *fleet) count(bins *[]int64, now time.Duration, n int64) {
-	i := int(now / fleetBin)
-	for len(*bins) <= i {
-		*bins = append(*bins, 0)
+	bin := int(now / fleetBin)
+	for len(f.admits) <= bin {
+		f.admits = append(f.admits, 0)
 	}
-	(*bins)[i] += n
+	f.admits[bin] += f.size
+	return true
 }
 
 func (f *fleet) run(d time.Duration) { f.net.RunUntil(f.net.Now() + d) }
 
 // admitted is what was admitted in [from, to).
-func (f *fleet) admitted(from, to time.Duration) int64 { return sumBins(f.admits, from, to) }
-
-func (f *fleet) offered(from, to time.Duration) int64 { return sumBins(f.offers, from, to) }
-
-func sumBins(bins []int64, from, to time.Duration) int64 {
+func (f *fleet) admitted(from, to time.Duration) int64 {
 	var sum int64
-	for i := int(from / fleetBin); i < int(to/fleetBin) && i < len(bins); i++ {
-		sum += bins[i]
+	for i := int(from / fleetBin); i < int(to/fleetBin) && i < len(f.admits); i++ {
+		sum += f.admits[i]
 	}
 	return sum
 }
@@ -310,7 +294,6 @@
 
 // replace kills the VM's process and starts a new one with the same demand.
 func (l *lending) replace(v *entryVM, after time.Duration) {
-	v.dead = true
 	l.net.Kill(v.host)
 	l.net.At(l.net.Now()+after, func() { l.addBorrower(v.host).demand = v.demand })
 }
