--- a/internal/limits/borrower.go
+++ b/internal/limits/borrower.go
@@ -223,8 +223,11 @@
 // receive takes a loan in. It counts from the moment of its ask, which this
 // process remembers itself.
 func (b *Borrower) receive(now time.Duration, loan Loan) []Action {
+	if loan.To != b.cfg.Self {
+		return nil
+	}
 	ask := b.takeAsk(loan)
-	if ask == nil || loan.To != b.cfg.Self {
+	if ask == nil {
 		return nil
 	}
 	var refilled []Key
--- a/internal/limits/bucket.go
+++ b/internal/limits/bucket.go
@@ -8,6 +8,9 @@
 	"github.com/catkinstair/catkinstair/internal/ident"
 )
 
+// never is a moment that is not reached.
+const never = time.Duration(1<<63 - 1)
+
 // bucket is one limit's token bucket with those who borrow from it.
 type bucket struct {
 	rate  float64
@@ -18,8 +21,12 @@
 	at time.Duration
 	// cautiousUntil ends the time in which a former lender's loans may live.
 	cautiousUntil time.Duration
-	debtors       []*debtor
-	byInstance    map[ident.Instance]*debtor
+	// out is what is outstanding at the moment at; it changes by itself at
+	// nextExpiry.
+	out        int64
+	nextExpiry time.Duration
+	debtors    []*debtor
+	byInstance map[ident.Instance]*debtor
 	// pending are the asks that wait for the next division.
 	pending []pendingAsk
 }
@@ -66,32 +73,62 @@
 	return sum
 }
 
-func (b *bucket) outstanding(now time.Duration) int64 {
-	var sum int64
+// expiry is the first moment after now at which part of the outstanding lapses.
+func (d *debtor) expiry(now time.Duration) time.Duration {
+	first := never
+	if d.holding > 0 && now < d.holdingUntil {
+		first = d.holdingUntil
+	}
+	for _, g := range d.sent {
+		if now < g.until {
+			first = min(first, g.until)
+		}
+	}
+	return first
+}
+
+// recount renews out and nextExpiry from all borrowers.
+func (b *bucket) recount(now time.Duration) {
+	b.out = 0
+	b.nextExpiry = never
+	if now < b.cautiousUntil {
+		b.nextExpiry = b.cautiousUntil
+	}
 	for _, d := range b.debtors {
-		sum += d.outstanding(now)
+		b.out += d.outstanding(now)
+		b.nextExpiry = min(b.nextExpiry, d.expiry(now))
 	}
-	return sum
 }
 
 // half is the part of the burst that may be outstanding.
 func (b *bucket) half() float64 { return b.burst / 2 }
 
 // fill adds what the rate gave since the last fill, up to the burst less what
-// is outstanding.
+// was outstanding meanwhile. It goes from expiry to expiry: room that an expiry
+// made counts from then on only, because the loan may have been spent just
+// before it.
 func (b *bucket) fill(now time.Duration) {
+	for b.nextExpiry <= now {
+		at := b.nextExpiry
+		b.fillTo(at)
+		b.recount(at)
+	}
+	b.fillTo(now)
+}
+
+func (b *bucket) fillTo(now time.Duration) {
 	most := b.burst
-	if now < b.cautiousUntil {
+	if b.at < b.cautiousUntil {
 		most = b.half()
 	}
-	room := max(0, most-float64(b.outstanding(now)))
+	room := max(0, most-float64(b.out))
 	b.level = min(b.level+b.rate*(now-b.at).Seconds(), room)
 	b.at = now
 }
 
-// lendable is the whole amount that can be lent now.
-func (b *bucket) lendable(now time.Duration) int64 {
-	room := b.half() - float64(b.outstanding(now))
+// lendable is the whole amount that can be lent after a fill.
+func (b *bucket) lendable() int64 {
+	room := b.half() - float64(b.out)
 	return int64(max(0, min(b.level, room)))
 }
 
@@ -99,6 +136,7 @@
 // back is credited at most up to what thereby stops being outstanding; the next
 // fill bounds the level.
 func (b *bucket) report(now time.Duration, d *debtor, ask Ask, item AskItem, life time.Duration) {
+	b.fill(now)
 	before := d.outstanding(now)
 	d.seq = ask.Seq
 	d.holding = item.Holding
@@ -109,7 +147,10 @@
 	if item.Holding > 0 {
 		d.holdingUntil = now + life
 	}
-	credit := min(item.Return, max(0, before-d.outstanding(now)))
+	after := d.outstanding(now)
+	b.out += after - before
+	b.nextExpiry = min(b.nextExpiry, d.expiry(now))
+	credit := min(item.Return, max(0, before-after))
 	b.level += float64(max(0, credit) + max(0, item.Refund))
 	d.want = max(0, item.Want)
 	d.grain = min(max(1, item.Grain), max(1, d.want))
@@ -122,7 +163,7 @@
 func (b *bucket) divide(now time.Duration, cfg LenderConfig) {
 	b.fill(now)
 	fresh := b.freshDebtors(now, 2*cfg.AskEvery)
-	supply := b.lendable(now)
+	supply := b.lendable()
 	round := int64(b.level + b.rate*cfg.AskEvery.Seconds())
 	share := fairShare(fresh, round)
 	short := share < maxWant(fresh)
@@ -164,6 +205,8 @@
 	d.sent = append(d.sent, grant{seq: d.seq, amount: amount, until: now + life})
 	d.servedAt = now
 	d.want -= amount
+	b.out += amount
+	b.nextExpiry = min(b.nextExpiry, now+life)
 	b.level -= float64(amount)
 }
 
--- a/internal/limits/chaos_test.go
+++ b/internal/limits/chaos_test.go
@@ -17,7 +17,7 @@
 	Gap   time.Duration
 }
 
-var faultKinds = []string{"kill", "pause", "thaw", "cut", "mend", "pause-lender", "thaw-lender", "hand-over", "raise", "demand"}
+var faultKinds = []string{"kill", "pause", "thaw", "cut", "mend", "pause-lender", "thaw-lender", "hand-over", "raise", "demand", "quiet", "trickle", "burst", "burst"}
 
 func drawFaults(t *rapid.T) []fault {
 	one := rapid.Custom(func(t *rapid.T) fault {
@@ -53,6 +53,18 @@
 		l.raise(l.limits[0].Rate * 1.5)
 	case "demand":
 		v.demand = float64(f.Gap / time.Millisecond)
+	case "quiet":
+		l.setDemand(0)
+	case "trickle":
+		l.setDemand(0.1 * l.limits[0].Rate)
+	case "burst":
+		l.setDemand(20 * l.limits[0].Rate)
+	}
+}
+
+func (l *lending) setDemand(each float64) {
+	for _, v := range l.vms {
+		v.demand = each
 	}
 }
 
@@ -91,9 +103,9 @@
 
 // heal ends every fault and asks for more than the limit everywhere.
 func (l *lending) heal() {
+	l.setDemand(l.limits[0].Rate)
 	for _, v := range l.vms {
 		l.net.Thaw(v.host)
-		v.demand = l.limits[0].Rate
 		for _, lender := range l.lenders {
 			l.net.Cut(v.host, lender.host, false)
 		}
--- a/internal/limits/experiment_test.go
+++ b/internal/limits/experiment_test.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// setDemand gives the fleet 1.5 times the rate, evenly or at one VM.
-func (x *expFleet) setDemand(hot int) {
+// spreadDemand gives the fleet 1.5 times the rate, evenly or at one VM.
+func (x *expFleet) spreadDemand(hot int) {
 	total := 1.5 * x.limits[0].Rate
 	for i, v := range x.vms {
 		v.demand = total / float64(len(x.vms))
@@ -149,17 +149,17 @@
 	if x.exp.Scenario == "one-vm" || x.exp.Scenario == "moving" || x.exp.Scenario == "service-down-10min" {
 		hot = 0
 	}
-	x.setDemand(hot)
+	x.spreadDemand(hot)
 	x.run(expEvent)
 	switch x.exp.Scenario {
 	case "moving":
 		for i := range 4 {
-			x.setDemand(i + 1)
+			x.spreadDemand(i + 1)
 			x.run(5 * time.Second)
 		}
 	case "raise":
 		x.raiseFn(2 * x.exp.Rate)
-		x.setDemand(-1)
+		x.spreadDemand(-1)
 	case "vm-killed":
 		x.killVM()
 	case "holder-killed":
--- a/internal/limits/lender.go
+++ b/internal/limits/lender.go
@@ -116,13 +116,15 @@
 }
 
 func (l *Lender) newBucket(now time.Duration, limit Limit) *bucket {
-	return &bucket{
+	b := &bucket{
 		rate:          limit.Rate,
 		burst:         l.cfg.burst(limit),
 		at:            now,
 		cautiousUntil: now + l.cfg.loanLife(),
 		byInstance:    map[ident.Instance]*debtor{},
 	}
+	b.recount(now)
+	return b
 }
 
 // gather notes an ask's items for the next division.
