--- /dev/null
+++ b/internal/limits/guards_test.go
@@ -0,0 +1,195 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+	"github.com/stretchr/testify/require"
+)
+
+// oneLender is a lender of one limit of 100 a second (burst 100), without a
+// network, and a check of every window.
+type oneLender struct {
+	t     *testing.T
+	core  *Lender
+	holds holdsSlots
+	check *conformance
+	seqs  map[ident.VM]uint64
+}
+
+func newOneLender(t *testing.T, start time.Duration, check *conformance) *oneLender {
+	holds := holdsSlots{}
+	for slot := range 64 {
+		holds[slot] = true
+	}
+	core, err := NewLender(DefaultLenderConfig(), holds)
+	require.NoError(t, err)
+	core.Step(start, SetLimits{Limits: []Limit{{Key: simKey, Rate: 100}}})
+	core.Step(start, Tick{})
+	return &oneLender{t: t, core: core, holds: holds, check: check, seqs: map[ident.VM]uint64{}}
+}
+
+func newCheck() *conformance { return &conformance{rate: 100, burst: 100} }
+
+// ask hands one ask in and returns the loan's item, 20 ms later.
+func (o *oneLender) ask(at time.Duration, vm ident.VM, item AskItem) LoanItem {
+	o.seqs[vm]++
+	return o.askAs(at, vm, o.seqs[vm], o.seqs[vm], item)
+}
+
+func (o *oneLender) askAs(at time.Duration, vm ident.VM, seq, oldest uint64, item AskItem) LoanItem {
+	item.Key = simKey
+	item.Epoch = 1
+	o.core.Step(at, AskReceived{Ask: Ask{
+		From: ident.Instance{VM: vm, Incarnation: 1}, Seq: seq, Oldest: oldest, Items: []AskItem{item},
+	}})
+	actions := o.core.Step(at+20*time.Millisecond, Tick{})
+	require.Len(o.t, actions, 1)
+	return actions[0].(SendLoan).Loan.Items[0]
+}
+
+// drain lets a VM take and spend all it gets for a while.
+func (o *oneLender) drain(at time.Duration, vm ident.VM) {
+	for range 5 {
+		got := o.ask(at, vm, AskItem{Want: 100}).Amount
+		at += 20 * time.Millisecond
+		o.check.admit(at, got)
+	}
+}
+
+const sec = time.Second
+
+// What is outstanding takes up room: the bucket doesn't fill beside it, and at
+// most half of the burst is lent at once.
+func TestOutstandingTakesUpRoom(t *testing.T) {
+	o := newOneLender(t, 0, newCheck())
+	require.EqualValues(t, 50, o.ask(10*sec, "a", AskItem{Want: 100}).Amount)
+	require.Zero(t, o.ask(11*sec, "b", AskItem{Want: 100}).Amount)
+	o.check.admit(12010*time.Millisecond, 50) // a spends just before its loan ends
+	o.drain(12090*time.Millisecond, "c")
+	require.LessOrEqual(t, o.check.most, 0.0)
+}
+
+// A former lender's loans live on while the new lender lends.
+func TestBoundOverAHandOver(t *testing.T) {
+	check := newCheck()
+	former := newOneLender(t, 0, check)
+	held := former.ask(10*sec, "a", AskItem{Want: 100}).Amount
+	next := newOneLender(t, 10100*time.Millisecond, check)
+	check.admit(11900*time.Millisecond, held)
+	next.drain(11900*time.Millisecond, "b")
+	require.LessOrEqual(t, check.most, 0.0)
+}
+
+// A refund in an ask that arrives twice is credited once.
+func TestDuplicateAskIsCreditedOnce(t *testing.T) {
+	o := newOneLender(t, 0, newCheck())
+	o.drain(10*sec, "a")
+	refund := AskItem{Refund: 20}
+	o.askAs(10200*time.Millisecond, "b", 1, 1, refund)
+	o.askAs(10220*time.Millisecond, "b", 1, 1, refund)
+	require.LessOrEqual(t, o.ask(10240*time.Millisecond, "c", AskItem{Want: 100}).Amount, int64(20+26))
+}
+
+// What is handed back too late counts as spent.
+func TestLateReturnIsNotCredited(t *testing.T) {
+	o := newOneLender(t, 0, newCheck())
+	require.EqualValues(t, 50, o.ask(10*sec, "a", AskItem{Want: 50}).Amount)
+	o.drain(13*sec, "b")
+	o.ask(13110*time.Millisecond, "a", AskItem{Return: 50})
+	require.Less(t, o.ask(13140*time.Millisecond, "c", AskItem{Want: 100}).Amount, int64(15))
+}
+
+// A loan whose arrival wasn't yet reported is outstanding.
+func TestGrantOnItsWayIsOutstanding(t *testing.T) {
+	o := newOneLender(t, 0, newCheck())
+	require.EqualValues(t, 50, o.askAs(10*sec, "a", 1, 1, AskItem{Want: 50}).Amount)
+	require.Zero(t, o.askAs(10100*time.Millisecond, "a", 2, 1, AskItem{Want: 50}).Amount)
+	require.EqualValues(t, 50, o.askAs(10200*time.Millisecond, "a", 3, 3, AskItem{Want: 50}).Amount)
+}
+
+// A slot that is lost between an ask and the division lends nothing.
+func TestLostSlotLendsNothing(t *testing.T) {
+	o := newOneLender(t, 0, newCheck())
+	o.core.Step(10*sec, AskReceived{Ask: Ask{
+		From: ident.Instance{VM: "a"}, Seq: 1, Oldest: 1, Items: []AskItem{{Key: simKey, Epoch: 1, Want: 10}},
+	}})
+	clear(o.holds)
+	for _, a := range o.core.Step(10020*time.Millisecond, Tick{}) {
+		require.Zero(t, a.(SendLoan).Loan.Items[0].Amount)
+	}
+}
+
+func newOneBorrower(t *testing.T) *Borrower {
+	cfg := DefaultBorrowerConfig()
+	cfg.Self = ident.Instance{VM: "a", Incarnation: 1}
+	b, err := NewBorrower(cfg)
+	require.NoError(t, err)
+	slots := make([]SlotHolder, 64)
+	for i := range slots {
+		slots[i] = SlotHolder{Holder: ident.Instance{VM: "c", Incarnation: 1}, Addr: "c", Epoch: 1}
+	}
+	b.Step(0, Holders{Slots: slots})
+	return b
+}
+
+// A loan counts from its ask, not from its arrival, and ends for good.
+func TestLoanCountsFromItsAsk(t *testing.T) {
+	b := newOneBorrower(t)
+	require.Equal(t, Short, b.Take(0, simKey, 5))
+	ask := b.Step(0, Tick{})[0].(SendAsk).Ask
+	loan := Loan{To: ask.From, Seq: ask.Seq, Items: []LoanItem{{Epoch: 1, Amount: 5}}}
+	b.Step(1500*time.Millisecond, LoanReceived{Loan: loan})
+	require.EqualValues(t, 5, b.Balance(1999*time.Millisecond, simKey))
+	require.Zero(t, b.Balance(2*sec, simKey))
+	require.Equal(t, Short, b.Take(2*sec, simKey, 5))
+}
+
+// A count above its estimate is paid before anything else is admitted.
+func TestDebtIsPaidFirst(t *testing.T) {
+	b := newOneBorrower(t)
+	b.Settle(0, simKey, 10, 30)
+	require.EqualValues(t, 20, b.Debt(simKey))
+	ask := b.Step(0, Tick{})[0].(SendAsk).Ask
+	require.EqualValues(t, 20, ask.Items[0].Want)
+	b.Step(sec/10, LoanReceived{Loan: Loan{To: ask.From, Seq: ask.Seq, Items: []LoanItem{{Epoch: 1, Amount: 25}}}})
+	require.Zero(t, b.Debt(simKey))
+	require.Equal(t, Short, b.Take(sec/10, simKey, 6))
+	require.Equal(t, Granted, b.Take(sec/10, simKey, 5))
+}
+
+// A count below its estimate goes back to the lender.
+func TestRefundGoesBack(t *testing.T) {
+	b := newOneBorrower(t)
+	b.Settle(0, simKey, 30, 10)
+	ask := b.Step(0, Tick{})[0].(SendAsk).Ask
+	require.EqualValues(t, 20, ask.Items[0].Refund)
+}
+
+// A limit that nobody accepted is refused as such, on both sides.
+func TestUnknownLimitIsRefused(t *testing.T) {
+	o := newOneLender(t, 0, newCheck())
+	other := Key{Team: "nobody", Service: "skrivar", Unit: UnitRequests}
+	o.core.Step(sec, AskReceived{Ask: Ask{Seq: 1, Oldest: 1, Items: []AskItem{{Key: other, Epoch: 1, Want: 1}}}})
+	item := o.core.Step(sec+20*time.Millisecond, Tick{})[0].(SendLoan).Loan.Items[0]
+	require.Equal(t, verdict.CauseNoLimit, item.Refused)
+
+	b := newOneBorrower(t)
+	require.Equal(t, Short, b.Take(0, simKey, 1))
+	ask := b.Step(0, Tick{})[0].(SendAsk).Ask
+	b.Step(1, LoanReceived{Loan: Loan{To: ask.From, Seq: ask.Seq, Items: []LoanItem{item}}})
+	require.Equal(t, NoLimit, b.Take(2, simKey, 1))
+	require.NotEqual(t, NoLimit, b.Take(2*sec, simKey, 1))
+}
+
+// Callers that are refused together are told different times.
+func TestRetryAfterIsSpread(t *testing.T) {
+	b := newOneBorrower(t)
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		seen[b.RetryAfter(0, simKey, 1)] = true
+	}
+	require.Greater(t, len(seen), 90)
+}
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -132,3 +132,36 @@
 	}
 	require.NoError(t, DefaultConfig().Validate())
 }
+
+// To an engine that ignores fencing numbers nothing is sent near the end of the
+// lease, and to no engine anything after it.
+func TestCheckBeforeTheSend(t *testing.T) {
+	g := &giver{epoch: 3, until: time.Minute}
+	core, err := New(DefaultConfig(), g)
+	require.NoError(t, err)
+	core.Step(0, Engines{Engines: []Engine{{Server: "checks", ChecksOrders: true}, {Server: "ignores"}}})
+	core.Step(0, Tick{})
+	order := Order{ID: "o3.1", Fence: 3}
+	for _, e := range core.engines {
+		e.order = &order
+	}
+	require.False(t, core.maySend(time.Second, core.engines["ignores"].Engine, order), "successor's wait")
+	require.True(t, core.maySend(59*time.Second, core.engines["ignores"].Engine, order))
+	require.False(t, core.maySend(59600*time.Millisecond, core.engines["ignores"].Engine, order), "stop early")
+	require.True(t, core.maySend(59600*time.Millisecond, core.engines["checks"].Engine, order))
+	require.False(t, core.BeginSend(time.Minute, "checks", order), "the lease lapsed")
+	require.Nil(t, core.engines["checks"].order)
+}
+
+// An engine that saw a higher number silences the holder.
+func TestFencedHolderStops(t *testing.T) {
+	g := &giver{epoch: 3, until: time.Minute}
+	core, err := New(DefaultConfig(), g)
+	require.NoError(t, err)
+	engine := Engine{Server: "checks", ChecksOrders: true}
+	core.Step(0, Engines{Engines: []Engine{engine}})
+	core.Step(0, Tick{})
+	require.True(t, core.maySend(time.Second, engine, Order{Fence: 3}))
+	core.Step(time.Second, OrderAnswered{Server: "checks", OrderID: "o3.1", Outcome: Fenced, Fence: 4})
+	require.False(t, core.maySend(time.Second, engine, Order{Fence: 3}))
+}
