--- a/internal/call/claim.go
+++ b/internal/call/claim.go
@@ -24,6 +24,8 @@
 	revision uint64
 	// outcome is what is being recorded.
 	outcome *Record
+	// body is the reply to be recorded; it is kept until the request is dropped.
+	body BodyRef
 	// refusal is given once a NotRun outcome is recorded.
 	refusal *verdict.Refusal
 	// until ends the writes that go on after the caller was answered.
@@ -188,6 +190,7 @@
 func (c *Core) recordOutcome(now time.Duration, r *request, outcome Record) {
 	outcome.ClaimID, outcome.BodyHash = c.claimID(r), r.BodyHash
 	r.claim.outcome = &outcome
+	r.claim.body = outcome.Body
 	r.claim.until = max(now, r.Deadline) + c.cfg.CleanupFor
 	c.writeOutcome(r)
 }
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -230,6 +230,9 @@
 
 func (c *Core) drop(r *request) {
 	delete(c.open, r.ID)
+	if r.claim.body != "" {
+		c.emit(DropBody{Body: r.claim.body})
+	}
 	for _, id := range r.waiters {
 		delete(c.open, id)
 	}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -34,12 +34,18 @@
 	s.send(call.ClaimEnded{ID: a.ID, Result: result, Record: record, Revision: revision})
 }
 
-func (s *Shell) recordOutcome(a call.RecordOutcome) {
-	var response *app.Response
-	if stored, ok := s.calls.body(a.Record.Body); ok && len(stored.Body) <= maxStoredBody {
-		response = &stored
+// recordOutcome writes what became of a claimed call, with the reply beside it
+// if it is small enough.
+func (s *Shell) recordOutcome(a call.RecordOutcome, response app.Response) {
+	var kept *app.Response
+	switch {
+	case a.Record.Body == "":
+	case len(response.Body) <= maxStoredBody:
+		kept = &response
+	default:
+		a.Record.Body = ""
 	}
-	result, record, revision := s.write(a.Team, a.Key, a.Record, a.Expect, response)
+	result, record, revision := s.write(a.Team, a.Key, a.Record, a.Expect, kept)
 	s.send(call.OutcomeRecorded{ID: a.ID, Result: result, Record: record, Revision: revision})
 }
 
@@ -76,6 +82,7 @@
 		return call.WriteUnknown, call.Record{}, 0
 	}
 	if value.Response != nil && value.Record.Body != "" {
+		value.Record.Body = s.calls.copyRef(value.Record.Body)
 		s.calls.store(value.Record.Body, *value.Response)
 	}
 	return call.Exists, value.Record, uint64(conflict.Current.Revision)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -103,10 +103,10 @@
 }
 
 func (s *Shell) forwardOutcome(id call.RequestID, c *openCall) (forwardReply, error) {
+	defer s.calls.end(id)
 	reply := forwardReply{Home: s.cfg.Self}
 	items := c.box.take(s.ctx.Done())
 	if len(items) == 0 {
-		s.calls.end(id, "")
 		return reply, errors.New("the entry ended")
 	}
 	reply.HomeNow = s.now()
@@ -115,11 +115,10 @@
 		reply.Restamp = true
 	case call.Refuse:
 		reply.Refusal = &item.Refusal
-	case call.Answer:
+	case answered:
 		reply.Status = item.Status
-		reply.Response, _ = s.calls.body(item.Body)
+		reply.Response = item.response
 	}
-	s.calls.end(id, "")
 	return reply, nil
 }
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -35,8 +35,18 @@
 	team    ident.Team
 	hash    uint64
 	wait    time.Duration
-	// kept answers stay until the core drops them.
+	// kept answers stay until the core drops them: those that a home or the
+	// holder of a claim still has use for.
 	kept bool
+	// claimed calls have a key that the caller chose.
+	claimed bool
+}
+
+// answered is the final answer of a call with the reply that it names.
+type answered struct {
+	call.Answer
+	response app.Response
+	found    bool
 }
 
 func (b *callBook) init() {
@@ -52,15 +62,27 @@
 	return id
 }
 
-// end forgets a call, and its answer unless the core keeps it.
-func (b *callBook) end(id call.RequestID, body call.BodyRef) {
+// end forgets a call.
+func (b *callBook) end(id call.RequestID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.open[id]
 	delete(b.open, id)
-	if c != nil && !c.kept && body != "" {
-		delete(b.bodies, body)
+}
+
+// finish joins a call's final answer to its reply, and forgets the reply unless
+// the core keeps it. It runs on the core's goroutine, so no later action can
+// have dropped the reply.
+func (b *callBook) finish(a call.Answer) answered {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := answered{Answer: a}
+	out.response, out.found = b.bodies[a.Body]
+	c := b.open[a.ID]
+	fromRecord := a.Stored && c != nil && c.claimed
+	if c == nil || !c.kept || fromRecord {
+		delete(b.bodies, a.Body)
 	}
+	return out
 }
 
 func (b *callBook) get(id call.RequestID) *openCall {
@@ -75,6 +97,12 @@
 	b.bodies[ref] = response
 }
 
+// copyRef names a copy of a stored reply, so that whoever drops the reply does
+// not drop the copy.
+func (b *callBook) copyRef(ref call.BodyRef) call.BodyRef {
+	return ref + call.BodyRef("@"+strconv.FormatUint(b.last.Add(1), 10))
+}
+
 func (b *callBook) body(ref call.BodyRef) (app.Response, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -105,7 +133,9 @@
 		request: requestOf(ctx, path, id)}
 	c.hash = hashOf(c.request)
 	idempotent := s.idempotent(c.service, c.request.Method)
-	c.kept = !idempotent && s.isHome(c.request.Key)
+	_, issued := call.ParseKey(c.request.Key)
+	c.claimed = !idempotent && c.request.Key != "" && !issued
+	c.kept = c.claimed || !idempotent && s.isHome(c.request.Key)
 	name := s.calls.begin(c)
 	s.send(call.Request{ID: name, Team: team, Service: c.service, Key: c.request.Key, BodyHash: c.hash,
 		Idempotent: idempotent, Deadline: s.now() + wait})
@@ -131,26 +161,22 @@
 
 // outcome waits for the final answer of a call.
 func (s *Shell) outcome(id call.RequestID, c *openCall) (call.Answer, app.Response, *verdict.Refusal) {
+	defer s.calls.end(id)
 	items := c.box.take(s.ctx.Done())
 	if len(items) == 0 {
-		s.calls.end(id, "")
 		return call.Answer{}, app.Response{}, &verdict.Refusal{Verdict: verdict.MayHaveRun,
 			Cause: verdict.CauseLeaving, Detail: "the entry ended"}
 	}
 	switch item := items[0].(type) {
-	case call.Answer:
-		response, ok := s.calls.body(item.Body)
-		s.calls.end(id, item.Body)
-		if !ok && item.Body != "" {
-			return item, response, &verdict.Refusal{Verdict: verdict.Ran, Cause: verdict.CauseInternalFailure,
-				Detail: "the call ran; its answer is too large to be kept"}
+	case answered:
+		if !item.found {
+			return item.Answer, item.response, &verdict.Refusal{Verdict: verdict.Ran, Cause: verdict.CauseInternalFailure,
+				Detail: "the call ran; its reply is no longer kept"}
 		}
-		return item, response, nil
+		return item.Answer, item.response, nil
 	case call.Refuse:
-		s.calls.end(id, "")
 		return call.Answer{}, app.Response{}, &item.Refusal
 	}
-	s.calls.end(id, "")
 	return call.Answer{}, app.Response{}, &verdict.Refusal{Verdict: verdict.MayHaveRun,
 		Cause: verdict.CauseInternalFailure, Detail: "no final answer"}
 }
@@ -205,7 +231,7 @@
 			go s.send(call.SendEnded{ID: a.ID, Try: a.Try, Result: call.ConnectFailed})
 		}
 	case call.Answer:
-		s.final(a.ID, a)
+		s.final(a.ID, s.calls.finish(a))
 	case call.Refuse:
 		s.final(a.ID, a)
 	case call.Restamp:
@@ -223,7 +249,8 @@
 			go s.send(call.ClaimEnded{ID: a.ID, Result: call.WriteDown})
 		}
 	case call.RecordOutcome:
-		if !s.submit(func() { s.recordOutcome(a) }) {
+		response, _ := s.calls.body(a.Record.Body)
+		if !s.submit(func() { s.recordOutcome(a, response) }) {
 			go s.send(call.OutcomeRecorded{ID: a.ID, Result: call.WriteDown})
 		}
 	case call.DropBody:
