--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -15,7 +15,7 @@
 	QueuePerTeam int
 	// QueueTotal bounds the requests that wait. Default 4096.
 	QueueTotal int
-	// MaxWait bounds the wait of one request. Default 2 s.
+	// MaxWait bounds the wait of one request. Default 500 ms.
 	MaxWait time.Duration
 	// Quantum is the cost that a team may start per round. Default 256.
 	Quantum int
@@ -33,7 +33,7 @@
 		Slots:         4096,
 		QueuePerTeam:  64,
 		QueueTotal:    4096,
-		MaxWait:       2 * time.Second,
+		MaxWait:       500 * time.Millisecond,
 		Quantum:       256,
 		RetryAfterMin: time.Second,
 		RetryAfterMax: 30 * time.Second,
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/ident"
-	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
 // level is the queues of one priority.
@@ -19,7 +18,14 @@
 type teamQueue struct {
 	team    ident.Team
 	waiters []*waiter
-	deficit int // cost that it may still start in this round
+	deficit int  // cost that it may still start in this turn
+	inTurn  bool // it got its quantum for this turn
+}
+
+// account is what one limit is on.
+type account struct {
+	team    ident.Team
+	service ident.Service
 }
 
 // level returns the level of a priority, or nil.
@@ -33,15 +39,14 @@
 }
 
 // mayPass reports whether a new request may start before those that wait: only
-// if none of its team and priority or of a higher priority waits.
+// if none of its team waits in its priority or a higher one.
 func (q *Queue) mayPass(req Request) bool {
 	for _, l := range q.levels {
-		if l.priority > req.Priority && len(l.round) > 0 && len(q.running) >= q.cfg.Slots {
+		if l.priority >= req.Priority && l.teams[req.Team] != nil {
 			return false
 		}
 	}
-	l := q.level(req.Priority)
-	return l == nil || l.teams[req.Team] == nil
+	return true
 }
 
 func (q *Queue) enqueue(w *waiter) {
@@ -89,7 +94,13 @@
 }
 
 // startWaiting starts what slots and limits allow, the highest priority first.
+// A limit that refused one waiter is not asked again for those behind it, so
+// that small requests don't starve a large one or one of higher priority.
 func (q *Queue) startWaiting(now time.Duration) {
+	if len(q.waiting) == 0 {
+		return
+	}
+	clear(q.spent)
 	for _, l := range q.levels {
 		q.startLevel(now, l)
 	}
@@ -99,38 +110,43 @@
 func (q *Queue) startLevel(now time.Duration, l *level) {
 	stuck := 0
 	for len(l.round) > 0 && stuck < len(l.round) {
+		tq := l.round[0]
+		if !tq.inTurn {
+			tq.inTurn = true
+			tq.deficit += q.cfg.Quantum
+		}
+		progress := q.startTeam(now, tq)
 		if len(q.running) >= q.cfg.Slots {
-			return
+			return // the turn goes on when there is a slot
 		}
-		tq := l.round[0]
-		l.round = append(l.round[1:], tq)
-		if q.startTeam(now, tq) {
+		stuck++
+		if progress {
 			stuck = 0
-		} else {
-			stuck++
+		}
+		if len(l.round) > 0 && l.round[0] == tq {
+			l.round = append(l.round[1:], tq)
+			tq.inTurn = false
 		}
 	}
 }
 
-// startTeam gives a team its quantum and starts its waiters as far as that
-// goes. It reports whether the team is not stuck: it started something, or its
-// deficit is growing towards a large request.
+// startTeam starts a team's waiters as far as its deficit, the slots and the
+// limits go. It reports whether another turn may help: it started something,
+// or its deficit is growing towards a large request.
 func (q *Queue) startTeam(now time.Duration, tq *teamQueue) bool {
-	tq.deficit += q.cfg.Quantum
 	progress := false
-	refused := map[ident.Service]bool{}
 	for _, w := range slices.Clone(tq.waiters) {
-		if refused[w.req.Service] {
+		if len(q.running) >= q.cfg.Slots {
+			return progress
+		}
+		if q.spent[w.account()] {
 			continue
 		}
 		if w.req.Cost > tq.deficit {
 			return true
 		}
 		if !q.tryStart(now, w) {
-			if w.refusal == verdict.CauseQueueFull {
-				return progress
-			}
-			refused[w.req.Service] = true
+			q.spent[w.account()] = true
 			continue
 		}
 		progress = true
@@ -141,3 +157,7 @@
 	tq.deficit = min(tq.deficit, q.cfg.Quantum)
 	return progress
 }
+
+func (w *waiter) account() account {
+	return account{team: w.req.Team, service: w.req.Service}
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -22,8 +22,11 @@
 	rng     *rand.Rand
 	running map[string]struct{}
 	waiting map[string]*waiter
-	levels  []*level // by priority, the highest first
+	levels  []*level         // by priority, the highest first
+	spent   map[account]bool // limits that refused in this round
 	drain   drainRate
+	started rate
+	refused rate
 	stopped bool
 	out     []Action
 	stats   Stats
@@ -48,6 +51,7 @@
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 0x61646d6974)),
 		running: map[string]struct{}{},
 		waiting: map[string]*waiter{},
+		spent:   map[account]bool{},
 		stats:   Stats{Refused: map[verdict.Cause]uint64{}},
 	}, nil
 }
@@ -63,14 +67,14 @@
 func (q *Queue) Offer(now time.Duration, req Request) Decision {
 	req.Cost = max(1, req.Cost)
 	if cause, detail := q.unfit(now, req); cause != "" {
-		return Decision{Outcome: Refused, Refusal: q.refusal(cause, detail)}
+		return Decision{Outcome: Refused, Refusal: q.refusal(now, cause, detail)}
 	}
 	w := &waiter{req: req, since: now, latest: q.latestStart(now, req)}
 	if q.mayPass(req) && q.tryStart(now, w) {
 		return Decision{Outcome: Admitted}
 	}
 	if cause, detail := q.noRoom(now, w); cause != "" {
-		return Decision{Outcome: Refused, Refusal: q.refusal(cause, detail)}
+		return Decision{Outcome: Refused, Refusal: q.refusal(now, cause, detail)}
 	}
 	q.enqueue(w)
 	return Decision{Outcome: Queued}
@@ -113,36 +117,37 @@
 	q.running[w.req.ID] = struct{}{}
 	q.stats.Admitted++
 	q.drain.started(now, w.req.Team)
+	q.started.count(now)
 	return true
 }
 
-// Step takes one event. The returned slice is valid until the next call.
+// Step takes one event at process time now.
 func (q *Queue) Step(now time.Duration, ev Event) []Action {
-	clear(q.out)
-	q.out = q.out[:0]
+	q.out = nil
 	switch ev := ev.(type) {
+	case Tick:
+		q.expire(now)
 	case Done:
 		delete(q.running, ev.ID)
 	case GiveUp:
-		q.giveUp(ev.ID)
+		q.giveUp(now, ev.ID)
 	case Stop:
-		q.stop()
+		q.stop(now)
 	}
-	q.expire(now)
 	q.startWaiting(now)
 	return q.out
 }
 
-func (q *Queue) giveUp(id string) {
+func (q *Queue) giveUp(now time.Duration, id string) {
 	if w, ok := q.waiting[id]; ok {
-		q.refuse(w, verdict.CauseCallerGone, "the caller gave up")
+		q.refuse(now, w, verdict.CauseCallerGone, "the caller gave up")
 	}
 }
 
-func (q *Queue) stop() {
+func (q *Queue) stop(now time.Duration) {
 	q.stopped = true
 	for _, w := range q.all() {
-		q.refuse(w, verdict.CauseLeaving, "this entry is leaving")
+		q.refuse(now, w, verdict.CauseLeaving, "this entry is leaving")
 	}
 }
 
@@ -153,27 +158,28 @@
 			continue
 		}
 		if w.req.Deadline > 0 && w.latest == w.req.Deadline-w.req.Need {
-			q.refuse(w, verdict.CauseDeadline, "the deadline can't be met any more")
+			q.refuse(now, w, verdict.CauseDeadline, "the deadline can't be met any more")
 			continue
 		}
-		q.refuse(w, w.refusal, "it waited too long")
+		q.refuse(now, w, w.refusal, "it waited too long")
 	}
 }
 
 // refuse ends a waiting request.
-func (q *Queue) refuse(w *waiter, cause verdict.Cause, detail string) {
+func (q *Queue) refuse(now time.Duration, w *waiter, cause verdict.Cause, detail string) {
 	q.dequeue(w)
-	q.out = append(q.out, Refuse{ID: w.req.ID, Refusal: q.refusal(cause, detail)})
+	q.out = append(q.out, Refuse{ID: w.req.ID, Refusal: q.refusal(now, cause, detail)})
 }
 
 // refusal makes the final answer to a request that did not run.
-func (q *Queue) refusal(cause verdict.Cause, detail string) verdict.Refusal {
+func (q *Queue) refusal(now time.Duration, cause verdict.Cause, detail string) verdict.Refusal {
 	q.stats.Refused[cause]++
+	q.refused.count(now)
 	r := verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, Detail: detail}
 	switch cause {
 	case verdict.CauseBadRequest, verdict.CauseCallerGone, verdict.CauseDeadline:
 		return r
 	}
-	r.RetryAfter = q.retryAfter()
+	r.RetryAfter = q.retryAfter(now)
 	return r
 }
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -11,6 +11,10 @@
 // drainWindow is the time constant over which starts are averaged.
 const drainWindow = 2 * time.Second
 
+// retrySpread is by how many times RetryAfterMin the callers' return is spread
+// for each refused request per started one.
+const retrySpread = 10
+
 // drainRate is the rate at which requests start, per team, averaged
 // exponentially.
 type drainRate struct {
@@ -31,6 +35,10 @@
 		r = &rate{at: now}
 		d.teams[team] = r
 	}
+	r.count(now)
+}
+
+func (r *rate) count(now time.Duration) {
 	r.decay(now)
 	r.perSecond += 1 / drainWindow.Seconds()
 }
@@ -87,8 +95,16 @@
 	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
-// retryAfter spreads the callers' return evenly.
-func (q *Queue) retryAfter() time.Duration {
-	span := q.cfg.RetryAfterMax - q.cfg.RetryAfterMin
+// retryAfter spreads the callers' return evenly over a time that grows with the
+// overload, so that those who come back add little to it.
+func (q *Queue) retryAfter(now time.Duration) time.Duration {
+	q.started.decay(now)
+	q.refused.decay(now)
+	overload := 1.0 // nothing starts: as if all of it were too much
+	if q.started.perSecond > 0 {
+		overload = q.refused.perSecond / q.started.perSecond
+	}
+	span := time.Duration((1 + retrySpread*overload) * float64(q.cfg.RetryAfterMin))
+	span = min(span, q.cfg.RetryAfterMax-q.cfg.RetryAfterMin)
 	return q.cfg.RetryAfterMin + time.Duration(q.rng.Float64()*float64(span))
 }
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -64,12 +64,10 @@
 	return t.stats
 }
 
-// Step takes one event at process time now. The returned slice is valid until
-// the next call of Step.
+// Step takes one event at process time now.
 func (t *Table) Step(now time.Duration, ev Event) []Action {
 	t.now = now
-	clear(t.out)
-	t.out = t.out[:0]
+	t.out = nil
 	switch ev := ev.(type) {
 	case Open:
 		t.open(ev)
@@ -96,6 +94,9 @@
 }
 
 func (t *Table) emit(a Action) {
+	if t.out == nil {
+		t.out = make([]Action, 0, 2) // a token and the next step
+	}
 	t.out = append(t.out, a)
 }
 
