Streams and routing: properties over random events, costs of the hot paths

A list that names a server twice counts it once; a removed server's share leaves the ratio of others to own.

--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -122,3 +122,25 @@
 		}
 	}
 }
+
+// BenchmarkPick gives the cost of one choice with 48 replicas in sight.
+func BenchmarkPick(b *testing.B) {
+	r := newRouter(b, nil)
+	r.Step(0, Servers{List: fleet(600, 4, "a", "b", "c")})
+	b.ReportAllocs()
+	for range b.N {
+		p, _ := r.Pick(0, Request{Service: "skrivar"})
+		r.Step(0, Done{ID: p.ID})
+	}
+}
+
+// BenchmarkLoad gives the cost of one load report.
+func BenchmarkLoad(b *testing.B) {
+	r := newRouter(b, nil)
+	r.Step(0, Servers{List: fleet(48, 1, "a")})
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i) * time.Millisecond
+		r.Step(now, Load{Server: "r000.0", Running: i % 16, Capacity: 16, MeasuredAt: now})
+	}
+}
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -31,7 +31,11 @@
 	first := len(old) == 0
 	r.servers = map[ident.BackendServer]*server{}
 	services := map[ident.Service]*service{}
+	r.othersSum, r.ownSum = 0, 0
 	for _, listed := range list {
+		if r.servers[listed.ID] != nil {
+			continue // named twice
+		}
 		s := old[listed.ID]
 		if s == nil || s.Service != listed.Service || s.LayerFrom != listed.LayerFrom || s.LayerTo != listed.LayerTo {
 			s = &server{capacity: r.cfg.DefaultCapacity, since: now, slowStart: !first}
@@ -39,6 +43,8 @@
 		listed.Leaving = listed.Leaving || s.Leaving
 		s.Server = listed
 		r.servers[listed.ID] = s
+		r.othersSum += s.others
+		r.ownSum += s.ownThen
 		if services[listed.Service] == nil {
 			services[listed.Service] = &service{}
 		}
@@ -46,7 +52,6 @@
 	}
 	for name, svc := range services {
 		sort.Slice(svc.servers, func(i, j int) bool { return svc.servers[i].ID < svc.servers[j].ID })
-		svc.servers = slices.Compact(svc.servers)
 		svc.replicas = r.subset(assemble(svc.servers))
 		if known := r.services[name]; known != nil {
 			svc.next = known.next
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -26,7 +26,8 @@
 type Event interface{ isEvent() }
 
 // Servers replaces the known backend servers. Once a server was said to be
-// leaving, a later list can't say otherwise while it names the server.
+// leaving, a later list can't say otherwise while it names the server: lists
+// lag. A server that returns under its old id must have been gone from a list.
 type Servers struct {
 	List []Server `json:"list"`
 }
--- a/internal/stream/bench_test.go
+++ b/internal/stream/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -55,6 +56,27 @@
 	return w.longestGap(b, request), w.sends - stages*tokens
 }
 
+// BenchmarkKept gives the most bytes kept for one stream of 240 tokens, by the
+// number of tokens between two checkpoints; 0 is none.
+func BenchmarkKept(b *testing.B) {
+	for _, every := range []int{0, 64, 16, 4} {
+		b.Run(fmt.Sprintf("every=%d", every), func(b *testing.B) {
+			most, exports := 0, 0
+			for range b.N {
+				cfg := DefaultConfig()
+				cfg.CheckpointEvery = every
+				w := newWorld(cfg, gapStages, 1, 1)
+				w.quantum = time.Millisecond
+				w.onSend = func(w *world, a SendStep) { most = max(most, w.table.Stats().KeptBytes) }
+				w.longestGap(b, longRequest(gapStages, gapTokens))
+				exports = w.exports
+			}
+			b.ReportMetric(float64(most), "kept-bytes")
+			b.ReportMetric(float64(exports), "exports")
+		})
+	}
+}
+
 // longestGap runs a request and returns the longest time between two tokens.
 func (w *world) longestGap(b *testing.B, request string) time.Duration {
 	w.open(request, gapTokens)
@@ -118,3 +140,38 @@
 		}
 	}
 }
+
+// BenchmarkTick gives the cost of one tick over 20000 open streams.
+func BenchmarkTick(b *testing.B) {
+	table := openMany(b, 20000)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		table.Step(0, Tick{})
+	}
+}
+
+// BenchmarkMemory gives the bytes of one open stream at four stages, without
+// prompt and kept inputs.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	table := openMany(b, 20000)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/20000, "bytes/stream")
+	runtime.KeepAlive(table)
+}
+
+func openMany(b *testing.B, n int) *Table {
+	table, err := New(DefaultConfig())
+	if err != nil {
+		b.Fatal(err)
+	}
+	pipeline := []Stage{{0, 1, "a"}, {1, 2, "b"}, {2, 3, "c"}, {3, 4, "d"}}
+	for i := range n {
+		table.Step(0, Open{Request: fmt.Sprint(i), MaxTokens: 9, Layers: 4, Pipeline: pipeline})
+	}
+	return table
+}
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -98,6 +98,7 @@
 	seq     int
 	queue   []delivery
 	sends   int
+	exports int
 	silent  bool // all old connections are silent
 	onSend  func(w *world, a SendStep)
 	answers []StepDone
@@ -269,6 +270,7 @@
 }
 
 func (w *world) export(a Export) {
+	w.exports++
 	engine := w.engines[a.Server]
 	if engine.dead {
 		w.after(fakeStepTime, ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
@@ -174,3 +175,77 @@
 		require.Contains(t, err.Error(), word)
 	}
 }
+
+// TestAnyEventsAreSafe feeds events that belong to nothing, in any order: no
+// panic, tokens in order, and one end per request.
+func TestAnyEventsAreSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.CheckpointEvery = 1
+		cfg.Resume = rapid.SampledFrom([][]Way{nil, {WayImport, WayReplay}, {WayPrefill}, {WayStartOver}}).Draw(t, "resume")
+		cfg.MaxAttempts = 3
+		table, err := New(cfg)
+		require.NoError(t, err)
+		open := map[string]int{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 100).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond
+			ev := anyEvent(t)
+			actions := table.Step(now, ev)
+			if o, ok := ev.(Open); ok && len(actions) > 0 {
+				open[o.Request] = 0
+			}
+			for _, a := range actions {
+				countEnd(t, open, a)
+			}
+			require.Len(t, open, table.Stats().Open)
+		}
+	})
+}
+
+func countEnd(t *rapid.T, open map[string]int, a Action) {
+	switch a := a.(type) {
+	case EmitToken:
+		require.Equal(t, open[a.Request], a.Index)
+		open[a.Request]++
+	case Finish:
+		require.Contains(t, open, a.Request)
+		delete(open, a.Request)
+	case Cut:
+		require.Contains(t, open, a.Request)
+		delete(open, a.Request)
+	}
+}
+
+func anyEvent(t *rapid.T) Event {
+	stream := rapid.SampledFrom([]string{"a", "b", "a~1", ""}).Draw(t, "stream")
+	server := rapid.SampledFrom([]ident.BackendServer{"x", "y", "z", ""}).Draw(t, "server")
+	attempt := uint32(rapid.IntRange(0, 2).Draw(t, "attempt"))
+	n := rapid.IntRange(-1, 3).Draw(t, "n")
+	from := rapid.SampledFrom([]int{0, 4}).Draw(t, "from")
+	data := rapid.SampledFrom([]string{"p", "q"}).Draw(t, "data")
+	switch rapid.IntRange(0, 11).Draw(t, "event") {
+	case 0:
+		return Open{Request: stream, Prompt: data, MaxTokens: n, Layers: 8, Pipeline: []Stage{{0, 4, "x"}, {4, 8, "y"}}}
+	case 1:
+		return Cancel{Request: stream}
+	case 2:
+		return Replacement{Stream: stream, Stage: n, Server: server}
+	case 3:
+		return ExportDone{Stream: stream, Stage: n, Attempt: attempt, Position: n, Blob: data}
+	case 4:
+		return ImportDone{Stream: stream, Stage: n, Attempt: attempt}
+	case 5:
+		return ImportFailed{Stream: stream, Stage: n, Attempt: attempt}
+	case 6:
+		return ExportFailed{Stream: stream, Stage: n, Attempt: attempt}
+	case 7:
+		return Tick{}
+	case 8:
+		kinds := []FailureKind{FailureLost, FailureFull, FailureLeaving, FailurePosition, FailureNotSent, FailureRefused, "?"}
+		kind := rapid.SampledFrom(kinds).Draw(t, "kind")
+		return StepFailed{Stream: stream, Server: server, Attempt: attempt, Token: n, From: from, To: from + 4, Kind: kind, Position: n}
+	default:
+		return StepDone{Stream: stream, Server: server, Attempt: attempt, Token: n, From: from, To: from + 4, Data: data}
+	}
+}
