--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -19,7 +19,24 @@
 	// answered is when the last answer on it was whole; the time of opening
 	// before the first answer.
 	answered time.Time
-	reused   bool
+	// idleRead, when positive, bounds each read of a streamed body.
+	idleRead time.Duration
+	// deadline bounds the whole call.
+	deadline time.Time
+}
+
+// Read sets the deadline of a streamed body's next part.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.idleRead > 0 {
+		next := time.Now().Add(c.idleRead)
+		if next.After(c.deadline) {
+			next = c.deadline
+		}
+		if err := c.SetReadDeadline(next); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(b)
 }
 
 // pool holds the connections to one address. The connection that answered last
@@ -41,15 +58,20 @@
 	c := p.idle[n-1]
 	p.idle[n-1] = nil
 	p.idle = p.idle[:n-1]
-	c.reused = true
 	return c
 }
 
-// put gives a connection back after a whole answer.
-func (p *pool) put(c *conn, now time.Time, idleTimeout time.Duration) {
+// put gives a connection back after a whole answer. Of more than maxIdle the one
+// that answered first is closed.
+func (p *pool) put(c *conn, now time.Time, idleTimeout time.Duration, maxIdle int) {
 	c.answered = now
 	p.mu.Lock()
 	p.idle = append(p.idle, c)
+	if len(p.idle) > maxIdle {
+		_ = p.idle[0].Close()
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+	}
 	p.mu.Unlock()
 	p.dropBefore(now.Add(-idleTimeout))
 }
