Streams outlive a short outage of a stage's only server

Cause: a dead server that routing names again counted as a lost stage each time, so that a stream was cut after 16 refused connections, in less than a second. Only stages that took something count now; a stream that gets no answer from any holder for 5 s is cut. WantReplacement names the request.

--- a/internal/stream/config.go
+++ b/internal/stream/config.go
@@ -49,11 +49,12 @@
 	// Backoff is the wait before a full stage, or the search for a
 	// replacement, is tried again. Default 50 ms.
 	Backoff time.Duration
-	// ReplacementWait is how long a stream looks for a replacement before it
-	// is cut. Default 5 s.
+	// ReplacementWait is how long a stream that lost a stage tries for an
+	// answer of another before it is cut. Default 5 s.
 	ReplacementWait time.Duration
-	// MaxAttempts bounds the take-overs and starts of one stream. Default 16.
-	MaxAttempts int
+	// MaxLosses bounds the stages that one stream may lose after something was
+	// sent to them. Default 16.
+	MaxLosses int
 	// Resume lists the allowed ways. The one with the least expected time is
 	// taken, the earlier one where two are equal. Default import, replay,
 	// prefill.
@@ -83,7 +84,7 @@
 		FullRetries:        20,
 		Backoff:            50 * time.Millisecond,
 		ReplacementWait:    5 * time.Second,
-		MaxAttempts:        16,
+		MaxLosses:          16,
 		Resume:             []Way{WayImport, WayReplay, WayPrefill},
 		PrefillShare:       0.03,
 		KeepBytesPerStream: 4 << 20,
@@ -109,7 +110,7 @@
 	check(c.FullRetries >= 0, "FullRetries is %d: want 0 or more", c.FullRetries)
 	check(c.Backoff > 0, "Backoff is %s: want more than 0", c.Backoff)
 	check(c.ReplacementWait > 0, "ReplacementWait is %s: want more than 0", c.ReplacementWait)
-	check(c.MaxAttempts > 0, "MaxAttempts is %d: want at least 1", c.MaxAttempts)
+	check(c.MaxLosses > 0, "MaxLosses is %d: want at least 1", c.MaxLosses)
 	check(c.PrefillShare >= 0, "PrefillShare is %g: want 0 or more", c.PrefillShare)
 	check(c.CheckpointEvery >= 0, "CheckpointEvery is %d: want 0 (none) or more", c.CheckpointEvery)
 	check(c.KeepBytesPerStream >= 0, "KeepBytesPerStream is %d: want 0 or more", c.KeepBytesPerStream)
--- a/internal/stream/fail.go
+++ b/internal/stream/fail.go
@@ -14,7 +14,9 @@
 		return
 	}
 	switch ev.Kind {
-	case FailureNotSent, FailureRefused:
+	case FailureNotSent:
+		t.leaveHolder(s)
+	case FailureRefused:
 		t.lose(s)
 	case FailurePosition:
 		t.reposition(s, ev.Position)
@@ -53,7 +55,8 @@
 		t.drive(s)
 		return
 	}
-	if position > s.token && t.restart(s) {
+	if position > s.token && s.losses < t.cfg.MaxLosses && t.restart(s) {
+		s.losses++
 		return
 	}
 	t.lose(s)
@@ -63,7 +66,11 @@
 // stream is left at once; one that holds its cache gets time.
 func (t *Table) full(s *stream) {
 	s.fulls++
-	if s.stages[s.at].position == 0 || s.fulls > t.cfg.FullRetries {
+	if s.stages[s.at].position == 0 {
+		t.leaveHolder(s)
+		return
+	}
+	if s.fulls > t.cfg.FullRetries {
 		t.lose(s)
 		return
 	}
@@ -83,24 +90,44 @@
 	t.emit(Export{Stream: s.name, Stage: s.at, Attempt: st.attempt, Server: st.server})
 }
 
-// lose gives up the holder of the frontier stage and looks for another one.
+// lose gives up a holder that took something of the stream. A stream that lost
+// too many is cut.
 func (t *Table) lose(s *stream) {
+	s.losses++
+	if s.losses > t.cfg.MaxLosses {
+		t.cut(s, verdict.CauseBackendLost, "too many stages were lost")
+		return
+	}
+	t.leaveHolder(s)
+}
+
+// leaveHolder leaves the holder of the frontier stage and looks for another.
+func (t *Table) leaveHolder(s *stream) {
 	st := &s.stages[s.at]
 	if st.touched {
 		t.emit(CancelAt{Server: st.server, Stream: s.name, Attempt: st.attempt})
 		st.touched = false
 	}
 	s.exclude = append(s.exclude, st.server)
-	s.lookSince = t.now
+	if !s.stalled {
+		s.stalled = true
+		s.stalledAt = t.now
+	}
 	t.look(s)
 }
 
-// look asks for a replacement of the frontier stage.
+// look asks for a replacement of the frontier stage. A stream that got nowhere
+// for too long is cut.
 func (t *Table) look(s *stream) {
+	if t.now-s.stalledAt >= t.cfg.ReplacementWait {
+		t.cut(s, verdict.CauseNoBackend, "no replacement was found for a lost stage")
+		return
+	}
 	st := &s.stages[s.at]
 	s.phase = looking
 	s.until = t.now + t.cfg.Backoff
 	t.emit(WantReplacement{
+		Request: s.open.Request,
 		Stream:  s.name,
 		Stage:   s.at,
 		Model:   s.open.Model,
@@ -132,19 +159,10 @@
 	case backedOff:
 		t.drive(s)
 	case looking:
-		t.lookAgain(s)
+		t.look(s)
 	case exporting:
 		t.lose(s)
 	case importing:
 		t.resume(s, false)
 	}
 }
-
-// lookAgain repeats the search for a replacement, until ReplacementWait is over.
-func (t *Table) lookAgain(s *stream) {
-	if t.now-s.lookSince >= t.cfg.ReplacementWait {
-		t.cut(s, verdict.CauseNoBackend, "no replacement was found for a lost stage")
-		return
-	}
-	t.look(s)
-}
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -257,6 +257,9 @@
 }
 
 func (w *world) pick(a WantReplacement) ident.BackendServer {
+	if len(w.spares[a.From]) == 1 && len(a.Exclude) == 0 {
+		return w.spares[a.From][0] // routing does not know better
+	}
 	for _, name := range w.spares[a.From] {
 		excluded := false
 		for _, x := range a.Exclude {
--- a/internal/stream/messages.go
+++ b/internal/stream/messages.go
@@ -190,6 +190,7 @@
 // WantReplacement asks routing for another backend server for a layer range.
 // The shell answers with Replacement.
 type WantReplacement struct {
+	Request string                `json:"request"`
 	Stream  string                `json:"stream"`
 	Stage   int                   `json:"stage"`
 	Model   ident.Service         `json:"model"`
--- a/internal/stream/resume.go
+++ b/internal/stream/resume.go
@@ -20,9 +20,7 @@
 		s.exclude = nil
 		return
 	}
-	if !t.nextAttempt(s) {
-		return
-	}
+	s.attempts++
 	st := &s.stages[s.at]
 	st.server = ev.Server
 	st.attempt = s.attempts
@@ -33,16 +31,6 @@
 	t.resume(s, true)
 }
 
-// nextAttempt counts a take-over; it cuts a stream that had too many.
-func (t *Table) nextAttempt(s *stream) bool {
-	s.attempts++
-	if int(s.attempts) <= t.cfg.MaxAttempts {
-		return true
-	}
-	t.cut(s, verdict.CauseBackendLost, "too many stages were lost")
-	return false
-}
-
 // resume brings the new holder of the frontier stage to the frontier by the
 // cheapest way.
 func (t *Table) resume(s *stream, mayImport bool) {
@@ -108,9 +96,7 @@
 func (t *Table) restart(s *stream) bool {
 	for _, way := range t.cfg.Resume {
 		if way == WayPrefill || way == WayStartOver {
-			if t.nextAttempt(s) {
-				t.resumeBy(s, way)
-			}
+			t.resumeBy(s, way)
 			return true
 		}
 	}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -52,9 +52,11 @@
 	until     time.Duration // when the wait of the phase ends
 	sent      int           // token of the step in flight
 	sentAt    time.Duration
-	resends   int // of the step in flight
-	fulls     int // refusals in a row by a full stage
-	lookSince time.Duration
+	resends   int  // of the step in flight
+	fulls     int  // refusals in a row by a full stage
+	stalled   bool // a holder was left and no step was answered since
+	stalledAt time.Duration
+	losses    int
 	exclude   []ident.BackendServer
 	attempts  uint32
 	starts    int
@@ -129,6 +131,7 @@
 	}
 	s.uncertain = true
 	s.fulls = 0
+	s.stalled = false
 	st := &s.stages[s.at]
 	st.observe(ev.Token, t.now-s.sentAt)
 	st.position++
