--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -23,6 +23,7 @@
 const (
 	latencyFirstToken    = "first_token"
 	latencyBetweenTokens = "between_tokens"
+	latencyRetryAfter    = "retry_after"
 )
 
 const (
@@ -110,7 +111,11 @@
 	}
 	s.verdicts[r.label()]++
 	s.refused[r.cause]++
-	s.secondLocked(time.Now()).Refused++
+	now := time.Now()
+	s.secondLocked(now).Refused++
+	if r.retryAfter > 0 {
+		s.latencyLocked(latencyRetryAfter, now, r.retryAfter)
+	}
 }
 
 // succeeded counts a request that was answered whole.
--- a/internal/report/data.go
+++ b/internal/report/data.go
@@ -25,7 +25,7 @@
 	Series []Second `json:"series"`
 	// LatencyMillis holds percentiles in milliseconds by name: first_token and
 	// completion from the planned start of the request, between_tokens, read,
-	// reservation.
+	// reservation; retry_after is what refusals asked the caller to wait.
 	LatencyMillis map[string]Percentiles `json:"latency_ms"`
 
 	// Verdicts counts answers that were no success by verdict; an answer that
