--- a/internal/control/shell.go
+++ b/internal/control/shell.go
@@ -75,7 +75,7 @@
 func (s *Shell) buildCore() error {
 	cfg := node.DefaultControlConfig(node.ControlSettings{
 		Self: s.cfg.Self, Place: s.cfg.Place, EntryAddr: s.cfg.EntryAddr, EntryPeerAddr: s.cfg.EntryPeerAddr,
-		ControlAddr: s.cfg.Listen, StartUnix: s.start.Unix(), Seed: uint64(s.start.UnixNano()),
+		ControlAddr: s.cfg.Listen, Seeds: s.cfg.Seeds, ListEvery: s.cfg.ListEvery, StartUnix: s.start.Unix(), Seed: uint64(s.start.UnixNano()),
 	})
 	core, err := node.NewControl(cfg)
 	if err != nil {
@@ -133,7 +133,7 @@
 	}
 	s.send(membership.Seeds{Addrs: s.cfg.Seeds})
 	s.duty(s.loop)
-	s.duty(s.pollList)
+	s.readListAfter(0)
 	s.duty(func() { s.logEnd("peer server", s.server.Serve(peers)) })
 	s.duty(func() { s.logEnd("administration server", s.serveAdminOn(admin)) })
 	s.log.Info().Str("listen", s.cfg.Listen).Str("admin", s.cfg.AdminListen).Msg("serving")
@@ -164,6 +164,7 @@
 	s.log.Info().Msg("planned stop begins")
 	s.send(node.DrainAsked{Operator: string(s.cfg.Self.VM)})
 	limit := time.After(s.cfg.StopWithin)
+	handOver := time.Now().Add(handOverWithin)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -172,7 +173,8 @@
 			s.log.Warn().Msg("planned stop takes too long, stopping now")
 			return
 		case <-ticker.C:
-			if s.handed.Load() && s.now()-time.Duration(s.lastEntry.Load()) > entryQuiet {
+			handed := s.handed.Load() || time.Now().After(handOver)
+			if handed && s.now()-time.Duration(s.lastEntry.Load()) > entryQuiet {
 				s.farewell()
 				return
 			}
