--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -26,13 +26,17 @@
 
 // caller is one program that uses the system.
 type caller struct {
-	cfg    Config
-	id     int
+	cfg Config
+	id  int
+	// run tells this run's requests from those of other runs.
+	run    string
 	team   string
 	calls  *httpcall.Client
 	book   *addressBook
 	stats  *stats
 	record *record
+	// stale says that the caller keeps addresses for their whole lifetime.
+	stale  bool
 	serial atomic.Int64
 
 	mu     sync.Mutex
@@ -46,11 +50,13 @@
 	return &caller{
 		cfg:    cfg,
 		id:     id,
+		run:    strconv.FormatInt(st.started.UnixMilli(), 36),
 		team:   team,
 		calls:  calls,
 		book:   newAddressBook(calls, team, cfg.Entries, rand.New(rand.NewPCG(cfg.Seed, uint64(id)+1e6))),
 		stats:  st,
 		record: rec,
+		stale:  random.Float64() < cfg.StaleShare,
 		random: random,
 	}
 }
@@ -109,9 +115,15 @@
 	}
 	opt := httpcall.Options{Deadline: p.deadline, Fresh: fresh}
 	r := p.try(addr, opt)
-	if r != nil && r.cause != string(verdict.CauseOverLimit) {
+	if r == nil {
+		return nil
+	}
+	if r.cause != string(verdict.CauseOverLimit) {
 		c.book.leave(addr)
 	}
+	if !c.stale && (!r.answered || r.cause == string(verdict.CauseKeyHomeGone)) {
+		c.book.askAgain()
+	}
 	return r
 }
 
@@ -154,6 +166,11 @@
 	c.stats.succeeded(kindCompletion, planned, tokens, got.tokens)
 }
 
+// name returns a name that no other request has.
+func (c *caller) name() string {
+	return fmt.Sprintf("%s-%d-%d", c.run, c.id, c.serial.Add(1))
+}
+
 // prompt returns a text that no other request has. Its start is shared with
 // some others, as prompts of one template are.
 func (c *caller) prompt() string {
@@ -162,7 +179,7 @@
 	for range c.cfg.PromptWords {
 		text.WriteString(" g" + strconv.Itoa(c.intN(1000)))
 	}
-	fmt.Fprintf(&text, " request %d-%d-%d", c.cfg.Seed, c.id, c.serial.Add(1))
+	text.WriteString(" request " + c.name())
 	return text.String()
 }
 
@@ -192,7 +209,7 @@
 
 // runReservation makes one call that may not be repeated, with a key.
 func (c *caller) runReservation(planned time.Time) {
-	name := fmt.Sprintf("%d-%d-%d", c.cfg.Seed, c.id, c.serial.Add(1))
+	name := c.name()
 	call := serviceCall{
 		method: "POST",
 		path:   "/reservations",
