Fleets on loopback networks of their own

Cause: two fleets on one machine shared addresses, and the key-value service of one was stopped under the other; a calm run showed 1075 refusals. Conclusion: NET chooses the loopback network of a fleet.

--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -3,7 +3,7 @@
 # writes a JSON report: scripts/experiment.sh NAME [VMS].
 #
 # NAME is one of calm, kill-entry, kill-vm, kill-control, freeze-control,
-# kill-stage, silent, kv-down, kv-lost, cut-domain, drain, stale, operators.
+# kill-stage, silent, kv-down, kv-lost, drain, leave.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 NAME=$1
@@ -14,7 +14,7 @@
 AT=${AT:-10}
 DURATION=${DURATION:-25s}
 LIFETIME=${LIFETIME:-5s}
-trap 'stop_all' EXIT
+trap 'kill_all' EXIT
 EXTRA=()
 
 start_standins "${TOPOLOGY:-examples/small.json}"
@@ -34,7 +34,7 @@
   sleep "$AT"
   case $NAME in
     kill-entry) kill_now entry1; sleep 3; start_entry 1 --address-lifetime "$LIFETIME" ;;
-    kill-vm) kill_now entry1; kill_now control1; sleep 3; start_vm 1 --address-lifetime "$LIFETIME" 2>/dev/null || start_control 1 ;;
+    kill-vm) kill_now entry1; kill_now control1; sleep 3; start_control 1; start_entry 1 --address-lifetime "$LIFETIME" ;;
     kill-control) kill_now control1; sleep 3; start_control 1 ;;
     freeze-control) kill -STOP "${PID[control1]}"; sleep 5; kill -CONT "${PID[control1]}" ;;
     kill-stage) fault '{"target":"skrivar-01-s1","kind":"die"}' ;;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,12 +1,14 @@
 # Functions that start and stop a fleet on loopback addresses. Sourced by the
 # other scripts; a process starts no other, so a shell does.
 #
-# VM n has the address 127.0.1.n: callers connect to port 8080, other entries to
-# 8081, control processes to 8082, operators to 8083.
+# VM n has the address 127.NET.x.y, so fleets with different NET do not meet:
+# callers connect to port 8080, other entries to 8081, control processes to 8082,
+# operators to 8083.
 
 BIN=${BIN:-bin}
 OUT=${OUT:-out}
-STANDIN_IP=${STANDIN_IP:-127.0.2.1}
+NET=${NET:-0}
+STANDIN_IP=127.$NET.200.1
 KV=$STANDIN_IP:18000
 VM_LIST=$STANDIN_IP:18001
 FAULTS=$STANDIN_IP:18003
@@ -14,7 +16,7 @@
 DOMAINS=(${DOMAINS:-bergen-a bergen-b stord})
 declare -A PID
 
-vm_ip() { echo "127.0.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
+vm_ip() { echo "127.$NET.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
 vm_domain() { echo "${DOMAINS[$(($1 % ${#DOMAINS[@]}))]}"; }
 vm_name() { echo "$(vm_domain "$1")-$(($1 / ${#DOMAINS[@]} + 1))"; }
 
@@ -65,3 +67,9 @@
   [ -z "${PID[standin]:-}" ] || kill -TERM "${PID[standin]}" 2>/dev/null || true
   wait 2>/dev/null || true
 }
+
+kill_all() { # at once
+  local p
+  for p in "${!PID[@]}"; do kill -KILL "${PID[$p]}" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
