Routing: a server that is back gets work again

Cause: Leaving was kept for as long as a list named the server. Membership says of a server that left and came back that it takes work again; the entry would never have used it. A list that said that the server leaves, and then says that it does not, is believed now; one that has not caught up is not, for 10 min. A stream that lost a stage may try an ejected server if no other is left. The property of replacements says so now: ejected only if no other is left.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -30,7 +30,7 @@
 func (r *Router) candidates(now time.Duration, svc *service, req Request) []*replica {
 	var ready, healthy []*replica
 	for _, rep := range svc.replicas {
-		if !allHealthy(now, rep.stages, req) {
+		if !r.allHealthy(now, rep.stages, req) {
 			continue
 		}
 		healthy = append(healthy, rep)
@@ -44,9 +44,9 @@
 	return ready
 }
 
-func allHealthy(now time.Duration, stages []*server, req Request) bool {
+func (r *Router) allHealthy(now time.Duration, stages []*server, req Request) bool {
 	for _, s := range stages {
-		if !s.healthy(now) || slices.Contains(req.Exclude, s.ID) {
+		if !r.healthy(now, s) || slices.Contains(req.Exclude, s.ID) {
 			return false
 		}
 	}
@@ -169,7 +169,7 @@
 	slices.SortStableFunc(byFrom, func(a, b *server) int { return a.LayerFrom - b.LayerFrom })
 	for _, s := range byFrom {
 		before, reached := paths[s.LayerFrom]
-		if !reached || s.LayerTo <= s.LayerFrom || !allHealthy(now, []*server{s}, req) {
+		if !reached || s.LayerTo <= s.LayerFrom || !r.allHealthy(now, []*server{s}, req) {
 			continue
 		}
 		cost := before.cost + r.stageCost(now, s, req)
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -69,6 +69,9 @@
 	// LinkDefault is the one-way time to another failure domain whose link
 	// was never measured. Default 1 ms.
 	LinkDefault time.Duration
+	// ListLag is the longest time by which a list is late in saying that a
+	// backend server leaves. Default 10 min.
+	ListLag time.Duration
 	// EjectAfter is the number of failures in a row that ejects a backend
 	// server. Default 3.
 	EjectAfter int
@@ -102,6 +105,7 @@
 		BatchSlowdown:   1,
 		ExpectedTokens:  64,
 		LinkDefault:     time.Millisecond,
+		ListLag:         10 * time.Minute,
 		EjectAfter:      3,
 		EjectBase:       time.Second,
 		EjectMax:        30 * time.Second,
@@ -133,6 +137,7 @@
 	check(c.BatchSlowdown >= 0, "BatchSlowdown is %g: want 0 or more", c.BatchSlowdown)
 	check(c.ExpectedTokens > 0, "ExpectedTokens is %d: want at least 1", c.ExpectedTokens)
 	check(c.LinkDefault >= 0, "LinkDefault is %s: want 0 or more", c.LinkDefault)
+	check(c.ListLag > 0, "ListLag is %s: want more than 0", c.ListLag)
 	check(c.EjectAfter > 0, "EjectAfter is %d: want at least 1", c.EjectAfter)
 	check(c.EjectBase > 0, "EjectBase is %s: want more than 0", c.EjectBase)
 	check(c.EjectMax >= c.EjectBase, "EjectMax is %s: want at least EjectBase", c.EjectMax)
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -40,8 +40,7 @@
 		if s == nil || s.Service != listed.Service || s.LayerFrom != listed.LayerFrom || s.LayerTo != listed.LayerTo {
 			s = &server{capacity: r.cfg.DefaultCapacity, since: now, slowStart: !first}
 		}
-		listed.Leaving = listed.Leaving || s.Leaving
-		s.Server = listed
+		s.take(now, listed)
 		r.servers[listed.ID] = s
 		r.othersSum += s.others
 		r.ownSum += s.ownThen
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -18,13 +18,13 @@
 }
 
 // healthy reports whether a server may get new work at all now.
-func (s *server) healthy(now time.Duration) bool {
-	return !s.Leaving && now >= s.health.until
+func (r *Router) healthy(now time.Duration, s *server) bool {
+	return !r.leaves(now, s) && now >= s.health.until
 }
 
 // ready reports whether a server is healthy and within its ramp.
 func (r *Router) ready(now time.Duration, s *server) bool {
-	return s.healthy(now) && s.own < r.rampCap(now, s)
+	return r.healthy(now, s) && s.own < r.rampCap(now, s)
 }
 
 // rampCap bounds the own requests at a server that is new or came back.
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -25,9 +25,9 @@
 // Event is an input of the Router.
 type Event interface{ isEvent() }
 
-// Servers replaces the known backend servers. Once a server was said to be
-// leaving, a later list can't say otherwise while it names the server: lists
-// lag. A server that returns under its old id must have been gone from a list.
+// Servers replaces the known backend servers. A list can't revert a Leaving that
+// it has not caught up with: for Config.ListLag, it must first say that the
+// server leaves, or no longer name it.
 type Servers struct {
 	List []Server `json:"list"`
 }
--- a/internal/routing/property_test.go
+++ b/internal/routing/property_test.go
@@ -110,7 +110,12 @@
 		return
 	}
 	require.NotEqual(m.t, st.Server, to)
-	m.requireUsable(to)
+	require.False(m.t, m.leaving[to], "%s is leaving", to)
+	for _, s := range m.list { // an ejected one only if no other is left
+		if s.LayerFrom == st.From && s.ID != st.Server && !m.leaving[s.ID] && m.now >= m.ejected[s.ID] {
+			m.requireUsable(to)
+		}
+	}
 	i := slices.IndexFunc(m.list, func(s Server) bool { return s.ID == to })
 	require.Equal(m.t, []int{st.From, st.To}, []int{m.list[i].LayerFrom, m.list[i].LayerTo})
 	m.r.Step(m.now, Moved{ID: m.flights[0].ID, From: st.Server, To: to})
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -82,7 +82,7 @@
 	case Servers:
 		return r.replaceServers(now, ev.List)
 	case Leaving:
-		r.leaving(ev.Server)
+		r.hear(now, ev.Server)
 	case Load:
 		r.load(now, ev)
 	case Link:
@@ -101,12 +101,6 @@
 	return nil
 }
 
-func (r *Router) leaving(id ident.BackendServer) {
-	if s, ok := r.servers[id]; ok {
-		s.Leaving = true
-	}
-}
-
 // Pick chooses backend servers for a request and counts it in flight until
 // Done. It reports false if no usable set of servers is known.
 func (r *Router) Pick(now time.Duration, req Request) (Pipeline, bool) {
@@ -143,22 +137,31 @@
 }
 
 // PickReplacement chooses another backend server for the layers [from, to) of a
-// service. The shell says Moved once the request uses it.
+// service. Ejected ones are tried if no other is left: a stream that waits has
+// nothing to lose by it. The shell says Moved once the request uses it.
 func (r *Router) PickReplacement(now time.Duration, name ident.Service, from, to int, exclude []ident.BackendServer) (ident.BackendServer, bool) {
 	svc, ok := r.services[name]
 	if !ok {
 		return "", false
 	}
-	var found []*server
+	var healthy, ejected []*server
 	for _, s := range svc.servers {
-		if s.LayerFrom == from && s.LayerTo == to && s.healthy(now) && !slices.Contains(exclude, s.ID) {
-			found = append(found, s)
+		if s.LayerFrom != from || s.LayerTo != to || r.leaves(now, s) || slices.Contains(exclude, s.ID) {
+			continue
 		}
+		if r.healthy(now, s) {
+			healthy = append(healthy, s)
+		} else {
+			ejected = append(ejected, s)
+		}
+	}
+	if len(healthy) == 0 {
+		healthy = ejected
 	}
-	if len(found) == 0 {
+	if len(healthy) == 0 {
 		return "", false
 	}
-	return r.leastStage(now, found).ID, true
+	return r.leastStage(now, healthy).ID, true
 }
 
 func (r *Router) moved(now time.Duration, ev Moved) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -71,6 +71,28 @@
 	require.False(t, ok)
 }
 
+func TestReturnedServerIsPickedAgain(t *testing.T) {
+	r := newRouter(t, nil)
+	list := fleet(1, 1, "bergen-a")
+	r.Step(0, Servers{List: list})
+	pick := func(now time.Duration) bool {
+		_, ok := r.Pick(now, Request{Service: "skrivar"})
+		return ok
+	}
+	r.Step(0, Leaving{Server: "r000.0"})
+	r.Step(0, Servers{List: list})
+	require.False(t, pick(time.Second), "the list has not caught up")
+	list[0].Leaving = true
+	r.Step(0, Servers{List: list})
+	require.False(t, pick(time.Hour), "the list says that it leaves")
+	list[0].Leaving = false
+	r.Step(0, Servers{List: list})
+	require.True(t, pick(time.Second), "the list says that it is back")
+	r.Step(time.Second, Leaving{Server: "r000.0"})
+	require.False(t, pick(time.Minute))
+	require.True(t, pick(11*time.Minute), "the list never said it, for longer than it can lag")
+}
+
 func TestFailingServerIsLeftAndTakenBackSlowly(t *testing.T) {
 	r := newRouter(t, nil)
 	r.Step(0, Servers{List: fleet(4, 1, "bergen-a")})
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -31,6 +31,7 @@
 	since     time.Duration // of its ramp
 	slowStart bool
 	health    health
+	leaving   leaving
 	hints     hints
 	seen      times
 }
