--- a/internal/load/recovery.go
+++ b/internal/load/recovery.go
@@ -14,29 +14,39 @@
 	// recovered.
 	recoveredShare = 0.95
 	// noiseSigmas is how many standard deviations of a Poisson count a window
-	// may lie below that without counting as a dip.
-	noiseSigmas = 2
+	// may lie below that without counting as a dip. Answers come later than
+	// their requests, so a window never holds just the answers to its arrivals.
+	noiseSigmas = 1
 	// beforeMax is how much of the run before a failure is looked at.
 	beforeMax = 10 * time.Second
 )
 
-// recovery looks for the dip in the buckets of successes between a failure at
-// "at" and "until". Windows that lie wholly after the failure are compared with
-// the mean before it, from "from" on.
-func recovery(buckets []int, from, at, until time.Duration, label string) report.Recovery {
+// counts are the arrivals and the successes of a run, by bucket.
+type counts struct {
+	planned   []int
+	succeeded []int
+}
+
+// recovery looks for the dip between a failure at "at" and "until". Each window
+// that lies wholly after the failure is compared with the successes that its own
+// arrivals would have had before it, from "from" on: arrivals vary by themselves.
+func recovery(c counts, from, at, until time.Duration, label string) report.Recovery {
 	out := report.Recovery{AtS: at.Seconds(), Label: label, Recovered: true, WorstRatio: 1}
 	from = max(from, at-beforeMax)
-	before := sum(buckets, from, at)
-	if before == 0 || at <= from {
+	planned, before := sum(c.planned, from, at), sum(c.succeeded, from, at)
+	if before == 0 || planned == 0 || at <= from {
 		return out
 	}
-	perWindow := float64(before) * float64(recoveryWindow) / float64(at-from)
-	out.BeforePerS = perWindow / recoveryWindow.Seconds()
-	least := recoveredShare*perWindow - noiseSigmas*math.Sqrt(perWindow)
+	out.BeforePerS = float64(before) / (at - from).Seconds()
+	share := float64(before) / float64(planned)
 	for start := at; start+recoveryWindow <= until; start += bucket {
-		n := float64(sum(buckets, start, start+recoveryWindow))
-		out.WorstRatio = min(out.WorstRatio, n/perWindow)
-		if n < least {
+		expected := share * float64(sum(c.planned, start, start+recoveryWindow))
+		if expected == 0 {
+			continue
+		}
+		n := float64(sum(c.succeeded, start, start+recoveryWindow))
+		out.WorstRatio = min(out.WorstRatio, n/expected)
+		if n < recoveredShare*expected-noiseSigmas*math.Sqrt(expected) {
 			out.RecoveryS = (start + bucket - at).Seconds()
 			out.Recovered = start+recoveryWindow+bucket <= until
 		}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -89,7 +89,7 @@
 		}
 		planned := b.started.Add(at)
 		time.Sleep(time.Until(planned))
-		b.stats.planned(k)
+		b.stats.planned(k, planned)
 		c := b.callers[random.IntN(len(b.callers))]
 		b.under.Add(1)
 		err := b.pool.Submit(func() {
@@ -217,7 +217,7 @@
 		if i+1 < len(marks) {
 			until = marks[i+1].At
 		}
-		out = append(out, recovery(b.stats.buckets, from, m.At, until, m.Label))
+		out = append(out, recovery(b.stats.counts, from, m.At, until, m.Label))
 	}
 	return out
 }
--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -44,16 +44,15 @@
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
 	seconds    []report.Second
-	// buckets counts the requests that succeeded, by bucket.
-	buckets  []int
-	verdicts map[string]int
-	refused  map[string]int
-	outcomes map[string]int
-	requests int
-	attempts int
-	skipped  int
-	offered  map[kind]int
-	checks   report.Checks
+	counts     counts
+	verdicts   map[string]int
+	refused    map[string]int
+	outcomes   map[string]int
+	requests   int
+	attempts   int
+	skipped    int
+	offered    map[kind]int
+	checks     report.Checks
 }
 
 func newStats(started time.Time, warmup time.Duration) *stats {
@@ -89,10 +88,11 @@
 }
 
 // planned counts a request that starts.
-func (s *stats) planned(k kind) {
+func (s *stats) planned(k kind, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.offered[k]++
+	s.counts.planned = s.countBucket(s.counts.planned, at)
 }
 
 func (s *stats) skip() {
@@ -135,7 +135,7 @@
 	case kindReservation:
 		second.Reservations++
 	}
-	s.countBucketLocked(now)
+	s.counts.succeeded = s.countBucket(s.counts.succeeded, now)
 	s.latencyLocked(string(k), planned, now.Sub(planned))
 	for i, at := range tokenTimes {
 		if i == 0 {
@@ -146,12 +146,14 @@
 	}
 }
 
-func (s *stats) countBucketLocked(now time.Time) {
-	i := max(0, int(now.Sub(s.started)/bucket))
-	for len(s.buckets) <= i {
-		s.buckets = append(s.buckets, 0)
+// countBucket adds one to the bucket of a moment.
+func (s *stats) countBucket(buckets []int, at time.Time) []int {
+	i := max(0, int(at.Sub(s.started)/bucket))
+	for len(buckets) <= i {
+		buckets = append(buckets, 0)
 	}
-	s.buckets[i]++
+	buckets[i]++
+	return buckets
 }
 
 // gaveUp counts a request without a success.
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,7 +2,8 @@
 # other scripts; a process starts no other, so a shell does.
 #
 # VM n has the address 127.0.1.n: callers connect to port 8080, other entries to
-# 8081, control processes to 8082, operators to 8083.
+# 8081, control processes to 8082, operators to 8083. LOOP puts a second fleet
+# beside the first: with LOOP=7 all addresses start with 127.7.
 
 BIN=${BIN:-bin}
 OUT=${OUT:-out}
@@ -14,7 +15,7 @@
 DOMAINS=(${DOMAINS:-bergen-a bergen-b stord})
 declare -A PID
 
-vm_ip() { echo "127.0.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
+vm_ip() { echo "127.$LOOP.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
 vm_domain() { echo "${DOMAINS[$(($1 % ${#DOMAINS[@]}))]}"; }
 vm_name() { echo "$(vm_domain "$1")-$(($1 / ${#DOMAINS[@]} + 1))"; }
 
