Stand-ins: property of a stage, fuzz of its bodies; close a listener that dies unserved

Cause: a stand-in that was killed right after its start went on listening (found by goleak under load: the server's goroutine had not begun to serve, so its shutdown knew no listener).

--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -33,10 +33,12 @@
 	// serveFaults answers /fault; by default the faults are the endpoint's own.
 	serveFaults func(*fasthttp.RequestCtx)
 
-	mu      sync.Mutex
-	addr    string
-	server  *fasthttp.Server
-	stopped chan struct{}
+	mu     sync.Mutex
+	addr   string
+	server *fasthttp.Server
+	// listener is closed with the server, which may not have begun to serve it.
+	listener net.Listener
+	stopped  chan struct{}
 }
 
 func newEndpoint(name string, handle func(*fasthttp.RequestCtx)) *endpoint {
@@ -67,6 +69,7 @@
 		MaxRequestBodySize:    64 << 20,
 		Concurrency:           1 << 16,
 	}
+	e.listener = l
 	server := e.server
 	go func() { _ = server.Serve(&trackedListener{Listener: l, set: e.conns}) }()
 	return nil
@@ -88,12 +91,13 @@
 // die closes the listener and resets every connection.
 func (e *endpoint) die() {
 	e.mu.Lock()
-	server := e.server
+	server, listener := e.server, e.listener
 	e.server = nil
 	e.mu.Unlock()
 	if server == nil {
 		return
 	}
+	_ = listener.Close()
 	e.conns.each((*trackedConn).reset)
 	ctx, cancel := context.WithTimeout(context.Background(), dieWait)
 	defer cancel()
--- /dev/null
+++ b/internal/standin/stage_test.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/engine"
+	_ "github.com/catkinstair/catkinstair/internal/proptest"
+	"github.com/catkinstair/catkinstair/internal/standin/model"
+)
+
+func testStage(t require.TestingT) *stage {
+	s := newStage(StageConfig{
+		ID: "s", Layers: model.Range{From: 0, To: 2, Total: 4},
+		Capacity: 2, MaxWaiting: 3, MaxStreams: 8, PrefixBlocks: 4,
+	})
+	s.cut, s.died = func() {}, func() {}
+	require.NotNil(t, s)
+	return s
+}
+
+// TestStageRunsEachTokenOnceAndInOrder sends any mix of right, repeated, stale,
+// early and cancelled steps of one stream. Whatever the stage says it ran is
+// what a stage that saw just the right steps gives.
+func TestStageRunsEachTokenOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := testStage(t)
+		want, err := model.NewState(s.cfg.Layers)
+		require.NoError(t, err)
+		results := map[int]string{}
+		var ran int64
+		attempt, newest := 1, 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			token := rapid.IntRange(0, 4).Draw(t, "token")
+			attempt += rapid.IntRange(0, 1).Draw(t, "newer")
+			stale := rapid.IntRange(0, 1).Draw(t, "stale")
+			step := engine.Step{Stream: "a", Attempt: attempt - stale, Token: token, To: 2, Data: dataOf(token)}
+			got := s.steps([]engine.Step{step})[0]
+			if got.Error != "" {
+				require.True(t, got.NotRun(), got.Error)
+				continue
+			}
+			if token == 0 && want.Position() > 1 {
+				want, err = model.NewState(s.cfg.Layers)
+				require.NoError(t, err)
+			}
+			if want.Position() == token {
+				results[token], _, err = want.Run(token, step.Data)
+				require.NoError(t, err)
+				ran++
+			}
+			require.GreaterOrEqual(t, step.Attempt, newest, "a replaced attempt was served")
+			newest = step.Attempt
+			require.Equal(t, results[token], got.Data)
+			require.Equal(t, step.Attempt, got.Attempt)
+		}
+		_, executed := s.ledger()
+		require.Equal(t, ran, executed)
+	})
+}
+
+func dataOf(token int) string {
+	if token == 0 {
+		return model.PrefillData("hello", 1)
+	}
+	return " w0001"
+}
+
+func TestStageIsBoundedAndServesUrgentStepsFirst(t *testing.T) {
+	s := testStage(t)
+	s.looping = true // the test takes the batches itself
+	prefill := func(stream string, priority int) *job {
+		return s.admit(engine.Step{Stream: stream, Attempt: 1, To: 2, Priority: priority, Data: dataOf(0)})
+	}
+	low, high := prefill("low", 0), prefill("high", 5)
+	prefill("other", 0)
+	full := prefill("more", 0)
+	<-full.done
+	require.Equal(t, engine.ErrorFull, full.result.Error)
+	batch, life, _ := s.nextBatch()
+	require.Equal(t, []*job{high, low}, batch)
+	s.cancel("low", 1)
+	s.runBatch(batch, life)
+	<-low.done
+	require.Equal(t, engine.ErrorCancelled, low.result.Error)
+	require.Empty(t, high.result.Error)
+	s.reset()
+	s.looping = false
+}
+
+func FuzzEngineBodies(f *testing.F) {
+	f.Add("/v1/steps", `{"steps":[{"stream":"a","attempt":1,"token":0,"from":0,"to":2,"data":"1\nx"}]}`)
+	f.Add("/v1/import", `{"stream":"a","attempt":1,"blob":"0 2 4 1 1,2"}`)
+	f.Add("/v1/orders", `{"order_id":"x","fence":1,"kind":"load"}`)
+	f.Add("/v1/export", `{`)
+	f.Fuzz(func(t *testing.T, path, body string) {
+		s := newEngineServer(testStage(t).cfg)
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod("POST")
+		ctx.Request.SetRequestURI(path)
+		ctx.Request.SetBodyString(body)
+		s.serve(&ctx)
+		require.GreaterOrEqual(t, ctx.Response.StatusCode(), 200)
+	})
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -120,7 +120,7 @@
 start_standins "${TOPOLOGY:-examples/small.json}"
 for n in $(seq 0 $((VMS - 1))); do up "$n"; done
 for n in $(seq 0 $((VMS - 1))); do ready "$n"; done
-"$BIN/catkinctl" sheet apply --admin "$(vm_ip 0):8083" --key "$OPERATOR_KEY" --wait 10s "${SHEET:-examples/sheet.csv}"
+"$BIN/catkinctl" sheet apply --addr "$(vm_ip 0):8083" --key "$OPERATOR_KEY" --wait 10s "${SHEET:-examples/sheet.csv}"
 RUN=("$@")
 if [ ${#RUN[@]} -eq 0 ]; then RUN=("${ALL[@]}"); fi
 REPORTS=()
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -11,8 +11,8 @@
 for n in $(seq 0 $((VMS - 1))); do start_vm_flags=(); start_control "$n"; start_entry "$n" --address-lifetime "${LIFETIME:-5s}"; done
 for n in $(seq 0 $((VMS - 1))); do wait_ready "$(vm_ip "$n"):8083"; wait_ready "$(vm_ip "$n"):8080"; done
 echo "== $VMS entry VMs are up; the morning sheet:"
-"$BIN/catkinctl" sheet apply --admin "$(vm_ip 0):8083" --key "$OPERATOR_KEY" --wait 10s examples/sheet.csv
-"$BIN/catkinctl" config status --admin "$(vm_ip 1):8083" --key "$OPERATOR_KEY"
+"$BIN/catkinctl" sheet apply --addr "$(vm_ip 0):8083" --key "$OPERATOR_KEY" --wait 10s examples/sheet.csv
+"$BIN/catkinctl" config status --addr "$(vm_ip 1):8083" --key "$OPERATOR_KEY"
 echo "== addresses for team klubbservice:"
 curl -fsS "http://$(vm_ip 0):8080/v1/addresses?team=klubbservice"; echo
 echo "== a streamed completion through three stages:"
