--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,16 +1,6 @@
 # Functions that start and stop a fleet on loopback addresses. Sourced by the
 # other scripts; a process starts no other, so a shell does.
 #
-<<<<<<< HEAD
-# VM n has the address 127.NET.x.y, so fleets with different NET do not meet:
-# callers connect to port 8080, other entries to 8081, control processes to 8082,
-# operators to 8083.
-
-BIN=${BIN:-bin}
-OUT=${OUT:-out}
-NET=${NET:-0}
-STANDIN_IP=127.$NET.200.1
-=======
 # VM n has the address 127.0.1.n: callers connect to port 8080, other entries to
 # 8081, control processes to 8082, operators to 8083. LOOP puts a second fleet
 # beside the first: with LOOP=7 all addresses start with 127.7.
@@ -19,7 +9,6 @@
 OUT=${OUT:-out}
 LOOP=${LOOP:-0}
 STANDIN_IP=${STANDIN_IP:-127.$LOOP.2.1}
->>>>>>> outside
 KV=$STANDIN_IP:18000
 VM_LIST=$STANDIN_IP:18001
 FAULTS=$STANDIN_IP:18003
@@ -27,11 +16,7 @@
 DOMAINS=(${DOMAINS:-bergen-a bergen-b stord})
 declare -A PID
 
-<<<<<<< HEAD
-vm_ip() { echo "127.$NET.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
-=======
 vm_ip() { echo "127.$LOOP.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
->>>>>>> outside
 vm_domain() { echo "${DOMAINS[$(($1 % ${#DOMAINS[@]}))]}"; }
 vm_name() { echo "$(vm_domain "$1")-$(($1 / ${#DOMAINS[@]} + 1))"; }
 
