--- a/internal/ctl/replay.go
+++ b/internal/ctl/replay.go
@@ -2,87 +2,25 @@
 
 import (
 	"encoding/json"
-	"io"
 	"os"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/replay"
 	"github.com/catkinstair/catkinstair/internal/report"
-	"github.com/catkinstair/catkinstair/internal/trace"
 )
 
-// stepper adapts a node's core to a replay.
-type stepper func(now time.Duration, event any) []any
-
-// Step implements trace.Stepper.
-func (f stepper) Step(now time.Duration, event any) []any { return f(now, event) }
-
-// rebuild makes the core that a trace's header names.
-func rebuild(header trace.Header) (*trace.Registry, trace.Stepper, error) {
-	switch header.Core {
-	case "entry":
-		var cfg node.EntryConfig
-		if err := json.Unmarshal(header.Config, &cfg); err != nil {
-			return nil, nil, errors.Wrap(err, "the trace's configuration")
-		}
-		core, err := node.NewEntry(cfg)
-		if err != nil {
-			return nil, nil, err
-		}
-		return trace.NewRegistry(node.EntryEvents()...), stepper(func(now time.Duration, event any) []any {
-			return anys(core.Step(now, event))
-		}), nil
-	case "control":
-		var cfg node.ControlConfig
-		if err := json.Unmarshal(header.Config, &cfg); err != nil {
-			return nil, nil, errors.Wrap(err, "the trace's configuration")
-		}
-		core, err := node.NewControl(cfg)
-		if err != nil {
-			return nil, nil, err
-		}
-		return trace.NewRegistry(node.ControlEvents()...), stepper(func(now time.Duration, event any) []any {
-			return anys(core.Step(now, event))
-		}), nil
-	}
-	return nil, nil, errors.Newf("the trace is of core %q, want entry or control", header.Core)
-}
-
-func anys(actions []node.Action) []any {
-	out := make([]any, len(actions))
-	for i, action := range actions {
-		out[i] = action
-	}
-	return out
-}
-
-// Replay runs a trace through today's core.
-func Replay(in io.Reader) (trace.Header, trace.Result, error) {
-	reader, err := trace.NewReader(in)
-	if err != nil {
-		return trace.Header{}, trace.Result{}, err
-	}
-	registry, core, err := rebuild(reader.Header)
-	if err != nil {
-		return reader.Header, trace.Result{}, err
-	}
-	result, err := trace.Replay(reader, registry, core, nil)
-	return reader.Header, result, err
-}
-
 func traceCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "trace", Short: "Work with recorded traces"}
 	var asJSON, exact bool
-	replay := &cobra.Command{
+	cmdReplay := &cobra.Command{
 		Use: "replay FILE...", Short: "Replay traces through today's core; exit 1 if a stated outcome fails", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error { return replayFiles(cmd, files, asJSON, exact) },
 	}
-	replay.Flags().BoolVar(&asJSON, "json", false, "print results as JSON lines")
-	replay.Flags().BoolVar(&exact, "exact", false, "also fail where an action differs from the recorded one")
-	cmd.AddCommand(replay)
+	cmdReplay.Flags().BoolVar(&asJSON, "json", false, "print results as JSON lines")
+	cmdReplay.Flags().BoolVar(&exact, "exact", false, "also fail where an action differs from the recorded one")
+	cmd.AddCommand(cmdReplay)
 	return cmd
 }
 
@@ -90,11 +28,11 @@
 	failed := 0
 	t := table{header: []string{"TRACE", "CORE", "STEPS", "DIVERGED", "OUTCOMES", "ABOUT"}}
 	for _, file := range files {
-		header, result, err := replayFile(file)
+		header, result, err := replay.File(file)
 		if err != nil {
 			return exit(ExitUsage, "%s: %v", file, err)
 		}
-		if len(result.Failed) > 0 || (exact && result.Diverged > 0) {
+		if !result.OK() || (exact && result.Diverged > 0) {
 			failed++
 		}
 		if asJSON {
@@ -103,7 +41,7 @@
 			}
 		}
 		t.add(file, header.Core, result.Steps, result.Diverged, len(header.Outcomes)-len(result.Failed), header.About)
-		for _, missed := range result.Failed {
+		for _, missed := range append(result.Failed, result.Violations...) {
 			cmd.PrintErrf("%s: %s\n", file, missed)
 		}
 	}
@@ -118,15 +56,6 @@
 	return nil
 }
 
-func replayFile(file string) (trace.Header, trace.Result, error) {
-	in, err := os.Open(file)
-	if err != nil {
-		return trace.Header{}, trace.Result{}, err
-	}
-	defer in.Close()
-	return Replay(in)
-}
-
 func reportCommand() *cobra.Command {
 	var out string
 	cmd := &cobra.Command{
--- a/internal/node/entrystream.go
+++ b/internal/node/entrystream.go
@@ -192,18 +192,9 @@
 	e.streamEvent(now, stream.Replacement{Stream: want.Stream, Stage: want.Stage, Server: server})
 }
 
-// completionOf finds the completion that drives a stream; the streams are named
-// after their requests.
+// completionOf finds the completion that drives a stream.
 func (e *Entry) completionOf(name string) *completion {
-	if c, ok := e.completions[name]; ok {
-		return c
-	}
-	for i := len(name) - 1; i > 0; i-- {
-		if name[i] == '.' {
-			return e.completions[name[:i]]
-		}
-	}
-	return nil
+	return e.completions[stream.RequestOf(name)]
 }
 
 func (e *Entry) cut(now time.Duration, a stream.Cut) {
--- a/internal/rules/calls.go
+++ b/internal/rules/calls.go
@@ -1,12 +1,12 @@
 package rules
 
 import (
-	"strings"
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/call"
 	"github.com/catkinstair/catkinstair/internal/entrylist"
 	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/peer"
 	"github.com/catkinstair/catkinstair/internal/stream"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
@@ -51,7 +51,7 @@
 		}
 	case stream.StepFailed:
 		if ev.Kind != stream.FailureLost {
-			n.unsure[requestOf(ev.Stream)]--
+			n.unsure[stream.RequestOf(ev.Stream)]--
 		}
 	}
 }
@@ -64,7 +64,7 @@
 			n.broke(now, "call %d is sent after it was said not to have run", a.ID)
 		}
 	case stream.SendStep:
-		request := requestOf(a.Stream)
+		request := stream.RequestOf(a.Stream)
 		n.unsure[request]++
 		if n.said[request] {
 			n.broke(now, "%s is sent after it was said not to have run", request)
@@ -81,12 +81,6 @@
 	}
 }
 
-// requestOf is the request that a stream's name at the engines belongs to.
-func requestOf(name string) string {
-	request, _, _ := strings.Cut(name, ".")
-	return request
-}
-
 // once holds calls that may not be repeated to one send that may have reached a
 // backend server, and keys to one such call at this entry.
 type once struct {
@@ -215,12 +209,21 @@
 }
 
 // Observe implements Checker.
-func (c *config) Observe(now time.Duration, event any, _ []any) {
-	snap, ok := event.(node.Snapshot)
-	if !ok || snap.Reply.Config == nil || !snap.Reply.Config.Known {
+func (c *config) Observe(now time.Duration, event any, actions []any) {
+	if snap, ok := event.(node.Snapshot); ok {
+		c.accepted(now, snap.Reply.Config)
+	}
+	for _, a := range actions {
+		if answer, ok := a.(node.SnapshotAnswered); ok {
+			c.accepted(now, answer.Reply.Config)
+		}
+	}
+}
+
+func (c *config) accepted(now time.Duration, accepted *peer.AcceptedConfig) {
+	if accepted == nil || !accepted.Known {
 		return
 	}
-	accepted := snap.Reply.Config
 	c.judged++
 	if accepted.Version < c.version {
 		c.broke(now, "version %d after version %d", accepted.Version, c.version)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -24,6 +24,11 @@
 	return []Checker{newLayers(), newAnswers(), newNotRun(), newOnce(), newLeaving(), newDrain(), newConfig()}
 }
 
+// Control returns a checker for each rule that a control process is held to.
+func Control() []Checker {
+	return []Checker{newConfig()}
+}
+
 // base gathers violations. Its methods serve every checker.
 type base struct {
 	name       string
--- a/internal/rules/streams.go
+++ b/internal/rules/streams.go
@@ -11,8 +11,10 @@
 )
 
 // layers holds each token that reaches a caller to its way through the layers:
-// from layer 0 on, each stage's input is the stage's before it own output, up to
-// the last layer, whose output is the token.
+// from layer 0 on, each stage's input is the output of the stage before it, up
+// to the last layer, whose output is the token. A stream's first input is the
+// prompt, followed by the tokens that the caller has had where the stream starts
+// over.
 type layers struct {
 	base
 	// inputs and outputs hold, by step, what was sent and what came back.
@@ -20,6 +22,10 @@
 	outputs map[step]stream.StepDone
 	ranges  map[string]map[int]int
 	model   map[string]int
+	// offset is, by stream, the number of the answer's tokens in its first input.
+	offset  map[string]int
+	prompts map[string]string
+	emitted map[string][]string
 }
 
 // step is one token through one range of layers of one stream, in any attempt.
@@ -31,30 +37,59 @@
 
 func newLayers() *layers {
 	return &layers{base: base{name: "layers-once-in-order"}, inputs: map[step]string{}, outputs: map[step]stream.StepDone{},
-		ranges: map[string]map[int]int{}, model: map[string]int{}}
+		ranges: map[string]map[int]int{}, model: map[string]int{},
+		offset: map[string]int{}, prompts: map[string]string{}, emitted: map[string][]string{}}
 }
 
 // Observe implements Checker.
 func (l *layers) Observe(now time.Duration, event any, actions []any) {
-	if done, ok := event.(stream.StepDone); ok {
-		l.outputs[step{done.Stream, done.Token, done.From, done.To}] = done
-	}
-	if snap, ok := event.(node.Snapshot); ok && snap.Reply.Backends != nil {
-		for _, s := range snap.Reply.Backends.Servers {
-			l.model[string(s.Service)] = max(l.model[string(s.Service)], s.LayersTotal)
-		}
-	}
+	l.learn(event)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case stream.SendStep:
-			l.sent(a)
+			l.sent(now, a)
 		case stream.EmitToken:
-			l.emitted(now, a)
+			l.token(now, a)
+			l.emitted[a.Request] = append(l.emitted[a.Request], a.Text)
+		}
+	}
+}
+
+func (l *layers) learn(event any) {
+	switch ev := event.(type) {
+	case stream.StepDone:
+		l.outputs[step{ev.Stream, ev.Token, ev.From, ev.To}] = ev
+	case node.CompletionAsked:
+		l.prompts[ev.Request] = ev.Prompt
+	case node.Snapshot:
+		if ev.Reply.Backends == nil {
+			return
+		}
+		for _, s := range ev.Reply.Backends.Servers {
+			l.model[string(s.Service)] = max(l.model[string(s.Service)], s.LayersTotal)
 		}
 	}
 }
 
-func (l *layers) sent(a stream.SendStep) {
+// started checks a stream's first input.
+func (l *layers) started(now time.Duration, a stream.SendStep) {
+	request := stream.RequestOf(a.Stream)
+	rest, ok := strings.CutPrefix(a.Data, l.prompts[request])
+	given := 0
+	for ok && rest != "" && given < len(l.emitted[request]) {
+		rest, ok = strings.CutPrefix(rest, l.emitted[request][given])
+		given++
+	}
+	if !ok || rest != "" {
+		l.broke(now, "stream %s starts with neither the prompt nor the prompt and the tokens given", a.Stream)
+	}
+	l.offset[a.Stream] = given
+}
+
+func (l *layers) sent(now time.Duration, a stream.SendStep) {
+	if a.Token == 0 && a.From == 0 {
+		l.started(now, a)
+	}
 	l.inputs[step{a.Stream, a.Token, a.From, a.To}] = a.Data
 	if l.ranges[a.Stream] == nil {
 		l.ranges[a.Stream] = map[int]int{}
@@ -62,13 +97,13 @@
 	l.ranges[a.Stream][a.From] = a.To
 }
 
-// emitted follows a token from the first layer to the last, in whichever of the
+// token follows a token from the first layer to the last, in whichever of the
 // request's streams gave it.
-func (l *layers) emitted(now time.Duration, a stream.EmitToken) {
+func (l *layers) token(now time.Duration, a stream.EmitToken) {
 	l.judged++
 	reason := "no stream of the request ran it"
 	for name := range l.ranges {
-		if name != a.Request && !strings.HasPrefix(name, a.Request+".") {
+		if stream.RequestOf(name) != a.Request {
 			continue
 		}
 		why, ok := l.follow(name, a)
@@ -88,7 +123,7 @@
 		if !ok {
 			break
 		}
-		key := step{name, a.Index, at, to}
+		key := step{name, a.Index - l.offset[name], at, to}
 		done, ran := l.outputs[key]
 		if !ran {
 			return "a range of layers did not run", false
--- a/internal/stream/messages.go
+++ b/internal/stream/messages.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"strings"
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/ident"
@@ -14,6 +15,16 @@
 	Server ident.BackendServer `json:"server"`
 }
 
+// startMark stands between a request's name and the number of its start, in the
+// name that a stream has at the engines.
+const startMark = "~"
+
+// RequestOf is the request that a stream's name at the engines belongs to.
+func RequestOf(name string) string {
+	request, _, _ := strings.Cut(name, startMark)
+	return request
+}
+
 // Event is an input of the Table.
 type Event interface{ isEvent() }
 
--- a/internal/stream/resume.go
+++ b/internal/stream/resume.go
@@ -172,7 +172,7 @@
 	t.forgetKept(s)
 	delete(t.streams, s.name)
 	s.starts++
-	s.name = s.open.Request + "~" + strconv.Itoa(s.starts)
+	s.name = s.open.Request + startMark + strconv.Itoa(s.starts)
 	t.streams[s.name] = s
 	t.names[s.open.Request] = s.name
 	for i := range s.stages {
