--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -59,6 +60,18 @@
 	require.Equal(t, 6, Checks{WrongAnswers: 1, Incomplete: 1, Lost: 1, Doubled: 1, WrongNotRun: 1, LedgerMissing: true}.Faults())
 }
 
+// TestExtremeFiguresAreDrawnInTime draws figures that no run gives.
+func TestExtremeFiguresAreDrawnInTime(t *testing.T) {
+	for _, figure := range []float64{1e22, 1e300, -1e300, -3, 1e-300} {
+		l := sampleLoad("extreme", 5)
+		l.Recoveries[0].AtS = figure
+		l.LatencyMillis["read"] = Percentiles{P95: figure}
+		started := time.Now()
+		require.NoError(t, Write(&bytes.Buffer{}, l), figure)
+		require.Less(t, time.Since(started), 5*time.Second, figure)
+	}
+}
+
 func FuzzReadAndWrite(f *testing.F) {
 	raw, err := json.Marshal(sampleLoad("seed", 1))
 	require.NoError(f, err)
