--- /dev/null
+++ b/internal/adapter/httpcall/stream_test.go
@@ -0,0 +1,71 @@
+package httpcall
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// stream makes one streamed call and returns what came.
+func stream(c *Client, addr string, opt Options, idle time.Duration) (string, error) {
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("http://" + addr + "/")
+	var got []byte
+	err := c.DoStream(addr, &req, &resp, opt, idle, func(_ *fasthttp.Response, body io.Reader) error {
+		raw, err := io.ReadAll(body)
+		got = raw
+		return err
+	})
+	return string(got), err
+}
+
+func TestStreamedBodyKeepsItsConnection(t *testing.T) {
+	var accepted atomic.Int64
+	addr := listen(t, func(_ int64, c net.Conn) {
+		accepted.Add(1)
+		buf := make([]byte, 4096)
+		for {
+			if _, err := c.Read(buf); err != nil {
+				return
+			}
+			_, _ = c.Write([]byte(chunkedHead + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"))
+		}
+	})
+	c := Default()
+	defer c.Close()
+	for range 3 {
+		got, err := stream(c, addr, Within(time.Second), time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "abcde", got)
+	}
+	require.EqualValues(t, 1, accepted.Load())
+}
+
+func TestStreamThatGoesSilentOrIsCutIsAnError(t *testing.T) {
+	silent := listen(t, func(_ int64, c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = c.Write([]byte(chunkedHead + "3\r\nabc\r\n"))
+	})
+	c := Default()
+	defer c.Close()
+	started := time.Now()
+	_, err := stream(c, silent, Within(time.Minute), shortWait)
+	requireKind(t, err, KindTimeout, MayHaveArrived)
+	require.Less(t, time.Since(started), 10*time.Second)
+
+	cut := listen(t, func(_ int64, c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = c.Write([]byte(chunkedHead + "3\r\nabc\r\n"))
+		_ = c.Close()
+	})
+	_, err = stream(c, cut, Within(time.Minute), time.Minute)
+	requireKind(t, err, KindClosed, MayHaveArrived)
+}
