--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -67,3 +67,9 @@
   [ -z "${PID[standin]:-}" ] || kill -TERM "${PID[standin]}" 2>/dev/null || true
   wait 2>/dev/null || true
 }
+
+kill_all() { # at once
+  local p
+  for p in "${!PID[@]}"; do kill -KILL "${PID[$p]}" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
