--- a/internal/node/entrystream.go
+++ b/internal/node/entrystream.go
@@ -130,8 +130,12 @@
 	case stream.StepFailed:
 		e.stepFailed(now, ev)
 	}
-	actions := slices.Clone(e.streams.Step(now, ev))
-	for _, a := range actions {
+	actions := e.streams.Step(now, ev)
+	if len(actions) == 1 { // most steps: no need to keep the slice apart
+		e.streamDo(now, actions[0])
+		return
+	}
+	for _, a := range slices.Clone(actions) {
 		e.streamDo(now, a)
 	}
 }
