--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -31,7 +31,7 @@
 	seen    []peer.BackendObservation
 }
 
-func newFakeControl(t *testing.T, cluster *standin.Cluster) *fakeControl {
+func newFakeControl(t testing.TB, cluster *standin.Cluster) *fakeControl {
 	t.Helper()
 	f := &fakeControl{}
 	for _, s := range cluster.Servers() {
@@ -98,7 +98,7 @@
 
 // world is a stand-in cluster with entries before it.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	cluster *standin.Cluster
 	control *fakeControl
 	entries []*Shell
@@ -106,7 +106,7 @@
 	ended   []chan struct{}
 }
 
-func startWorld(t *testing.T, entries int) *world {
+func startWorld(t testing.TB, entries int) *world {
 	t.Helper()
 	cluster, err := standin.Start(standin.Topology{
 		KV: "127.0.0.1:0", VMs: "127.0.0.1:0", Control: "127.0.0.1:0",
@@ -129,7 +129,7 @@
 	return w
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
