Streams wait for a slow stage that shows signs of life

Cause: a step that takes longer than 1.25 s, behind a long prefill or in an overload, made a healthy stage count as dead; the resumes of all its streams would have added to the load. Seen failing first without it: TestSlowStageIsNotReplaced (replaced at 1.4 s).

--- a/internal/stream/fail.go
+++ b/internal/stream/fail.go
@@ -30,10 +30,12 @@
 }
 
 // lost handles a lost reply: the step is sent again on a new connection, which
-// makes an engine that ran it give the stored answer.
+// makes an engine that ran it give the stored answer. A slow stage is asked
+// more often, but not in haste.
 func (t *Table) lost(s *stream) {
 	s.uncertain = true
-	if s.resends >= t.cfg.Resends {
+	again := t.slow(s) && t.now-s.sentAt >= t.cfg.MinStepTimeout
+	if s.resends >= t.cfg.Resends && !again {
 		t.lose(s)
 		return
 	}
@@ -155,7 +157,7 @@
 func (t *Table) timeout(s *stream) {
 	switch s.phase {
 	case stepping:
-		t.lost(s)
+		t.late(s)
 	case backedOff:
 		t.drive(s)
 	case looking:
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -22,6 +22,7 @@
 type fakeEngine struct {
 	dead    bool
 	leaving bool
+	stall   time.Duration
 	silent  bool // takes steps and never answers
 	caches  map[string]*model.State
 	stored  map[string]StepDone // stream/attempt/token
@@ -209,6 +210,11 @@
 		w.after(fakeStepTime/10, failure(a, FailureNotSent))
 		return
 	}
+	if engine.stall > 0 { // its load can still be read
+		for at := time.Duration(0); at < engine.stall; at += 100 * time.Millisecond {
+			w.after(at, Heard{Server: a.Server})
+		}
+	}
 	answer := engine.run(a, w.layers)
 	if engine.silent || w.silent && !a.NewConnection {
 		return
@@ -220,7 +226,7 @@
 		}
 		return
 	}
-	took := fakeStepTime
+	took := fakeStepTime + engine.stall
 	if a.Token == 0 {
 		took += time.Duration(strings.Count(a.Data, " ")+strings.Count(a.Data, ",")) * fakePrefillTime
 	}
--- a/internal/stream/messages.go
+++ b/internal/stream/messages.go
@@ -134,6 +134,12 @@
 	Request string `json:"request"`
 }
 
+// Heard is a sign of life of a backend server outside the steps, for example a
+// load report that it gave on a connection of this entry's.
+type Heard struct {
+	Server ident.BackendServer `json:"server"`
+}
+
 // Tick lets time pass; the shell sends one every few tens of milliseconds.
 type Tick struct{}
 
@@ -146,6 +152,7 @@
 func (ImportDone) isEvent()   {}
 func (ImportFailed) isEvent() {}
 func (Cancel) isEvent()       {}
+func (Heard) isEvent()        {}
 func (Tick) isEvent()         {}
 
 // Action is an output of the Table.
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -48,20 +48,22 @@
 	input   string   // what stage at takes for token
 	emitted []string // what the caller had
 
-	phase     phase
-	until     time.Duration // when the wait of the phase ends
-	sent      int           // token of the step in flight
-	sentAt    time.Duration
-	resends   int  // of the step in flight
-	fulls     int  // refusals in a row by a full stage
-	stalled   bool // a holder was left and no step was answered since
-	stalledAt time.Duration
-	losses    int
-	exclude   []ident.BackendServer
-	attempts  uint32
-	starts    int
-	uncertain bool // a step ran or may have run
-	keptBytes int
+	phase  phase
+	until  time.Duration // when the wait of the phase ends
+	sent   int           // token of the step in flight
+	sentAt time.Duration
+	// firstSentAt is when that step was sent for the first time.
+	firstSentAt time.Duration
+	resends     int  // of the step in flight
+	fulls       int  // refusals in a row by a full stage
+	stalled     bool // a holder was left and no step was answered since
+	stalledAt   time.Duration
+	losses      int
+	exclude     []ident.BackendServer
+	attempts    uint32
+	starts      int
+	uncertain   bool // a step ran or may have run
+	keptBytes   int
 }
 
 func newStream(ev Open) *stream {
@@ -93,6 +95,9 @@
 	st.touched = true
 	s.phase = stepping
 	s.sentAt = t.now
+	if s.resends == 0 {
+		s.firstSentAt = t.now
+	}
 	s.until = t.now + t.stepTimeout(s, st)
 	t.emit(SendStep{
 		Stream:        s.name,
@@ -133,6 +138,7 @@
 	s.fulls = 0
 	s.stalled = false
 	st := &s.stages[s.at]
+	t.hear(st.server)
 	st.observe(ev.Token, t.now-s.sentAt)
 	st.position++
 	if ev.Token < s.token {
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -158,6 +158,27 @@
 	require.Less(t, w.now, 3*time.Second)
 }
 
+// TestSlowStageIsNotReplaced lets a stage take 3 s for one step, as behind a
+// long prefill, while its load can be read.
+func TestSlowStageIsNotReplaced(t *testing.T) {
+	w := newWorld(DefaultConfig(), 2, 1, 1)
+	w.onSend = func(w *world, a SendStep) {
+		w.engines["s1.0"].stall = 0
+		if a.Token == 3 && a.Server == "s1.0" && !a.NewConnection {
+			w.engines["s1.0"].stall = 3 * time.Second
+		}
+		if a.NewConnection { // the same step, still running
+			w.engines["s1.0"].stall = 2750 * time.Millisecond
+		}
+	}
+	w.open("a", 6)
+	w.run(time.Minute)
+	require.Contains(t, w.finished, "a")
+	require.Equal(t, expected(2, 6, "a"), strings.Join(w.text["a"], ""))
+	require.Greater(t, w.now, 3*time.Second)
+	require.Zero(t, w.table.Stats().Replaced)
+}
+
 func TestDuplicateOpenLeavesTheFirstAlone(t *testing.T) {
 	w := newWorld(DefaultConfig(), 1, 0, 1)
 	w.open("a", 2)
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
@@ -41,6 +42,7 @@
 	streams map[string]*stream // by the name used at the engines
 	names   map[string]string  // request -> name used at the engines
 	order   []*stream          // for ticks: a fixed order makes replay exact
+	heard   map[ident.BackendServer]time.Duration
 	now     time.Duration
 	out     []Action
 	stats   Stats
@@ -55,6 +57,7 @@
 		cfg:     cfg,
 		streams: map[string]*stream{},
 		names:   map[string]string{},
+		heard:   map[ident.BackendServer]time.Duration{},
 	}, nil
 }
 
@@ -87,6 +90,8 @@
 		t.importFailed(ev)
 	case Cancel:
 		t.cancel(ev)
+	case Heard:
+		t.hear(ev.Server)
 	case Tick:
 		t.tick()
 	}
