--- a/cmd/catkin-load/main.go
+++ b/cmd/catkin-load/main.go
@@ -105,6 +105,7 @@
 	set.Float(&c.Bound.Tokens, "bound-tokens", 0, "accepted limit in tokens a second, 0 for none")
 	set.Float(&c.Bound.Reads, "bound-reads", 0, "accepted limit in reads a second, 0 for none")
 	set.Float(&c.Bound.Reservations, "bound-reservations", 0, "accepted limit in reservations a second, 0 for none")
+	set.Float(&c.Bound.Calls, "bound-calls", 0, "accepted limit in reads and reservations together a second, 0 for none")
 }
 
 func declareBench(set *settings.Set, opt *options) {
--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 // Names of the system's headers.
 const (
 	headerTeam    = "Catkin-Team"
+	headerTimeout = "Catkin-Timeout-Ms"
 	headerVerdict = "Catkin-Verdict"
 	headerCause   = "Catkin-Cause"
 	headerKey     = "Idempotency-Key"
@@ -27,6 +29,12 @@
 	causeCut         = "cut-without-error-event"
 )
 
+// setTimeout tells the entry how long the caller waits.
+func setTimeout(req *fasthttp.Request, opt httpcall.Options) {
+	left := max(time.Until(opt.Deadline).Milliseconds(), 1)
+	req.Header.Set(headerTimeout, strconv.FormatInt(left, 10))
+}
+
 var errNoAddresses = errors.New("the entry named no addresses")
 
 // refusal is an answer that is no success, or no answer at all.
--- a/internal/load/completion.go
+++ b/internal/load/completion.go
@@ -60,6 +60,7 @@
 	req.SetRequestURI("http://" + addr + "/v1/completions")
 	req.Header.SetContentType("application/json")
 	req.Header.Set(headerTeam, c.team)
+	setTimeout(req, opt)
 	req.SetBodyRaw(body)
 	if in.Stream {
 		return c.completeStream(addr, req, resp, opt)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -166,6 +166,7 @@
 		Tokens:       float64(b.stats.offered[kindCompletion]*b.cfg.MaxTokens) / seconds,
 		Reads:        float64(b.stats.offered[kindRead]) / seconds,
 		Reservations: float64(b.stats.offered[kindReservation]) / seconds,
+		Calls:        float64(b.stats.offered[kindRead]+b.stats.offered[kindReservation]) / seconds,
 	}
 }
 
@@ -185,6 +186,7 @@
 		Tokens:       float64(sum.Tokens) / n,
 		Reads:        float64(sum.Reads) / n,
 		Reservations: float64(sum.Reservations) / n,
+		Calls:        float64(sum.Reads+sum.Reservations) / n,
 	}
 }
 
@@ -200,6 +202,7 @@
 		Tokens:       divide(a.Tokens, bound.Tokens),
 		Reads:        divide(a.Reads, bound.Reads),
 		Reservations: divide(a.Reservations, bound.Reservations),
+		Calls:        divide(a.Calls, bound.Calls),
 	}
 }
 
--- a/internal/load/service.go
+++ b/internal/load/service.go
@@ -33,6 +33,7 @@
 	req.Header.SetMethod(call.method)
 	req.SetRequestURI("http://" + addr + "/services/" + c.cfg.Service + call.path)
 	req.Header.Set(headerTeam, c.team)
+	setTimeout(req, opt)
 	if call.key != "" {
 		req.Header.Set(headerKey, call.key)
 		req.Header.SetContentType("application/json")
--- a/internal/report/data.go
+++ b/internal/report/data.go
@@ -51,6 +51,8 @@
 	Tokens       float64 `json:"tokens"`
 	Reads        float64 `json:"reads"`
 	Reservations float64 `json:"reservations"`
+	// Calls are reads and reservations together.
+	Calls float64 `json:"calls"`
 }
 
 // Second is what happened in one second of a run.
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -189,7 +189,7 @@
 {{range .Samples}}<p class="bad">{{.}}</p>{{end}}
 {{end}}
 <h3>Throughput</h3>
-<table><tr><th>a second</th><th class="n">completions</th><th class="n">tokens</th><th class="n">reads</th><th class="n">reservations</th></tr>
+<table><tr><th>a second</th><th class="n">completions</th><th class="n">tokens</th><th class="n">reads</th><th class="n">reservations</th><th class="n">reads and reservations</th></tr>
 <tr><td>offered</td>{{template "rates" .Offered}}</tr>
 <tr><td>served</td>{{template "rates" .Throughput}}</tr>
 <tr><td>accepted limit</td>{{template "rates" .Bound}}</tr>
@@ -208,5 +208,5 @@
 {{end}}
 </body>
 </html>
-{{define "rates"}}<td class="n">{{printf "%.2f" .Completions}}</td><td class="n">{{printf "%.2f" .Tokens}}</td><td class="n">{{printf "%.2f" .Reads}}</td><td class="n">{{printf "%.2f" .Reservations}}</td>{{end}}
+{{define "rates"}}<td class="n">{{printf "%.2f" .Completions}}</td><td class="n">{{printf "%.2f" .Tokens}}</td><td class="n">{{printf "%.2f" .Reads}}</td><td class="n">{{printf "%.2f" .Reservations}}</td><td class="n">{{printf "%.2f" .Calls}}</td>{{end}}
 `))
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -13,7 +13,7 @@
 . scripts/fleet.sh
 VMS=${VMS:-6}
 EACH=${SECONDS_EACH:-20}
-ALL=(calm kv-down kv-lost-replies app-lost-replies silent stage-dies engine-leaves app-leaves
+ALL=(calm overload kv-down kv-lost-replies app-lost-replies silent stage-dies engine-leaves app-leaves
   entry-killed entry-frozen entry-stopped control-killed control-frozen vm-killed failure-domain-killed)
 rm -rf "$OUT" && mkdir -p "$OUT"
 trap 'stop_all' EXIT
@@ -97,6 +97,9 @@
 scenario() {
   case $1 in
     calm) load calm; finish calm ;;
+    overload) # three times the accepted limit of the service
+      load overload --bound-calls 400 --reads 600 --reservations 600 --completions 5 --patience 3s
+      finish overload ;;
     kv-down) with_fault "$1" '{"target":"kv","kind":"down","for_ms":6000}' ;;
     kv-lost-replies) with_fault "$1" '{"target":"kv","kind":"lose_reply","share":0.3,"for_ms":6000}' ;;
     app-lost-replies) with_fault "$1" '{"target":"ordrebok/*","kind":"lose_reply","share":0.1,"for_ms":6000}' ;;
