Replay: one place that rebuilds a core

Cause: catkinctl's tests and internal/replay each rebuilt cores from a header. Conclusion: replay.Rebuild serves both.

--- a/internal/ctl/replay_test.go
+++ b/internal/ctl/replay_test.go
@@ -16,6 +16,7 @@
 	"github.com/catkinstair/catkinstair/internal/call"
 	"github.com/catkinstair/catkinstair/internal/entrylist"
 	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/replay"
 	"github.com/catkinstair/catkinstair/internal/stream"
 	"github.com/catkinstair/catkinstair/internal/trace"
 )
@@ -40,7 +41,7 @@
 	require.NoError(t, err)
 	reader, err := trace.NewReader(plain)
 	require.NoError(t, err)
-	registry, core, err := rebuild(reader.Header)
+	registry, core, _, err := replay.Rebuild(reader.Header)
 	require.NoError(t, err)
 	_, err = trace.Replay(reader, registry, core, observe)
 	require.NoError(t, err)
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return trace.Header{}, Result{}, err
 	}
-	registry, core, checkers, err := rebuild(reader.Header)
+	registry, core, checkers, err := Rebuild(reader.Header)
 	if err != nil {
 		return reader.Header, Result{}, err
 	}
@@ -86,8 +86,9 @@
 	return result
 }
 
-// rebuild makes the core that a trace's header names.
-func rebuild(header trace.Header) (*trace.Registry, trace.Stepper, []rules.Checker, error) {
+// Rebuild makes the core that a trace's header names, and checkers of the
+// rules that it is held to.
+func Rebuild(header trace.Header) (*trace.Registry, trace.Stepper, []rules.Checker, error) {
 	switch header.Core {
 	case CoreEntry:
 		var cfg node.EntryConfig
