--- a/internal/call/claim.go
+++ b/internal/call/claim.go
@@ -24,6 +24,8 @@
 	revision uint64
 	// outcome is what is being recorded.
 	outcome *Record
+	// body is the reply to be recorded; it is kept until the request is dropped.
+	body BodyRef
 	// refusal is given once a NotRun outcome is recorded.
 	refusal *verdict.Refusal
 	// until ends the writes that go on after the caller was answered; cleanups
--- a/internal/call/outcome.go
+++ b/internal/call/outcome.go
@@ -55,6 +55,7 @@
 func (c *Core) recordOutcome(now time.Duration, r *request, outcome Record) {
 	outcome.ClaimID, outcome.BodyHash = c.claimID(r), r.BodyHash
 	r.claim.outcome = &outcome
+	r.claim.body = outcome.Body
 	r.claim.until = max(now, r.Deadline) + c.cfg.CleanupFor
 	c.writeOutcome(r)
 }
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -22,6 +22,7 @@
 type fakeEngine struct {
 	dead    bool
 	leaving bool
+	stall   time.Duration
 	silent  bool // takes steps and never answers
 	caches  map[string]*model.State
 	stored  map[string]StepDone // stream/attempt/token
@@ -98,6 +99,7 @@
 	seq     int
 	queue   []delivery
 	sends   int
+	exports int
 	silent  bool // all old connections are silent
 	onSend  func(w *world, a SendStep)
 	answers []StepDone
@@ -208,6 +210,11 @@
 		w.after(fakeStepTime/10, failure(a, FailureNotSent))
 		return
 	}
+	if engine.stall > 0 { // its load can still be read
+		for at := time.Duration(0); at < engine.stall; at += 100 * time.Millisecond {
+			w.after(at, Heard{Server: a.Server})
+		}
+	}
 	answer := engine.run(a, w.layers)
 	if engine.silent || w.silent && !a.NewConnection {
 		return
@@ -219,7 +226,7 @@
 		}
 		return
 	}
-	took := fakeStepTime
+	took := fakeStepTime + engine.stall
 	if a.Token == 0 {
 		took += time.Duration(strings.Count(a.Data, " ")+strings.Count(a.Data, ",")) * fakePrefillTime
 	}
@@ -256,6 +263,9 @@
 }
 
 func (w *world) pick(a WantReplacement) ident.BackendServer {
+	if len(w.spares[a.From]) == 1 && len(a.Exclude) == 0 {
+		return w.spares[a.From][0] // routing does not know better
+	}
 	for _, name := range w.spares[a.From] {
 		excluded := false
 		for _, x := range a.Exclude {
@@ -269,6 +279,7 @@
 }
 
 func (w *world) export(a Export) {
+	w.exports++
 	engine := w.engines[a.Server]
 	if engine.dead {
 		w.after(fakeStepTime, ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
@@ -41,6 +42,7 @@
 	streams map[string]*stream // by the name used at the engines
 	names   map[string]string  // request -> name used at the engines
 	order   []*stream          // for ticks: a fixed order makes replay exact
+	heard   map[ident.BackendServer]time.Duration
 	now     time.Duration
 	out     []Action
 	stats   Stats
@@ -55,6 +57,7 @@
 		cfg:     cfg,
 		streams: map[string]*stream{},
 		names:   map[string]string{},
+		heard:   map[ident.BackendServer]time.Duration{},
 	}, nil
 }
 
@@ -64,12 +67,10 @@
 	return t.stats
 }
 
-// Step takes one event at process time now. The returned slice is valid until
-// the next call of Step.
+// Step takes one event at process time now.
 func (t *Table) Step(now time.Duration, ev Event) []Action {
 	t.now = now
-	clear(t.out)
-	t.out = t.out[:0]
+	t.out = nil
 	switch ev := ev.(type) {
 	case Open:
 		t.open(ev)
@@ -89,6 +90,8 @@
 		t.importFailed(ev)
 	case Cancel:
 		t.cancel(ev)
+	case Heard:
+		t.hear(ev.Server)
 	case Tick:
 		t.tick()
 	}
@@ -96,6 +99,9 @@
 }
 
 func (t *Table) emit(a Action) {
+	if t.out == nil {
+		t.out = make([]Action, 0, 2) // a token and the next step
+	}
 	t.out = append(t.out, a)
 }
 
