Mend the wiring: homes outlive a control process, hints and links are read

Traces keep defaults for settings that are newer than they are. Conclusion: a home ends when another life of its entry is seen, not before.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -89,7 +89,7 @@
 	started := time.Now()
 	s.send(node.CompletionAsked{
 		Request: id, Team: ident.Team(ctx.Request.Header.Peek(headerTeam)), Model: body.Model, Prompt: body.Prompt,
-		MaxTokens: body.MaxTokens, Seed: body.Seed, Priority: body.Priority, Deadline: s.now() + wait,
+		MaxTokens: body.MaxTokens, Prefixes: prefixesOf(body.Prompt), Seed: body.Seed, Priority: body.Priority, Deadline: s.now() + wait,
 	})
 	answer := &answerReader{shell: s, id: id, box: box, started: started, model: body.Model, prompt: body.Prompt}
 	if body.Stream {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -47,12 +47,13 @@
 
 // Sizes and times of the shell that are no operator's matter.
 const (
-	inboxSize       = 1 << 16
-	tickEvery       = 10 * time.Millisecond
-	maxBatch        = 64
-	lanesPerEngine  = 4
-	stepTimeout     = time.Second
-	prefillTimeout  = 10 * time.Second
+	inboxSize      = 1 << 16
+	tickEvery      = 10 * time.Millisecond
+	maxBatch       = 64
+	lanesPerEngine = 4
+	// stepTimeout bounds a call to an engine. The core decides much earlier
+	// that a step's reply is lost; this only frees the worker.
+	stepTimeout     = 10 * time.Second
 	importTimeout   = 2 * time.Second
 	cancelTimeout   = 500 * time.Millisecond
 	snapshotWait    = 10 * time.Second
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -171,6 +171,7 @@
 			return
 		case <-ticker.C:
 		}
+		s.sendLinks()
 		names := s.watched.Load()
 		if names == nil {
 			continue
@@ -186,9 +187,14 @@
 	if !ok || server.Kind != peer.KindEngine {
 		return
 	}
+	asked := time.Now()
 	load, err := s.engines.Load(server.Addr, httpcall.Within(loadPollTimeout))
 	if err != nil {
 		return
 	}
+	s.links.observe(server.Place.FailureDomain, time.Since(asked)/2)
 	s.sendLoad(id, load)
+	if server.LayerFrom == 0 {
+		s.pollHints(server)
+	}
 }
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -25,8 +25,18 @@
 		}
 	}
 	if reply.Members != nil {
-		d.members = make(map[ident.VM]peer.EntryMember, len(reply.Members.Members))
-		for _, m := range reply.Members.Members {
+		d.takeMembers(reply.Members.Members)
+	}
+}
+
+// takeMembers remembers where an entry process was last known to run, also when
+// its VM is missing: only its control process may have ended.
+func (d *directory) takeMembers(members []peer.EntryMember) {
+	if d.members == nil {
+		d.members = map[ident.VM]peer.EntryMember{}
+	}
+	for _, m := range members {
+		if m.Instance.Incarnation != 0 {
 			d.members[m.Instance.VM] = m
 		}
 	}
--- a/internal/entry/lanes.go
+++ b/internal/entry/lanes.go
@@ -108,9 +108,6 @@
 	}
 	stepsSent.Add(len(steps))
 	opt := httpcall.Within(stepTimeout)
-	if steps[0].Token == 0 {
-		opt = httpcall.Within(prefillTimeout)
-	}
 	opt.Fresh = steps[0].NewConnection
 	reply, err := s.engines.Steps(server.Addr, wireSteps(steps), opt)
 	if err != nil {
@@ -158,6 +155,8 @@
 		failed.Kind = stream.FailureLeaving
 	case r.Error == engine.ErrorFull:
 		failed.Kind = stream.FailureFull
+	case r.NotRun():
+		failed.Kind = stream.FailureRefused
 	}
 	s.send(failed)
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -151,7 +151,7 @@
 	}
 	ctx.SetStatusCode(answer.Status)
 	for _, h := range response.Headers {
-		ctx.Response.Header.Set(h.Name, h.Value)
+		ctx.Response.Header.Add(h.Name, h.Value)
 	}
 	if answer.Status >= fasthttp.StatusBadRequest {
 		ctx.Response.Header.Set(headerVerdict, verdict.Ran.String())
--- a/internal/entry/shell.go
+++ b/internal/entry/shell.go
@@ -51,6 +51,8 @@
 	lanes     lanes
 	observed  observations
 	watched   atomic.Pointer[[]string]
+	links     links
+	hints     hintPolls
 
 	// ctx ends when the shell does; end ends it. Open answers have been
 	// written before.
@@ -73,6 +75,8 @@
 	s.calls.init()
 	s.lanes.init(s)
 	s.observed.init()
+	s.links.init()
+	s.hints.init()
 	s.health.SetReady(false, "no configuration yet")
 	if err := s.buildCore(); err != nil {
 		return nil, err
--- a/internal/limits/chaos_test.go
+++ b/internal/limits/chaos_test.go
@@ -7,6 +7,8 @@
 	"github.com/catkinstair/catkinstair/internal/memnet"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/catkinstair/catkinstair/internal/proptest" // fixes the seed
 )
 
 // fault is one thing that goes wrong, or is mended, in a chaos run.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -27,6 +27,7 @@
 
 	accepted accepted
 	members  map[ident.VM]peer.EntryMember
+	homes    map[ident.VM]ident.Instance
 	servers  map[ident.BackendServer]peer.BackendServer
 	models   map[ident.Service]bool
 
@@ -46,6 +47,7 @@
 	e := &Entry{
 		cfg:         cfg,
 		members:     map[ident.VM]peer.EntryMember{},
+		homes:       map[ident.VM]ident.Instance{},
 		servers:     map[ident.BackendServer]peer.BackendServer{},
 		models:      map[ident.Service]bool{},
 		completions: map[string]*completion{},
@@ -152,6 +154,9 @@
 }
 
 func (e *Entry) routeEvent(now time.Duration, ev routing.Event) {
+	if load, ok := ev.(routing.Load); ok {
+		e.streamEvent(now, stream.Heard{Server: load.Server})
+	}
 	for _, a := range e.router.Step(now, ev) {
 		e.emit(a)
 	}
--- a/internal/node/entrycall.go
+++ b/internal/node/entrycall.go
@@ -180,6 +180,8 @@
 	switch ev.Result {
 	case call.Replied:
 		e.routeEvent(now, routing.Worked{Server: server})
+	case call.NotRunByServer:
+		e.routeEvent(now, routing.Failed{Server: server})
 	case call.ConnectFailed, call.ReplyLost:
 		e.routeEvent(now, routing.Failed{Server: server})
 		e.emit(Observed{Observation: peer.BackendObservation{Server: server, Unreachable: ev.Result == call.ConnectFailed}})
--- a/internal/node/entrymessages.go
+++ b/internal/node/entrymessages.go
@@ -43,8 +43,11 @@
 	Model     ident.Service `json:"model"`
 	Prompt    string        `json:"prompt"`
 	MaxTokens int           `json:"max_tokens"`
-	Seed      int64         `json:"seed"`
-	Priority  int           `json:"priority"`
+	// Prefixes of the prompt that an engine may hold in its cache, the longest
+	// first.
+	Prefixes []routing.Prefix `json:"prefixes,omitempty"`
+	Seed     int64            `json:"seed"`
+	Priority int              `json:"priority"`
 	// Deadline is the process time by which the answer must be whole.
 	Deadline time.Duration `json:"deadline_ns"`
 }
--- a/internal/node/entrysnapshot.go
+++ b/internal/node/entrysnapshot.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -63,7 +61,6 @@
 }
 
 func (e *Entry) membersSection(now time.Duration, section peer.MembersSection) {
-	before := e.members
 	e.members = make(map[ident.VM]peer.EntryMember, len(section.Members))
 	var peers []entrylist.Peer
 	for _, m := range section.Members {
@@ -72,15 +69,23 @@
 			Domain: m.Place.FailureDomain, Leaving: m.Leaving || !m.Serving})
 	}
 	e.listEvent(now, entrylist.Peers{Peers: peers})
-	for _, vm := range slices.Sorted(maps.Keys(before)) {
-		old := before[vm].Instance
-		if next, ok := e.members[vm]; ok && next.Instance.Incarnation == 0 {
-			next.Instance = old // its control process restarted and has not seen it yet
-			e.members[vm] = next
-		}
-		if e.members[vm].Instance != old {
-			e.callEvent(now, call.HomeGone{Home: old})
-		}
+	for _, m := range section.Members {
+		e.seeHome(now, m.Instance)
+	}
+}
+
+// seeHome notes which life of an entry process runs on a VM. A VM that is
+// missing, or whose entry is not known, may still run the old one: only the
+// control process beside it may have ended. A home is over once another life is
+// seen.
+func (e *Entry) seeHome(now time.Duration, seen ident.Instance) {
+	old, known := e.homes[seen.VM]
+	if seen.Incarnation == 0 || seen == old {
+		return
+	}
+	e.homes[seen.VM] = seen
+	if known {
+		e.callEvent(now, call.HomeGone{Home: old})
 	}
 }
 
--- a/internal/node/entrystream.go
+++ b/internal/node/entrystream.go
@@ -88,6 +88,7 @@
 		Service:      c.ask.Model,
 		PromptTokens: len(c.ask.Prompt)/bytesPerToken + 1,
 		Tokens:       c.ask.MaxTokens,
+		Prefixes:     c.ask.Prefixes,
 	})
 	if !ok {
 		e.giveBack(now, c.key(), c.estimate)
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/catkinstair/catkinstair/internal/proptest" // fixes the seed
 )
 
 // Whatever fails, on engines that check and on engines that don't, orders of
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -87,11 +87,12 @@
 }
 
 // Rebuild makes the core that a trace's header names, and checkers of the
-// rules that it is held to.
+// rules that it is held to. Settings that are newer than the trace keep their
+// defaults.
 func Rebuild(header trace.Header) (*trace.Registry, trace.Stepper, []rules.Checker, error) {
 	switch header.Core {
 	case CoreEntry:
-		var cfg node.EntryConfig
+		cfg := node.DefaultEntryConfig(node.EntrySettings{})
 		if err := json.Unmarshal(header.Config, &cfg); err != nil {
 			return nil, nil, nil, errors.Wrap(err, "the trace's configuration")
 		}
@@ -101,7 +102,7 @@
 		}
 		return trace.NewRegistry(node.EntryEvents()...), steps(core.Step), rules.Entry(), nil
 	case CoreControl:
-		var cfg node.ControlConfig
+		cfg := node.DefaultControlConfig(node.ControlSettings{})
 		if err := json.Unmarshal(header.Config, &cfg); err != nil {
 			return nil, nil, nil, errors.Wrap(err, "the trace's configuration")
 		}
