Membership: groups that formed apart find each other

Cause: a process stopped asking seeds once it knew anybody. VMs that start in an unlucky order, or under a cut, could form two fleets that never met: one of 11 runs of the control process's tests timed out waiting for six VMs to come together (that this is the same fault is inferred, not shown).

Now a seed that is no present member is asked every 1 to 2 s in the first minute, then about every 30 s.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/catkinstair/catkinstair/internal/adminapi"
@@ -121,14 +122,36 @@
 // eventually waits for want to hold on every VM.
 func (w *world) eventually(within time.Duration, what string, want func(e *fakeEntry) bool) {
 	w.t.Helper()
-	require.Eventually(w.t, func() bool {
+	holds := func() bool {
 		for _, v := range w.vms {
 			if !v.entry.check(want) {
 				return false
 			}
 		}
 		return true
-	}, within, 20*time.Millisecond, what)
+	}
+	if !assert.Eventually(w.t, holds, within, 20*time.Millisecond, what) {
+		for i, v := range w.vms {
+			w.t.Logf("VM %d: %s", i, v.entry.describe())
+		}
+		w.t.FailNow()
+	}
+}
+
+// describe is what an entry knows, for a failed test.
+func (e *fakeEntry) describe() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	text := fmt.Sprintf("versions %+v", e.state.Versions)
+	if e.state.Config != nil {
+		text += fmt.Sprintf(", config known %t", e.state.Config.Known)
+	}
+	if e.state.Members != nil {
+		for _, m := range e.state.Members.Members {
+			text += fmt.Sprintf("; %s serving %t reachable %t leaving %t", m.Instance, m.Serving, m.Reachable, m.Leaving)
+		}
+	}
+	return text
 }
 
 // apply takes a sheet with one limit through the administration API.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -94,6 +94,19 @@
 	}
 }
 
+// Groups that formed apart, because of a cut or of the order of starts, find each
+// other through the seeds.
+func TestGroupsThatFormedApartFindEachOther(t *testing.T) {
+	f := newFleet(t, 9, lan(0))
+	f.grow(6, 3)
+	f.cutDomain("domain-1", true)
+	f.run(90 * time.Second)
+	require.Len(t, f.nodes[name(1)].m.Members(), 2)
+	f.cutDomain("domain-1", false)
+	f.run(time.Minute)
+	f.requireWhole()
+}
+
 func TestPausedProcessAccusesNobodyAndComesBack(t *testing.T) {
 	f := newFleet(t, 5, lan(0))
 	f.grow(6, 3)
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -1,21 +1,53 @@
 package membership
 
-import "github.com/catkinstair/catkinstair/internal/ident"
+import (
+	"slices"
+	"time"
 
-// joinSeeds is how many seeds are asked at once while nobody is known.
-const joinSeeds = 3
+	"github.com/catkinstair/catkinstair/internal/ident"
+)
 
-// join asks seeds for the state while no member answers.
+const (
+	// joinSeeds is how many seeds are asked at once while nobody is known.
+	joinSeeds = 3
+	// joinEagerly is how long after its start a process looks for seeds that
+	// it does not know yet every few seconds; later it does so every SyncPeriod.
+	joinEagerly = time.Minute
+)
+
+// join asks seeds for the state: several while no member answers, else now and
+// then one that is not among the members. Groups that formed apart, because of
+// a cut or of the order of starts, thus find each other.
 func (m *Membership) join() {
-	if m.now < m.nextJoin || len(m.seeds) == 0 || m.inTouch() {
+	if m.now < m.nextJoin {
 		return
 	}
 	m.nextJoin = m.now + m.cfg.ProbePeriod + m.jitter(m.cfg.ProbePeriod)
-	for _, i := range m.rng.Perm(len(m.seeds))[:min(joinSeeds, len(m.seeds))] {
-		if m.seeds[i] != m.self.ControlAddr {
-			m.askAddr(m.seeds[i], Message{Kind: Sync}, askOptions{timeout: 2 * m.probeTimeout()})
+	n := joinSeeds
+	if m.inTouch() {
+		n = 1
+		if m.now > joinEagerly {
+			m.nextJoin = m.now + m.cfg.SyncPeriod/2 + m.jitter(m.cfg.SyncPeriod)
 		}
 	}
+	seeds := m.strangers()
+	m.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	for _, addr := range seeds[:min(n, len(seeds))] {
+		m.askAddr(addr, Message{Kind: Sync}, askOptions{timeout: 2 * m.probeTimeout()})
+	}
+}
+
+// strangers lists the seeds that are no address of a present member.
+func (m *Membership) strangers() []string {
+	return slices.DeleteFunc(slices.Clone(m.seeds), func(addr string) bool {
+		if addr == m.self.ControlAddr {
+			return true
+		}
+		return slices.ContainsFunc(m.order, func(vm ident.VM) bool {
+			e := m.members[vm]
+			return e.State == Alive && e.ControlAddr == addr
+		})
+	})
 }
 
 // inTouch reports whether any member is alive here.
