--- a/internal/call/claim.go
+++ b/internal/call/claim.go
@@ -24,10 +24,14 @@
 	revision uint64
 	// outcome is what is being recorded.
 	outcome *Record
+	// body is the reply to be recorded; it is kept until the request is dropped.
+	body BodyRef
 	// refusal is given once a NotRun outcome is recorded.
 	refusal *verdict.Refusal
-	// until ends the writes that go on after the caller was answered.
-	until time.Duration
+	// until ends the writes that go on after the caller was answered; cleanups
+	// counts them.
+	until    time.Duration
+	cleanups int
 }
 
 // pending reports whether something is still to be written.
@@ -148,7 +152,19 @@
 		return
 	}
 	r.claim.asked = true
-	c.timers.add(now+c.cfg.CleanupWait, r.ID, timerClaim)
+	c.timers.add(now+c.cleanupWait(r), r.ID, timerClaim)
+}
+
+// maxCleanupDoublings bounds the wait between two writes after the answer to
+// CleanupWait times 2^maxCleanupDoublings.
+const maxCleanupDoublings = 4
+
+// cleanupWait doubles with every write that follows the caller's answer, so that
+// a long outage leaves the service no queue of them.
+func (c *Core) cleanupWait(r *request) time.Duration {
+	wait := c.cfg.CleanupWait << min(r.claim.cleanups, maxCleanupDoublings)
+	r.claim.cleanups++
+	return wait
 }
 
 func (c *Core) claimAgain(now time.Duration, r *request) {
@@ -188,6 +204,7 @@
 func (c *Core) recordOutcome(now time.Duration, r *request, outcome Record) {
 	outcome.ClaimID, outcome.BodyHash = c.claimID(r), r.BodyHash
 	r.claim.outcome = &outcome
+	r.claim.body = outcome.Body
 	r.claim.until = max(now, r.Deadline) + c.cfg.CleanupFor
 	c.writeOutcome(r)
 }
@@ -237,7 +254,7 @@
 	}
 	wait := c.cfg.ClaimWait
 	if r.answered {
-		wait = c.cfg.CleanupWait
+		wait = c.cleanupWait(r)
 	}
 	c.timers.add(now+wait, r.ID, timerClaim)
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -28,13 +28,12 @@
 	// members are all entries of the test.
 	members []peer.EntryMember
 	servers []peer.BackendServer
-	numbers map[ident.Instance]uint64
 	seen    []peer.BackendObservation
 }
 
-func newFakeControl(t *testing.T, cluster *standin.Cluster) *fakeControl {
+func newFakeControl(t testing.TB, cluster *standin.Cluster) *fakeControl {
 	t.Helper()
-	f := &fakeControl{numbers: map[ident.Instance]uint64{}}
+	f := &fakeControl{}
 	for _, s := range cluster.Servers() {
 		kind := peer.KindEngine
 		if s.Kind == vmlist.App {
@@ -90,17 +89,16 @@
 func (f *fakeControl) borrow(_ context.Context, ask limits.Ask) (limits.Loan, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	loan := limits.Loan{To: ask.From, Seq: ask.Seq, Sent: ask.Sent}
+	loan := limits.Loan{To: ask.From, Seq: ask.Seq}
 	for i, item := range ask.Items {
-		f.numbers[ask.From]++
-		loan.Items = append(loan.Items, limits.LoanItem{Index: i, Epoch: 1, Number: f.numbers[ask.From], Amount: item.Want})
+		loan.Items = append(loan.Items, limits.LoanItem{Index: i, Epoch: 1, Amount: item.Want})
 	}
 	return loan, nil
 }
 
 // world is a stand-in cluster with entries before it.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	cluster *standin.Cluster
 	control *fakeControl
 	entries []*Shell
@@ -108,7 +106,7 @@
 	ended   []chan struct{}
 }
 
-func startWorld(t *testing.T, entries int) *world {
+func startWorld(t testing.TB, entries int) *world {
 	t.Helper()
 	cluster, err := standin.Start(standin.Topology{
 		KV: "127.0.0.1:0", VMs: "127.0.0.1:0", Control: "127.0.0.1:0",
@@ -131,7 +129,7 @@
 	return w
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -89,7 +89,7 @@
 		}
 		planned := b.started.Add(at)
 		time.Sleep(time.Until(planned))
-		b.stats.planned(k)
+		b.stats.planned(k, planned)
 		c := b.callers[random.IntN(len(b.callers))]
 		b.under.Add(1)
 		err := b.pool.Submit(func() {
@@ -166,6 +166,7 @@
 		Tokens:       float64(b.stats.offered[kindCompletion]*b.cfg.MaxTokens) / seconds,
 		Reads:        float64(b.stats.offered[kindRead]) / seconds,
 		Reservations: float64(b.stats.offered[kindReservation]) / seconds,
+		Calls:        float64(b.stats.offered[kindRead]+b.stats.offered[kindReservation]) / seconds,
 	}
 }
 
@@ -185,6 +186,7 @@
 		Tokens:       float64(sum.Tokens) / n,
 		Reads:        float64(sum.Reads) / n,
 		Reservations: float64(sum.Reservations) / n,
+		Calls:        float64(sum.Reads+sum.Reservations) / n,
 	}
 }
 
@@ -200,6 +202,7 @@
 		Tokens:       divide(a.Tokens, bound.Tokens),
 		Reads:        divide(a.Reads, bound.Reads),
 		Reservations: divide(a.Reservations, bound.Reservations),
+		Calls:        divide(a.Calls, bound.Calls),
 	}
 }
 
@@ -217,7 +220,7 @@
 		if i+1 < len(marks) {
 			until = marks[i+1].At
 		}
-		out = append(out, recovery(b.stats.buckets, from, m.At, until, m.Label))
+		out = append(out, recovery(b.stats.counts, from, m.At, until, m.Label))
 	}
 	return out
 }
--- a/internal/node/entrystream.go
+++ b/internal/node/entrystream.go
@@ -130,8 +130,12 @@
 	case stream.StepFailed:
 		e.stepFailed(now, ev)
 	}
-	actions := slices.Clone(e.streams.Step(now, ev))
-	for _, a := range actions {
+	actions := e.streams.Step(now, ev)
+	if len(actions) == 1 { // most steps: no need to keep the slice apart
+		e.streamDo(now, actions[0])
+		return
+	}
+	for _, a := range slices.Clone(actions) {
 		e.streamDo(now, a)
 	}
 }
@@ -192,18 +196,9 @@
 	e.streamEvent(now, stream.Replacement{Stream: want.Stream, Stage: want.Stage, Server: server})
 }
 
-// completionOf finds the completion that drives a stream; the streams are named
-// after their requests.
+// completionOf finds the completion that drives a stream.
 func (e *Entry) completionOf(name string) *completion {
-	if c, ok := e.completions[name]; ok {
-		return c
-	}
-	for i := len(name) - 1; i > 0; i-- {
-		if name[i] == '.' {
-			return e.completions[name[:i]]
-		}
-	}
-	return nil
+	return e.completions[stream.RequestOf(name)]
 }
 
 func (e *Entry) cut(now time.Duration, a stream.Cut) {
--- a/internal/stream/fail.go
+++ b/internal/stream/fail.go
@@ -14,7 +14,9 @@
 		return
 	}
 	switch ev.Kind {
-	case FailureNotSent, FailureRefused:
+	case FailureNotSent:
+		t.leaveHolder(s)
+	case FailureRefused:
 		t.lose(s)
 	case FailurePosition:
 		t.reposition(s, ev.Position)
@@ -28,10 +30,12 @@
 }
 
 // lost handles a lost reply: the step is sent again on a new connection, which
-// makes an engine that ran it give the stored answer.
+// makes an engine that ran it give the stored answer. A slow stage is asked
+// more often, but not in haste.
 func (t *Table) lost(s *stream) {
 	s.uncertain = true
-	if s.resends >= t.cfg.Resends {
+	again := t.slow(s) && t.now-s.sentAt >= t.cfg.MinStepTimeout
+	if s.resends >= t.cfg.Resends && !again {
 		t.lose(s)
 		return
 	}
@@ -53,7 +57,8 @@
 		t.drive(s)
 		return
 	}
-	if position > s.token && t.restart(s) {
+	if position > s.token && s.losses < t.cfg.MaxLosses && t.restart(s) {
+		s.losses++
 		return
 	}
 	t.lose(s)
@@ -63,7 +68,11 @@
 // stream is left at once; one that holds its cache gets time.
 func (t *Table) full(s *stream) {
 	s.fulls++
-	if s.stages[s.at].position == 0 || s.fulls > t.cfg.FullRetries {
+	if s.stages[s.at].position == 0 {
+		t.leaveHolder(s)
+		return
+	}
+	if s.fulls > t.cfg.FullRetries {
 		t.lose(s)
 		return
 	}
@@ -83,24 +92,44 @@
 	t.emit(Export{Stream: s.name, Stage: s.at, Attempt: st.attempt, Server: st.server})
 }
 
-// lose gives up the holder of the frontier stage and looks for another one.
+// lose gives up a holder that took something of the stream. A stream that lost
+// too many is cut.
 func (t *Table) lose(s *stream) {
+	s.losses++
+	if s.losses > t.cfg.MaxLosses {
+		t.cut(s, verdict.CauseBackendLost, "too many stages were lost")
+		return
+	}
+	t.leaveHolder(s)
+}
+
+// leaveHolder leaves the holder of the frontier stage and looks for another.
+func (t *Table) leaveHolder(s *stream) {
 	st := &s.stages[s.at]
 	if st.touched {
 		t.emit(CancelAt{Server: st.server, Stream: s.name, Attempt: st.attempt})
 		st.touched = false
 	}
 	s.exclude = append(s.exclude, st.server)
-	s.lookSince = t.now
+	if !s.stalled {
+		s.stalled = true
+		s.stalledAt = t.now
+	}
 	t.look(s)
 }
 
-// look asks for a replacement of the frontier stage.
+// look asks for a replacement of the frontier stage. A stream that got nowhere
+// for too long is cut.
 func (t *Table) look(s *stream) {
+	if t.now-s.stalledAt >= t.cfg.ReplacementWait {
+		t.cut(s, verdict.CauseNoBackend, "no replacement was found for a lost stage")
+		return
+	}
 	st := &s.stages[s.at]
 	s.phase = looking
 	s.until = t.now + t.cfg.Backoff
 	t.emit(WantReplacement{
+		Request: s.open.Request,
 		Stream:  s.name,
 		Stage:   s.at,
 		Model:   s.open.Model,
@@ -128,23 +157,14 @@
 func (t *Table) timeout(s *stream) {
 	switch s.phase {
 	case stepping:
-		t.lost(s)
+		t.late(s)
 	case backedOff:
 		t.drive(s)
 	case looking:
-		t.lookAgain(s)
+		t.look(s)
 	case exporting:
 		t.lose(s)
 	case importing:
 		t.resume(s, false)
 	}
 }
-
-// lookAgain repeats the search for a replacement, until ReplacementWait is over.
-func (t *Table) lookAgain(s *stream) {
-	if t.now-s.lookSince >= t.cfg.ReplacementWait {
-		t.cut(s, verdict.CauseNoBackend, "no replacement was found for a lost stage")
-		return
-	}
-	t.look(s)
-}
