Control: stops during the start, and a first roster with several members

Cause: two faults that the fleet's tests showed. - A stop before the HTTP server knew its listener never ended: Shutdown found nothing to close and Serve then waited for ever (seen as a test that hung until its time limit, in 2 of about 30 runs; the dump shows Run waiting for its duties). The listener is now closed after the shutdown, in both processes. - The first roster could name the one VM that was first; killed 2 s after the start, its slots were lent by nobody 15 s later (6 of 6 runs). The first roster now waits for three members, at most 5 s. A roster of which a majority dies for good still needs an operator.

The test of an entry that outlives its control process now wants the new control process to be seen, which it did not before.

--- a/internal/control/shell.go
+++ b/internal/control/shell.go
@@ -144,6 +144,7 @@
 	}
 	s.end()
 	s.closeServers()
+	_ = admin.Close() // a stop during the start may come before the server knows its listener
 	s.duties.Wait()
 	s.peers.Close()
 	s.pool.Release()
--- a/internal/control/shell_test.go
+++ b/internal/control/shell_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/catkinstair/catkinstair/internal/config"
@@ -79,9 +80,13 @@
 		}
 	}
 	killed := time.Now()
-	require.Eventually(t, func() bool {
-		return asker.holder() != holder && asker.borrow() == 1
-	}, 15*time.Second, 50*time.Millisecond, "another VM lends")
+	lent := func() bool { return asker.holder() != holder && asker.borrow() == 1 }
+	if !assert.Eventually(t, lent, 15*time.Second, 50*time.Millisecond, "another VM lends") {
+		for i, v := range w.vms {
+			t.Logf("VM %d, holder %s, asker %t: %s", i, v.entry.holder(), v.entry == asker, v.entry.describe())
+		}
+		t.FailNow()
+	}
 	t.Logf("lent again %s after the kill", time.Since(killed).Round(10*time.Millisecond))
 }
 
@@ -135,9 +140,27 @@
 	restarted := w.start(1, v.shell.cfg.Listen)
 	restarted.entry.end()
 	restarted.entry = entry
+	require.Eventually(t, func() bool {
+		return entry.check(func(e *fakeEntry) bool { return e.state.Versions.Control == restarted.shell.cfg.Self.Incarnation })
+	}, 10*time.Second, 20*time.Millisecond, "the entry has found its new control process")
+	require.Never(t, func() bool {
+		return w.vms[0].entry.check(func(e *fakeEntry) bool {
+			m, ok := e.member(1)
+			return !ok || m.Instance != entry.self && m.Instance.Incarnation != 0
+		})
+	}, 4*time.Second, 20*time.Millisecond, "the entry seemed to have ended")
 	w.eventually(10*time.Second, "the entry outlives its control process", sameLife)
 }
 
+// A stop during the start ends the process.
+func TestStopDuringTheStart(t *testing.T) {
+	t.Parallel()
+	for range 20 {
+		w := newWorld(t, 1)
+		w.kill(0)
+	}
+}
+
 // A planned stop hands the slots over first and ends by itself.
 func TestPlannedStopHandsOver(t *testing.T) {
 	t.Parallel()
--- a/internal/entry/shell.go
+++ b/internal/entry/shell.go
@@ -177,6 +177,7 @@
 	case <-s.ctx.Done():
 	}
 	s.closeServers()
+	_ = callers.Close() // a stop during the start may come before the server knows its listener
 	s.duties.Wait()
 	s.peers.Close()
 	s.pool.Release()
--- a/internal/node/controlconfig.go
+++ b/internal/node/controlconfig.go
@@ -111,6 +111,10 @@
 	// leaseReadEvery is how often a member reads the roster; a change reaches it
 	// with the peers' promises before.
 	leaseReadEvery = 4 * time.Second
+	// The first roster waits for foundingMembers, for at most foundingWait after
+	// the start: the slots of a roster with one member die with it.
+	foundingMembers = 3
+	foundingWait    = 5 * time.Second
 )
 
 // listedServerBytes is about what one backend server takes in the VM list.
--- a/internal/node/controlservice.go
+++ b/internal/node/controlservice.go
@@ -52,7 +52,7 @@
 func (c *Control) readRoster(now time.Duration) {
 	c.ask(now, platform.Call{Op: platform.OpGet, Key: keyRoster, Urgent: true}, func(now time.Duration, done platform.Done) {
 		switch {
-		case done.Status == platform.NotFound:
+		case done.Status == platform.NotFound && c.mayFoundRoster(now):
 			c.leaseEvent(now, lease.RosterMissing{})
 			return
 		case done.Status == platform.OK && len(done.Entries) == 1:
@@ -66,6 +66,12 @@
 	})
 }
 
+// mayFoundRoster holds the first roster back until there are members for a
+// majority that outlives one of them, or for a while.
+func (c *Control) mayFoundRoster(now time.Duration) bool {
+	return len(c.present()) >= foundingMembers || now >= foundingWait
+}
+
 func (c *Control) writeRoster(now time.Duration, w lease.WriteRoster) {
 	result := lease.CASResult{Outcome: lease.CASUnknown, Version: w.Roster.Version}
 	value, err := w.Roster.Encode()
