lease: the first roster waits for three instances

Cause: the first instance to find no record made itself the only member; when it died within a second, no majority was left that could take it out (seen in the control processes' TestKilledHolderIsReplaced: no loan within 15 s, on every run). The first roster now waits up to 2 s for three instances.

--- a/internal/lease/config.go
+++ b/internal/lease/config.go
@@ -10,6 +10,9 @@
 // OrdersSlot is the slot whose holder gives orders to engines.
 const OrdersSlot = 0
 
+// firstMembers is the least number of members that survives the loss of one.
+const firstMembers = 3
+
 // Config is the lease's configuration.
 type Config struct {
 	// Self is this process. Its incarnation must be higher than that of every
@@ -42,6 +45,9 @@
 	ServiceTimeout time.Duration `json:"service_timeout_ns"`
 	// ReaddAfter is how long an instance that was removed stays out. Default 5 s.
 	ReaddAfter time.Duration `json:"readd_after_ns"`
+	// FirstWait is how long the first roster waits for three instances to
+	// be known. A roster of one member can't outlive it. Default 2 s.
+	FirstWait time.Duration `json:"first_wait_ns"`
 	// MaxMembers bounds the roster's members. Default 9.
 	MaxMembers int `json:"max_members"`
 	// Slots is the number of slots. It is fixed by the first roster. Default 64.
@@ -61,6 +67,7 @@
 		PullEvery:      time.Second,
 		ServiceTimeout: time.Second,
 		ReaddAfter:     5 * time.Second,
+		FirstWait:      2 * time.Second,
 		MaxMembers:     9,
 		Slots:          64,
 	}
@@ -84,6 +91,7 @@
 	check(c.PullEvery > 0, "pull_every must be above zero")
 	check(c.ServiceTimeout > 0, "service_timeout must be above zero")
 	check(c.ReaddAfter >= 0, "readd_after must not be negative")
+	check(c.FirstWait >= 0, "first_wait must not be negative")
 	check(c.MaxMembers > 0, "max_members must be above zero")
 	check(c.Slots > 0, "slots must be above zero")
 	return err
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -36,7 +36,9 @@
 	// removed holds the moment at which a roster without the instance arrived.
 	removed map[ident.Instance]time.Duration
 
-	candidates []Member
+	// missingSince is when the service first said that there is no record.
+	missingSince time.Duration
+	candidates   []Member
 	// wantedMembers are those of the roster that is wanted since wantedSince.
 	wantedMembers []Member
 	wantedSince   time.Duration
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -54,6 +54,25 @@
 	}
 }
 
+// A holder that dies soon after the first start is replaced like any other.
+func TestHolderKilledSoonAfterTheFirstStart(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newSim(t, seed, 6, 3)
+		s.hearsay = 300 * time.Millisecond
+		for _, h := range s.hosts() {
+			s.start(h)
+		}
+		for s.holderOf(0) == nil {
+			s.run(simTick)
+		}
+		s.run(time.Duration(seed) * simTick)
+		s.kill(s.holderOf(0).host)
+		s.run(10 * time.Second)
+		require.NotNil(t, s.holderOf(0), "seed %d", seed)
+		require.Less(t, s.longestGap, 5*time.Second, "seed %d", seed)
+	}
+}
+
 func TestValidateNamesEveryFault(t *testing.T) {
 	err := Config{}.Validate()
 	for _, field := range []string{"self.vm", "addr", "promise_term", "ask_every", "max_members", "slots"} {
--- a/internal/lease/propose.go
+++ b/internal/lease/propose.go
@@ -71,14 +71,22 @@
 	return append(out, WriteRoster{Roster: next, Expect: ev.Revision})
 }
 
-// rosterMissing creates the record on the first start. An instance that knows
-// a roster never makes a new one.
+// rosterMissing creates the record on the first start, after a wait for other
+// instances. An instance that knows a roster never makes a new one.
 func (c *Core) rosterMissing(now time.Duration) []Action {
 	c.service.answered()
 	if c.roster != nil || c.leaving {
 		return nil
 	}
-	members := chooseMembers(nil, c.usable(now), c.cfg.MaxMembers)
+	if c.missingSince == 0 {
+		c.missingSince = now
+	}
+	usable := c.usable(now)
+	if len(usable) < min(firstMembers, c.cfg.MaxMembers) && now-c.missingSince < c.cfg.FirstWait {
+		c.service.nextRead = now + backoffFirst
+		return nil
+	}
+	members := chooseMembers(nil, usable, c.cfg.MaxMembers)
 	c.service.waiting = now + c.cfg.ServiceTimeout
 	return []Action{WriteRoster{Roster: firstRoster(members, c.cfg.Slots)}}
 }
