--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -24,6 +24,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	ticks := 0
+	s.step(node.Tick{}) // the slices learn their start before the first request
 	for {
 		select {
 		case <-s.ctx.Done():
