--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/catkinstair/catkinstair/internal/ident"
+	_ "github.com/catkinstair/catkinstair/internal/proptest" // fixes the seed
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
--- a/internal/routing/property_test.go
+++ b/internal/routing/property_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/catkinstair/catkinstair/internal/ident"
+	_ "github.com/catkinstair/catkinstair/internal/proptest" // fixes the seed
 )
 
 // routerModel drives a Router at random and remembers what it was told.
