Admission: queues, shedding and Retry-After of each team and service

What is new: queues of each service within a team, the one of which the least cost started first, and deficit round robin between teams as before; the pace of starts is measured only while requests wait, and counts after 500 ms of that; Taker.RetryAfter asks the limit that was short, for a place among those refused lately, spread by the seed.

Conclusion: what is short on one service says nothing about another.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -22,6 +22,14 @@
 	return &bucket{rate: rate, burst: burst, left: map[ident.Team]float64{}, at: map[ident.Team]time.Duration{}}
 }
 
+// RetryAfter is the time until the bucket holds n, counted from what it holds.
+func (b *bucket) RetryAfter(_ time.Duration, team ident.Team, _ ident.Service, _, n int) time.Duration {
+	if b.rate == 0 {
+		return time.Hour
+	}
+	return time.Duration(max(0, float64(n)-b.left[team]) / b.rate * float64(time.Second))
+}
+
 func (b *bucket) Take(now time.Duration, team ident.Team, _ ident.Service, n int) bool {
 	if _, ok := b.left[team]; !ok {
 		b.left[team] = b.burst
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -10,7 +10,8 @@
 type Config struct {
 	// Slots is the number of requests that may run at once. Default 4096.
 	Slots int
-	// QueuePerTeam bounds the requests of one team that wait in one priority.
+	// QueuePerTeam bounds the requests of one team on one service that wait in
+	// one priority.
 	// Default 64.
 	QueuePerTeam int
 	// QueueTotal bounds the requests that wait. Default 4096.
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -16,10 +16,19 @@
 
 // teamQueue is one team's waiters in one priority.
 type teamQueue struct {
-	team    ident.Team
+	team     ident.Team
+	services []*serviceQueue // those with waiters, in the order of their first
+	deficit  int             // cost that it may still start in this turn
+	inTurn   bool            // it got its quantum for this turn
+}
+
+// serviceQueue is the waiters of one team on one service, in order of arrival.
+type serviceQueue struct {
+	account account
 	waiters []*waiter
-	deficit int  // cost that it may still start in this turn
-	inTurn  bool // it got its quantum for this turn
+	// started is the cost that started of it, counted from where the others
+	// of its team stood when its first waiter came.
+	started int
 }
 
 // account is what one limit is on.
@@ -39,17 +48,34 @@
 }
 
 // mayPass reports whether a new request may start before those that wait: only
-// if none of its team waits in its priority or a higher one.
+// if none of its team and service waits in its priority or a higher one.
 func (q *Queue) mayPass(req Request) bool {
 	for _, l := range q.levels {
-		if l.priority >= req.Priority && l.teams[req.Team] != nil {
+		if l.priority >= req.Priority && l.queue(req.account()) != nil {
 			return false
 		}
 	}
 	return true
 }
 
-func (q *Queue) enqueue(w *waiter) {
+// queue returns the waiters of a team on a service, or nil.
+func (l *level) queue(a account) *serviceQueue {
+	if tq := l.teams[a.team]; tq != nil {
+		return tq.queue(a)
+	}
+	return nil
+}
+
+func (tq *teamQueue) queue(a account) *serviceQueue {
+	for _, sq := range tq.services {
+		if sq.account == a {
+			return sq
+		}
+	}
+	return nil
+}
+
+func (q *Queue) enqueue(now time.Duration, w *waiter) {
 	l := q.level(w.req.Priority)
 	if l == nil {
 		l = &level{priority: w.req.Priority, teams: map[ident.Team]*teamQueue{}}
@@ -62,17 +88,40 @@
 		l.teams[w.req.Team] = tq
 		l.round = append(l.round, tq)
 	}
-	tq.waiters = append(tq.waiters, w)
+	sq := tq.queue(w.req.account())
+	if sq == nil {
+		sq = tq.join(w.req.account())
+	}
+	sq.waiters = append(sq.waiters, w)
 	q.waiting[w.req.ID] = w
+	q.flow(w.req).join(now)
 }
 
-// dequeue takes a waiter out, and its team's queue if that is empty.
-func (q *Queue) dequeue(w *waiter) {
+// join adds an empty service queue that has no claim from before it came.
+func (tq *teamQueue) join(a account) *serviceQueue {
+	sq := &serviceQueue{account: a}
+	for i, other := range tq.services {
+		if i == 0 || other.started < sq.started {
+			sq.started = other.started
+		}
+	}
+	tq.services = append(tq.services, sq)
+	return sq
+}
+
+// dequeue takes a waiter out, and the queues that are empty without it.
+func (q *Queue) dequeue(now time.Duration, w *waiter) {
 	delete(q.waiting, w.req.ID)
+	q.flow(w.req).leave(now)
 	l := q.level(w.req.Priority)
 	tq := l.teams[w.req.Team]
-	tq.waiters = slices.DeleteFunc(tq.waiters, func(x *waiter) bool { return x == w })
-	if len(tq.waiters) > 0 {
+	sq := tq.queue(w.req.account())
+	sq.waiters = slices.DeleteFunc(sq.waiters, func(x *waiter) bool { return x == w })
+	if len(sq.waiters) > 0 {
+		return
+	}
+	tq.services = slices.DeleteFunc(tq.services, func(x *serviceQueue) bool { return x == sq })
+	if len(tq.services) > 0 {
 		return
 	}
 	delete(l.teams, w.req.Team)
@@ -87,7 +136,9 @@
 	found := make([]*waiter, 0, len(q.waiting))
 	for _, l := range q.levels {
 		for _, tq := range l.round {
-			found = append(found, tq.waiters...)
+			for _, sq := range tq.services {
+				found = append(found, sq.waiters...)
+			}
 		}
 	}
 	return found
@@ -135,29 +186,46 @@
 // or its deficit is growing towards a large request.
 func (q *Queue) startTeam(now time.Duration, tq *teamQueue) bool {
 	progress := false
-	for _, w := range slices.Clone(tq.waiters) {
-		if len(q.running) >= q.cfg.Slots {
-			return progress
-		}
-		if q.spent[w.account()] {
-			continue
+	for len(q.running) < q.cfg.Slots {
+		sq := q.next(tq)
+		if sq == nil {
+			break
 		}
+		w := sq.waiters[0]
 		if w.req.Cost > tq.deficit {
 			return true
 		}
 		if !q.tryStart(now, w) {
-			q.spent[w.account()] = true
+			q.spent[sq.account] = true
 			continue
 		}
 		progress = true
 		tq.deficit -= w.req.Cost
-		q.dequeue(w)
+		sq.started += w.req.Cost
+		q.dequeue(now, w)
 		q.out = append(q.out, Admit{ID: w.req.ID, Waited: now - w.since})
 	}
-	tq.deficit = min(tq.deficit, q.cfg.Quantum)
+	if len(q.running) < q.cfg.Slots {
+		tq.deficit = min(tq.deficit, q.cfg.Quantum)
+	}
 	return progress
 }
 
-func (w *waiter) account() account {
-	return account{team: w.req.Team, service: w.req.Service}
+// next returns the team's service that may start something and of which the
+// least cost started; nil if every limit is spent.
+func (q *Queue) next(tq *teamQueue) *serviceQueue {
+	var least *serviceQueue
+	for _, sq := range tq.services {
+		if q.spent[sq.account] {
+			continue
+		}
+		if least == nil || sq.started < least.started {
+			least = sq
+		}
+	}
+	return least
+}
+
+func (r Request) account() account {
+	return account{team: r.Team, service: r.Service}
 }
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -7,10 +7,14 @@
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
-// Taker takes n units of a team's limit on a service, all or nothing. The
-// limits borrower is one.
+// Taker gives of a team's limits on a service. The limits borrower is one.
 type Taker interface {
+	// Take takes n units for one request, all or nothing.
 	Take(now time.Duration, team ident.Team, service ident.Service, n int) bool
+
+	// RetryAfter estimates when the limit that was short gives enough for so
+	// many requests that cost n units together.
+	RetryAfter(now time.Duration, team ident.Team, service ident.Service, requests, n int) time.Duration
 }
 
 // Request asks for admission.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -24,9 +24,7 @@
 	waiting map[string]*waiter
 	levels  []*level         // by priority, the highest first
 	spent   map[account]bool // limits that refused in this round
-	drain   drainRate
-	started rate
-	refused rate
+	flows   map[account]*flow
 	stopped bool
 	out     []Action
 	stats   Stats
@@ -52,6 +50,7 @@
 		running: map[string]struct{}{},
 		waiting: map[string]*waiter{},
 		spent:   map[account]bool{},
+		flows:   map[account]*flow{},
 		stats:   Stats{Refused: map[verdict.Cause]uint64{}},
 	}, nil
 }
@@ -67,16 +66,16 @@
 func (q *Queue) Offer(now time.Duration, req Request) Decision {
 	req.Cost = max(1, req.Cost)
 	if cause, detail := q.unfit(now, req); cause != "" {
-		return Decision{Outcome: Refused, Refusal: q.refusal(now, cause, detail)}
+		return Decision{Outcome: Refused, Refusal: q.refusal(now, req, cause, detail)}
 	}
 	w := &waiter{req: req, since: now, latest: q.latestStart(now, req)}
 	if q.mayPass(req) && q.tryStart(now, w) {
 		return Decision{Outcome: Admitted}
 	}
 	if cause, detail := q.noRoom(now, w); cause != "" {
-		return Decision{Outcome: Refused, Refusal: q.refusal(now, cause, detail)}
+		return Decision{Outcome: Refused, Refusal: q.refusal(now, req, cause, detail)}
 	}
-	q.enqueue(w)
+	q.enqueue(now, w)
 	return Decision{Outcome: Queued}
 }
 
@@ -116,8 +115,7 @@
 	}
 	q.running[w.req.ID] = struct{}{}
 	q.stats.Admitted++
-	q.drain.started(now, w.req.Team)
-	q.started.count(now)
+	q.flow(w.req).start(now)
 	return true
 }
 
@@ -167,19 +165,18 @@
 
 // refuse ends a waiting request.
 func (q *Queue) refuse(now time.Duration, w *waiter, cause verdict.Cause, detail string) {
-	q.dequeue(w)
-	q.out = append(q.out, Refuse{ID: w.req.ID, Refusal: q.refusal(now, cause, detail)})
+	q.dequeue(now, w)
+	q.out = append(q.out, Refuse{ID: w.req.ID, Refusal: q.refusal(now, w.req, cause, detail)})
 }
 
 // refusal makes the final answer to a request that did not run.
-func (q *Queue) refusal(now time.Duration, cause verdict.Cause, detail string) verdict.Refusal {
+func (q *Queue) refusal(now time.Duration, req Request, cause verdict.Cause, detail string) verdict.Refusal {
 	q.stats.Refused[cause]++
-	q.refused.count(now)
 	r := verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, Detail: detail}
 	switch cause {
 	case verdict.CauseBadRequest, verdict.CauseCallerGone, verdict.CauseDeadline:
 		return r
 	}
-	r.RetryAfter = q.retryAfter(now)
+	r.RetryAfter = q.retryAfter(now, req, cause)
 	return r
 }
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -1,67 +1,15 @@
 package admission
 
 import (
-	"math"
 	"time"
 
-	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
-// drainWindow is the time constant over which starts are averaged.
-const drainWindow = 2 * time.Second
-
-// retrySpread is by how many times RetryAfterMin the callers' return is spread
-// for each refused request per started one.
-const retrySpread = 10
-
-// drainRate is the rate at which requests start, per team, averaged
-// exponentially.
-type drainRate struct {
-	teams map[ident.Team]*rate
-}
-
-type rate struct {
-	perSecond float64
-	at        time.Duration
-}
-
-func (d *drainRate) started(now time.Duration, team ident.Team) {
-	if d.teams == nil {
-		d.teams = map[ident.Team]*rate{}
-	}
-	r := d.teams[team]
-	if r == nil {
-		r = &rate{at: now}
-		d.teams[team] = r
-	}
-	r.count(now)
-}
-
-func (r *rate) count(now time.Duration) {
-	r.decay(now)
-	r.perSecond += 1 / drainWindow.Seconds()
-}
-
-func (r *rate) decay(now time.Duration) {
-	r.perSecond *= math.Exp(-float64(now-r.at) / float64(drainWindow))
-	r.at = now
-}
-
-// of returns the starts per second of a team; 0 if it is not known.
-func (d *drainRate) of(now time.Duration, team ident.Team) float64 {
-	r := d.teams[team]
-	if r == nil {
-		return 0
-	}
-	r.decay(now)
-	return r.perSecond
-}
-
 // noRoom says why a request can't wait.
 func (q *Queue) noRoom(now time.Duration, w *waiter) (verdict.Cause, string) {
 	if w.refusal == "" {
-		w.refusal = verdict.CauseOverLimit // it stands behind others of its team
+		w.refusal = verdict.CauseOverLimit // it stands behind others
 	}
 	ahead := q.ahead(w.req)
 	switch {
@@ -70,41 +18,68 @@
 	case len(q.waiting) >= q.cfg.QueueTotal:
 		return w.refusal, "too many requests wait"
 	case ahead >= q.cfg.QueuePerTeam:
-		return w.refusal, "too many requests of this team wait"
-	case now+q.expectedWait(now, w.req.Team, ahead) > w.latest:
+		return w.refusal, "too many requests of this team wait for this service"
+	case now+q.expectedWait(now, w.req, ahead) > w.latest:
 		return w.refusal, "it would wait too long"
 	}
 	return "", ""
 }
 
-// ahead counts the waiters of the same team and priority.
+// ahead counts the waiters of the same team, service and priority.
 func (q *Queue) ahead(req Request) int {
 	l := q.level(req.Priority)
-	if l == nil || l.teams[req.Team] == nil {
+	if l == nil {
+		return 0
+	}
+	sq := l.queue(req.account())
+	if sq == nil {
 		return 0
 	}
-	return len(l.teams[req.Team].waiters)
+	return len(sq.waiters)
 }
 
-// expectedWait is the time until a request behind others would start.
-func (q *Queue) expectedWait(now time.Duration, team ident.Team, ahead int) time.Duration {
-	perSecond := q.drain.of(now, team)
-	if ahead == 0 || perSecond == 0 {
-		return 0
+// expectedWait is the time until a request behind others would start, as far as
+// that is known.
+func (q *Queue) expectedWait(now time.Duration, req Request, ahead int) time.Duration {
+	learn := min(learnTime, q.cfg.MaxWait)
+	return q.flow(req).drain.wait(now, learn, ahead)
+}
+
+// retryAfter advises a refused caller when to come back. It is at least
+// RetryAfterMin and at most RetryAfterMax, and spread by the seed, so that
+// callers refused together don't come back together.
+func (q *Queue) retryAfter(now time.Duration, req Request, cause verdict.Cause) time.Duration {
+	f := q.flow(req)
+	f.refuse(now, req, cause)
+	base := q.cfg.RetryAfterMin
+	switch cause {
+	case verdict.CauseOverLimit:
+		base = q.limitGives(now, f, req)
+	case verdict.CauseQueueFull:
+		base = q.slotsGive(now, f)
 	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	base = min(max(base, q.cfg.RetryAfterMin), q.cfg.RetryAfterMax*2/3)
+	spread := max(base/2, q.cfg.RetryAfterMin)
+	return min(base+time.Duration(q.rng.Float64()*float64(spread)), q.cfg.RetryAfterMax)
+}
+
+// limitGives is when the limit gives enough for a request that stands somewhere
+// among those that were refused lately and will come back too.
+func (q *Queue) limitGives(now time.Duration, f *flow, req Request) time.Duration {
+	place := q.rng.Float64() * flowWindow.Seconds()
+	requests := 1 + int(place*f.short.perSecond)
+	n := req.Cost + int(place*f.shortCost.perSecond)
+	return q.taker.RetryAfter(now, req.Team, req.Service, requests, n)
 }
 
-// retryAfter spreads the callers' return evenly over a time that grows with the
-// overload, so that those who come back add little to it.
-func (q *Queue) retryAfter(now time.Duration) time.Duration {
-	q.started.decay(now)
-	q.refused.decay(now)
+// slotsGive is when those that were refused lately would have started at the
+// rate at which others did, for one that stands somewhere among them.
+func (q *Queue) slotsGive(now time.Duration, f *flow) time.Duration {
+	f.started.decay(now)
 	overload := 1.0 // nothing starts: as if all of it were too much
-	if q.started.perSecond > 0 {
-		overload = q.refused.perSecond / q.started.perSecond
+	if f.started.perSecond > 0 {
+		overload = f.noSlot.perSecond / f.started.perSecond
 	}
-	span := time.Duration((1 + retrySpread*overload) * float64(q.cfg.RetryAfterMin))
-	span = min(span, q.cfg.RetryAfterMax-q.cfg.RetryAfterMin)
-	return q.cfg.RetryAfterMin + time.Duration(q.rng.Float64()*float64(span))
+	seconds := min(overload*flowWindow.Seconds(), q.cfg.RetryAfterMax.Seconds())
+	return time.Duration(q.rng.Float64() * seconds * float64(time.Second))
 }
--- a/internal/node/entrysnapshot.go
+++ b/internal/node/entrysnapshot.go
@@ -20,6 +20,8 @@
 	known   bool
 	version uint64
 	units   map[workKey][]limits.Unit
+	// short is the limit that last refused a piece of work.
+	short map[workKey]limits.Unit
 }
 
 // workKey names the work that limits bound.
@@ -59,7 +61,7 @@
 		key := workKey{team: l.Team, service: l.Service}
 		units[key] = append(units[key], unitOf(l.Unit))
 	}
-	e.accepted = accepted{known: true, version: cfg.Version, units: units}
+	e.accepted = accepted{known: true, version: cfg.Version, units: units, short: map[workKey]limits.Unit{}}
 }
 
 func (e *Entry) membersSection(now time.Duration, section peer.MembersSection) {
@@ -147,12 +149,26 @@
 		if t.entry.borrower.Take(now, key, amount(unit, n)) == limits.Granted {
 			continue
 		}
+		t.entry.accepted.short[workKey{team: team, service: service}] = unit
 		t.giveBack(now, team, service, units[:i], n)
 		return false
 	}
 	return len(units) > 0
 }
 
+// RetryAfter implements admission.Taker, for the limit that was short last.
+func (t taker) RetryAfter(now time.Duration, team ident.Team, service ident.Service, requests, n int) time.Duration {
+	unit, ok := t.entry.accepted.short[workKey{team: team, service: service}]
+	if !ok {
+		return 0
+	}
+	units := int64(requests)
+	if unit == limits.UnitTokens {
+		units = int64(n)
+	}
+	return t.entry.borrower.RetryAfter(now, limits.Key{Team: team, Service: service, Unit: unit}, units)
+}
+
 func (t taker) giveBack(now time.Duration, team ident.Team, service ident.Service, units []limits.Unit, n int) {
 	for _, unit := range units {
 		t.entry.borrower.Settle(now, limits.Key{Team: team, Service: service, Unit: unit}, amount(unit, n), 0)
