Stand-ins: mend a test that used a dead pooled connection; see the queue's bound fail

Cause: TestDyingInMidstreamAnswersNothingAndComesBackEmpty asks for the load on fresh connections until the server is gone. A question answered before the listener closed left its connection, dead since, in the pool, and the step after the server's return was sent on it. The step now takes a fresh connection, which is what the test means.

--- a/internal/standin/stage_test.go
+++ b/internal/standin/stage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -78,7 +79,11 @@
 	low, high := prefill("low", 0), prefill("high", 5)
 	prefill("other", 0)
 	full := prefill("more", 0)
-	<-full.done
+	select {
+	case <-full.done:
+	case <-time.After(wait):
+		require.Fail(t, "a step past the bound of the queue was taken in")
+	}
 	require.Equal(t, engine.ErrorFull, full.result.Error)
 	batch, life, _ := s.nextBatch()
 	require.Equal(t, []*job{high, low}, batch)
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -188,7 +188,9 @@
 	}, wait, time.Millisecond)
 	w.postFault(t, Fault{Target: "skrivar-01-s1", Kind: Die, Off: true})
 	step.Token = 1
-	out, err := w.engines.Steps(addr, []engine.Step{step}, httpcall.Within(wait))
+	// The question above may have been answered before the listener closed: its
+	// connection, dead since, would still be in the pool.
+	out, err := w.engines.Steps(addr, []engine.Step{step}, httpcall.Within(wait).OnFresh())
 	require.NoError(t, err)
 	require.Equal(t, "position:0", out.Results[0].Error)
 }
