Settings: operators' page made from the flags, checked by a test

The command lines of catkin-load and catkin-standin move beside the packages that they drive, so that the generator can walk them. A test compares the committed page with the flags.

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -1,10 +1,7 @@
-// Command catkin-load offers load to a set of entries, checks every answer and
-// prints a JSON report.
-package main
+package load
 
 import (
 	"encoding/json"
-	"fmt"
 	"os"
 	"strings"
 	"time"
@@ -12,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/catkinstair/catkinstair/internal/load"
 	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/settings"
 	"github.com/catkinstair/catkinstair/internal/standin"
@@ -25,14 +21,8 @@
 
 var errFaults = errors.New("faults were found, see checks in the report")
 
-func main() {
-	if err := command().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitCode(err))
-	}
-}
-
-func exitCode(err error) int {
+// ExitCode is the exit code of catkin-load after err.
+func ExitCode(err error) int {
 	var faults settings.Faults
 	switch {
 	case errors.As(err, &faults):
@@ -46,15 +36,16 @@
 
 // options are the flags that are no plain field of the load's settings.
 type options struct {
-	cfg    load.Config
+	cfg    Config
 	seed   int
 	faults []string
 	marks  []string
 	out    string
 }
 
-func command() *cobra.Command {
-	opt := options{cfg: load.DefaultConfig()}
+// Command is the command line of catkin-
+func Command() *cobra.Command {
+	opt := options{cfg: DefaultConfig()}
 	cmd := &cobra.Command{
 		Use:           program,
 		Short:         "Offer load, check every answer, print a JSON report",
@@ -74,7 +65,7 @@
 		if err := set.Resolve(os.LookupEnv); err != nil {
 			return err
 		}
-		return run(cmd, opt)
+		return runCommand(cmd, opt)
 	}
 	cmd.AddCommand(&cobra.Command{
 		Use:   "version",
@@ -123,7 +114,7 @@
 	set.String(&opt.out, "out", "", "file for the report instead of standard output")
 }
 
-func run(cmd *cobra.Command, opt options) error {
+func runCommand(cmd *cobra.Command, opt options) error {
 	opt.cfg.Seed = uint64(opt.seed)
 	var err error
 	if opt.cfg.Faults, err = parseFaults(opt.faults); err != nil {
@@ -132,7 +123,7 @@
 	if opt.cfg.Marks, err = parseMarks(opt.marks); err != nil {
 		return err
 	}
-	result, err := load.Run(opt.cfg)
+	result, err := Run(opt.cfg)
 	if err != nil && result.Requests == 0 {
 		return err
 	}
@@ -140,7 +131,7 @@
 	if marshalErr != nil {
 		return errors.Wrap(marshalErr, "report")
 	}
-	if writeErr := write(cmd, opt.out, append(raw, '\n')); writeErr != nil {
+	if writeErr := writeReport(cmd, opt.out, append(raw, '\n')); writeErr != nil {
 		return writeErr
 	}
 	if err != nil {
@@ -152,7 +143,7 @@
 	return nil
 }
 
-func write(cmd *cobra.Command, path string, raw []byte) error {
+func writeReport(cmd *cobra.Command, path string, raw []byte) error {
 	if path != "" {
 		return errors.Wrap(os.WriteFile(path, raw, 0o644), "report")
 	}
@@ -160,8 +151,8 @@
 	return err
 }
 
-func parseFaults(texts []string) ([]load.TimedFault, error) {
-	var out []load.TimedFault
+func parseFaults(texts []string) ([]TimedFault, error) {
+	var out []TimedFault
 	for _, text := range texts {
 		at, rest, err := parseTimed("fault", text)
 		if err != nil {
@@ -174,19 +165,19 @@
 		if err := f.Validate(); err != nil {
 			return nil, settings.Faults{{Name: "fault", Value: text, Reason: err.Error()}}
 		}
-		out = append(out, load.TimedFault{At: at, Fault: f})
+		out = append(out, TimedFault{At: at, Fault: f})
 	}
 	return out, nil
 }
 
-func parseMarks(texts []string) ([]load.Mark, error) {
-	var out []load.Mark
+func parseMarks(texts []string) ([]Mark, error) {
+	var out []Mark
 	for _, text := range texts {
 		at, rest, err := parseTimed("mark", text)
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, load.Mark{At: at, Label: rest})
+		out = append(out, Mark{At: at, Label: rest})
 	}
 	return out, nil
 }
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -1,9 +1,6 @@
-// Command catkin-standin hosts stand-ins for everything outside the product, for
-// tests and the bench.
-package main
+package standin
 
 import (
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,11 +10,11 @@
 
 	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/settings"
-	"github.com/catkinstair/catkinstair/internal/standin"
 )
 
 const program = "catkin-standin"
 
+// options are the flags of catkin-
 type options struct {
 	topology string
 	kv       string
@@ -27,15 +24,8 @@
 	logLevel string
 }
 
-func main() {
-	cmd := command()
-	if err := cmd.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitCode(err))
-	}
-}
-
-func exitCode(err error) int {
+// ExitCode is the exit code of catkin-standin after err.
+func ExitCode(err error) int {
 	var faults settings.Faults
 	if errors.As(err, &faults) {
 		return settings.ExitCode
@@ -43,7 +33,8 @@
 	return 1
 }
 
-func command() *cobra.Command {
+// Command is the command line of catkin-
+func Command() *cobra.Command {
 	var opt options
 	cmd := &cobra.Command{
 		Use:           program,
@@ -79,12 +70,12 @@
 	if err != nil {
 		return err
 	}
-	topology, err := standin.ReadTopology(opt.topology)
+	topology, err := ReadTopology(opt.topology)
 	if err != nil {
 		return err
 	}
 	override(&topology, opt)
-	cluster, err := standin.Start(topology)
+	cluster, err := Start(topology)
 	if err != nil {
 		return err
 	}
@@ -101,7 +92,7 @@
 	return nil
 }
 
-func override(t *standin.Topology, opt options) {
+func override(t *Topology, opt options) {
 	for _, o := range []struct {
 		value string
 		field *string
--- /dev/null
+++ b/internal/tools/settingsdoc/main.go
@@ -0,0 +1,17 @@
+// Command settingsdoc prints the operators' page of settings from the flags of
+// every program:
+//
+//	go run ./internal/tools/settingsdoc > docs/operators/settings.md
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if _, err := os.Stdout.WriteString(page()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/tools/settingsdoc/page_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const committed = "../../../docs/operators/settings.md"
+
+func TestCommittedPageIsWhatTheFlagsSay(t *testing.T) {
+	raw, err := os.ReadFile(committed)
+	require.NoError(t, err)
+	require.Equal(t, page(), string(raw),
+		"the page is out of date: go run ./internal/tools/settingsdoc > docs/operators/settings.md")
+}
+
+func TestEveryProgramAndVariableIsThere(t *testing.T) {
+	text := page()
+	for _, want := range []string{
+		"## catkin-entry\n", "## catkin-control\n", "## catkinctl sheet apply\n", "## catkin-standin\n", "## catkin-load\n",
+		"| `--address-lifetime` | `CATKIN_ADDRESS_LIFETIME` | `30s` | how long callers may keep the addresses |",
+	} {
+		require.Contains(t, text, want)
+	}
+}
