Admission: the place among those refused spreads Retry-After, once

Cause: the advice was spread over half of itself beyond the spread that the place in the line and the limit give already. Now it is spread over RetryAfterMin; at the upper end over the last third.

--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -58,8 +58,12 @@
 	case verdict.CauseQueueFull:
 		base = q.slotsGive(now, f)
 	}
-	base = min(max(base, q.cfg.RetryAfterMin), q.cfg.RetryAfterMax*2/3)
-	spread := max(base/2, q.cfg.RetryAfterMin)
+	base = max(base, q.cfg.RetryAfterMin)
+	spread := q.cfg.RetryAfterMin
+	if most := q.cfg.RetryAfterMax * 2 / 3; base > most {
+		base = most
+		spread = q.cfg.RetryAfterMax - most
+	}
 	return min(base+time.Duration(q.rng.Float64()*float64(spread)), q.cfg.RetryAfterMax)
 }
 
