--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -154,15 +154,11 @@
 // membersChanged tells the slices who is there.
 func (c *Control) membersChanged(now time.Duration) {
 	var live []config.Member
-	var candidates []lease.Member
 	for _, m := range c.present() {
 		live = append(live, config.Member{VM: m.Instance.VM, Domain: m.Place.FailureDomain})
-		if !m.Leaving {
-			candidates = append(candidates, lease.Member{Instance: m.Instance, Addr: m.ControlAddr, Place: m.Place})
-		}
 	}
 	c.spreadDo(now, c.spread.Step(now, config.MembersSeen{Members: live}))
-	c.leaseEvent(now, lease.Candidates{Alive: candidates})
+	c.leaseEvent(now, lease.Candidates{Alive: c.candidates()})
 	c.shareBudget(now)
 }
 
--- a/internal/node/controlconfig.go
+++ b/internal/node/controlconfig.go
@@ -86,6 +86,7 @@
 	cfg.Lease.AskEvery = leaseAskEvery
 	cfg.Lease.MaxMembers = leaseMembers
 	cfg.Lease.ReadEvery = leaseReadEvery
+	cfg.Lease.PullEvery = leasePullEvery
 	cfg.Lease.Self = s.Self
 	cfg.Lease.Addr = s.ControlAddr
 	cfg.Lease.Place = s.Place
@@ -111,6 +112,11 @@
 	// leaseReadEvery is how often a member reads the roster; a change reaches it
 	// with the peers' promises before.
 	leaseReadEvery = 4 * time.Second
+	// leasePullEvery is how often a VM that is no member asks one for the roster.
+	leasePullEvery = 2 * time.Second
+	// candidatesPerDomain bounds the VMs of a failure domain that may become
+	// members: members ask all of them now and then.
+	candidatesPerDomain = 3
 	// The first roster waits for foundingMembers, for at most foundingWait after
 	// the start: the slots of a roster with one member die with it.
 	foundingMembers = 3
--- a/internal/node/controlduties.go
+++ b/internal/node/controlduties.go
@@ -72,3 +72,22 @@
 	}
 	return list
 }
+
+// candidates are the VMs that may become members of the roster: its members and
+// a few of each failure domain, the same everywhere.
+func (c *Control) candidates() []lease.Member {
+	roster := c.lease.Roster()
+	perDomain := map[ident.FailureDomain]int{}
+	var list []lease.Member
+	for _, m := range c.present() {
+		if m.Leaving {
+			continue
+		}
+		if perDomain[m.Place.FailureDomain] >= candidatesPerDomain && roster.Index(m.Instance) < 0 {
+			continue
+		}
+		perDomain[m.Place.FailureDomain]++
+		list = append(list, lease.Member{Instance: m.Instance, Addr: m.ControlAddr, Place: m.Place})
+	}
+	return list
+}
--- a/scripts/measure-control.sh
+++ b/scripts/measure-control.sh
@@ -64,7 +64,7 @@
 start_standins "${TOPOLOGY:-examples/small.json}"
 for n in $(seq 0 $((VMS - 1))); do start_control "$n"; start_entry "$n" --address-lifetime 2s; done
 for n in $(seq 0 $((VMS - 1))); do wait_ready "$(vm_ip "$n"):8083"; done
-"$BIN/catkinctl" sheet apply examples/sheet.csv --admin "$(vm_ip 0):8083" --key "$OPERATOR_KEY" >"$OUT/apply.txt"
+"$BIN/catkinctl" sheet apply examples/sheet.csv --addr "$(vm_ip 0):8083" --key "$OPERATOR_KEY" >"$OUT/apply.txt"
 for n in $(seq 0 $((VMS - 1))); do wait_ready "$(vm_ip "$n"):8080"; done
 sleep 10
 echo "VMs: $VMS, seconds each: $SPAN, load average $(cut -d' ' -f1 /proc/loadavg)"
