An operator's word frees slots when their holders all ended at once

Cause: a fleet replaced as a whole under new names refused everything for want of loans, for good: nobody of the old roster was left to acknowledge a new one. Ruled out: a restart under the same names, which recovered within 2 s by itself. Before: 6 VMs killed and replaced under new names: 429 on all six for as long as was watched (12 s). Said of a VM that answers, it is ignored. Conclusion: silence alone never frees a slot; an operator who knows better can.

--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -44,6 +44,7 @@
 	"vms":           {fasthttp.MethodGet, vms},
 	"backends":      {fasthttp.MethodGet, backends},
 	"drain":         {fasthttp.MethodPost, drain},
+	"gone":          {fasthttp.MethodPost, gone},
 	"orders":        {fasthttp.MethodGet, orders},
 	"audit":         {fasthttp.MethodGet, auditTrail},
 }
@@ -179,6 +180,16 @@
 	c.reply(request, err)
 }
 
+func gone(c call) {
+	var request GoneRequest
+	if err := json.Unmarshal(c.http.PostBody(), &request); err != nil || len(request.VMs) == 0 {
+		fail(c.http, fasthttp.StatusBadRequest, CodeBadRequest, `want a body such as {"vms":["bergen-a-1"]}`)
+		return
+	}
+	err := c.backend.Gone(c.ctx, request.VMs, c.operator)
+	c.reply(request, err)
+}
+
 func orders(c call) {
 	list, err := c.backend.Orders(c.ctx)
 	c.reply(list, err)
--- a/internal/adminapi/handler_test.go
+++ b/internal/adminapi/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -37,6 +38,11 @@
 func (f *fakeBackend) Backends(context.Context) ([]BackendServer, error) { return nil, nil }
 func (f *fakeBackend) Orders(context.Context) ([]Order, error)           { return nil, nil }
 
+func (f *fakeBackend) Gone(_ context.Context, vms []ident.VM, operator string) error {
+	f.calls = append(f.calls, fmt.Sprintf("gone %v by %s", vms, operator))
+	return nil
+}
+
 func (f *fakeBackend) Drain(_ context.Context, vm ident.VM, operator string) error {
 	f.calls = append(f.calls, "drain of "+string(vm)+" by "+operator)
 	return nil
@@ -103,3 +109,13 @@
 	require.ErrorContains(t, err, "name")
 	require.ErrorContains(t, err, "16 or more")
 }
+
+func TestGoneNamesVMs(t *testing.T) {
+	backend := &fakeBackend{}
+	status, _ := do(t, backend, "POST", "/admin/v1/gone", "0123456789abcdef", `{"vms":["bergen-a-1","stord-1"]}`)
+	require.Equal(t, 200, status)
+	require.Equal(t, []string{"gone [bergen-a-1 stord-1] by kari"}, backend.calls)
+	status, text := do(t, backend, "POST", "/admin/v1/gone", "0123456789abcdef", `{}`)
+	require.Equal(t, 400, status)
+	require.Contains(t, text, "want a body such as")
+}
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -24,6 +24,8 @@
 	Backends(ctx context.Context) ([]BackendServer, error)
 	// Drain begins the planned stop of a VM, in the name of operator.
 	Drain(ctx context.Context, vm ident.VM, operator string) error
+	// Gone tells that VMs ended for good, in the name of operator.
+	Gone(ctx context.Context, vms []ident.VM, operator string) error
 	// Orders lists the last orders given to engines, newest first.
 	Orders(ctx context.Context) ([]Order, error)
 	// Audit lists up to limit records since a time, oldest first.
@@ -87,7 +89,8 @@
 	Incarnation   ident.Incarnation   `json:"incarnation"`
 	FailureDomain ident.FailureDomain `json:"failure_domain"`
 	Addr          string              `json:"addr"`
-	// State is alive, leaving, suspect or gone.
+	// State is alive, leaving, suspect, unreachable or gone; lost for a VM that
+	// nobody knows though it has a say in who holds the slots.
 	State string `json:"state"`
 }
 
@@ -121,6 +124,11 @@
 	VM ident.VM `json:"vm"`
 }
 
+// GoneRequest names VMs that ended for good.
+type GoneRequest struct {
+	VMs []ident.VM `json:"vms"`
+}
+
 // Error is the body of every answer that is not a success.
 type Error struct {
 	Error ErrorBody `json:"error"`
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,10 +87,24 @@
 			list = append(list, adminapi.VM{VM: m.Instance.VM, Incarnation: m.Instance.Incarnation,
 				FailureDomain: m.Place.FailureDomain, Addr: m.EntryAddr, State: state})
 		}
+		list = append(list, lostMembers(core, list)...)
 	})
 	return list, err
 }
 
+// lostMembers lists the VMs that have a say in who holds the slots though nobody
+// knows them any more.
+func lostMembers(core *node.Control, known []adminapi.VM) []adminapi.VM {
+	var lost []adminapi.VM
+	for _, m := range core.RosterMembers() {
+		vm := adminapi.VM{VM: m.Instance.VM, Incarnation: m.Instance.Incarnation, FailureDomain: m.Place.FailureDomain, State: "lost"}
+		if !slices.ContainsFunc(known, func(k adminapi.VM) bool { return k.VM == vm.VM }) {
+			lost = append(lost, vm)
+		}
+	}
+	return lost
+}
+
 // Backends implements adminapi.Backend.
 func (a *administration) Backends(ctx context.Context) ([]adminapi.BackendServer, error) {
 	list := []adminapi.BackendServer{}
@@ -129,6 +144,25 @@
 	return a.shell.peers.Call(ctx, addr, methodDrain, peer.Repeatable, drainRequest{VM: vm, Operator: operator}, &empty{})
 }
 
+// Gone implements adminapi.Backend. Every VM that is there has to know: each
+// judges for itself whom it still has to ask.
+func (a *administration) Gone(ctx context.Context, vms []ident.VM, operator string) error {
+	asked := node.GoneAsked{VMs: vms, Operator: operator}
+	a.shell.send(asked)
+	var others []string
+	err := a.read(ctx, func(_ time.Duration, core *node.Control) {
+		for _, m := range core.Members() {
+			if m.State == membership.Alive && m.Instance != a.shell.cfg.Self {
+				others = append(others, m.ControlAddr)
+			}
+		}
+	})
+	for _, addr := range others {
+		err = errors.CombineErrors(err, a.shell.peers.Call(ctx, addr, methodGone, peer.Repeatable, asked, &empty{}))
+	}
+	return err
+}
+
 // Orders implements adminapi.Backend.
 func (a *administration) Orders(context.Context) ([]adminapi.Order, error) {
 	return []adminapi.Order{}, nil
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -19,6 +19,7 @@
 const (
 	methodMember = "Member"
 	methodDrain  = "Drain"
+	methodGone   = "Gone"
 )
 
 // empty is an answer without content.
@@ -33,6 +34,7 @@
 func (s *Shell) handlePeers() {
 	peer.Handle(s.server, methodMember, s.handleMember)
 	peer.Handle(s.server, methodDrain, s.handleDrain)
+	peer.Handle(s.server, methodGone, s.handleGone)
 	peer.Handle(s.server, peer.MethodLease, s.handleLease)
 	peer.Handle(s.server, peer.MethodConfig, s.handleConfig)
 	peer.Handle(s.server, peer.MethodBorrow, s.handleBorrow)
@@ -94,6 +96,12 @@
 	return empty{}, nil
 }
 
+// handleGone passes an operator's word on to the core.
+func (s *Shell) handleGone(_ context.Context, req node.GoneAsked) (empty, error) {
+	s.send(req)
+	return empty{}, nil
+}
+
 // beginDrain starts the planned stop of this VM; the entry learns it with its
 // next report.
 func (s *Shell) beginDrain(operator string) {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -49,6 +49,7 @@
 
 func (b *backend) Backends(context.Context) ([]adminapi.BackendServer, error) { return nil, nil }
 func (b *backend) Orders(context.Context) ([]adminapi.Order, error)           { return nil, nil }
+func (b *backend) Gone(context.Context, []ident.VM, string) error             { return nil }
 func (b *backend) Drain(context.Context, ident.VM, string) error              { return nil }
 
 func (b *backend) Audit(context.Context, time.Time, int) ([]audit.Record, error) {
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -137,6 +137,35 @@
 	})
 }
 
+func goneCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use: "gone VM...", Short: "Tell that VMs ended for good", Args: cobra.MinimumNArgs(1),
+		Long: "Tell that VMs ended for good and will never run again. It is needed only when so many VMs that held\n" +
+			"slots ended at once that no majority of them is left to be asked; `catkinctl vms` shows those as lost.\n" +
+			"Saying it of a VM that still runs somewhere may let two VMs lend the same limit.",
+	}
+	return remote(cmd, func(s *session, args []string) error {
+		request := adminapi.GoneRequest{}
+		for _, vm := range args {
+			request.VMs = append(request.VMs, ident.VM(vm))
+		}
+		body, err := json.Marshal(request)
+		if err != nil {
+			return exit(ExitUsage, "%v", err)
+		}
+		var answer adminapi.GoneRequest
+		if err := s.post("gone", nil, body, &answer); err != nil {
+			return err
+		}
+		return s.show(answer, func(t *table) {
+			t.header = []string{"GONE"}
+			for _, vm := range answer.VMs {
+				t.add(vm)
+			}
+		})
+	})
+}
+
 func ordersCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "orders", Short: "Show the last orders to engines", Args: cobra.NoArgs}
 	return remote(cmd, func(s *session, _ []string) error {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -94,6 +94,8 @@
 		c.applyAsked(now, ev)
 	case ListAsked:
 		c.ask(now, platform.Call{Op: platform.OpList, Key: ev.Prefix}, c.listEnded(ev.ID))
+	case GoneAsked:
+		c.gone(now, ev)
 	case DrainAsked:
 		c.drain(now, ev.Operator)
 	case ConfigMessage:
@@ -291,6 +293,38 @@
 	c.leaseEvent(now, lease.Leave{})
 }
 
+// gone takes an operator's word that VMs ended. One that answers has not.
+func (c *Control) gone(now time.Duration, ev GoneAsked) {
+	var ended []ident.Instance
+	for _, m := range c.RosterMembers() {
+		if !slices.Contains(ev.VMs, m.Instance.VM) {
+			continue
+		}
+		if seen, ok := c.members.Lookup(m.Instance.VM); ok && seen.State == membership.Alive && seen.Instance == m.Instance {
+			continue
+		}
+		ended = append(ended, m.Instance)
+		c.audit(now, audit.Record{Who: ev.Operator, What: "vm.gone", Object: m.Instance.String(), Verdict: "accepted"})
+	}
+	c.leaseEvent(now, lease.Gone{Instances: ended})
+}
+
+// RosterMembers lists the members of the newest roster known and of the one
+// before it: those that have a say in who holds the slots.
+func (c *Control) RosterMembers() []lease.Member {
+	roster := c.lease.Roster()
+	if roster == nil {
+		return nil
+	}
+	list := slices.Clone(roster.Members)
+	for _, m := range roster.Prev {
+		if roster.Index(m.Instance) < 0 {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // Leaving reports whether the planned stop of this VM has begun.
 func (c *Control) Leaving() bool { return c.leaving }
 
--- a/internal/node/controlmessages.go
+++ b/internal/node/controlmessages.go
@@ -5,6 +5,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/audit"
 	"github.com/catkinstair/catkinstair/internal/config"
+	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/lease"
 	"github.com/catkinstair/catkinstair/internal/limits"
 	"github.com/catkinstair/catkinstair/internal/membership"
@@ -63,6 +64,13 @@
 	Operator string `json:"operator"`
 }
 
+// GoneAsked is an operator's word that VMs have ended for good and will never
+// run again. It frees what they hold when too few of them are left to be asked.
+type GoneAsked struct {
+	VMs      []ident.VM `json:"vms"`
+	Operator string     `json:"operator"`
+}
+
 // SnapshotAnswered answers SnapshotAsked.
 type SnapshotAnswered struct {
 	ID    uint64             `json:"id"`
@@ -117,7 +125,7 @@
 // ControlEvents has a sample of every event that a Control takes.
 func ControlEvents() []any {
 	return []any{
-		ControlTick{}, LenderTick{}, ServersListed{}, ListFailed{}, Reported{}, SnapshotAsked{}, ApplyAsked{}, ListAsked{}, DrainAsked{},
+		ControlTick{}, LenderTick{}, ServersListed{}, ListFailed{}, Reported{}, SnapshotAsked{}, ApplyAsked{}, ListAsked{}, DrainAsked{}, GoneAsked{},
 		ConfigMessage{},
 		membership.Request{}, membership.Answer{}, membership.Seeds{}, membership.Left{},
 		lease.PromiseAsked{}, lease.PromiseGiven{}, lease.Gone{},
