limits: the part of a loan for waiting requests lives 500 ms

Cause: at 330 VMs most limits are used now and then on each VM. Each amount stayed outstanding for 2 s although it was spent on arrival, which made the lender short and cost reports.

--- a/internal/limits/account.go
+++ b/internal/limits/account.go
@@ -35,7 +35,7 @@
 	usedAt    time.Duration
 	askedAt   time.Duration
 	// counted is what the lender counts as held: the last report and the loans
-	// that arrived since.
+	// that arrived since. Where the lender is short it is told of the spending.
 	counted int64
 	// short says that the lender could not give what all wanted.
 	short bool
@@ -114,6 +114,9 @@
 // put adds a loan. Where there is no room it joins the newest lot of its epoch,
 // and both expire when the first of them would.
 func (a *account) put(l lot) {
+	if l.amount == 0 {
+		return
+	}
 	if a.n < maxLots {
 		a.lots[a.n] = l
 		a.n++
--- a/internal/limits/borrower.go
+++ b/internal/limits/borrower.go
@@ -281,13 +281,14 @@
 	a.short = item.Short
 	a.asked = 0
 	b.noteSupply(now, a, item.Amount)
-	until := sent + b.cfg.LoanTerm
-	if item.Amount <= 0 || now >= until {
+	if item.Amount <= 0 || item.Now < 0 || item.Now > item.Amount {
 		return false
 	}
 	a.expire(now)
 	a.counted += item.Amount
-	a.put(lot{amount: item.Amount, until: until, epoch: item.Epoch})
+	a.put(lot{amount: item.Now, until: sent + b.cfg.PromptTerm, epoch: item.Epoch})
+	a.put(lot{amount: item.Amount - item.Now, until: sent + b.cfg.LoanTerm, epoch: item.Epoch})
+	a.expire(now)
 	a.missing = 0
 	a.grain = 0
 	a.payDebt()
@@ -424,6 +425,7 @@
 func (b *Borrower) askItem(now time.Duration, a *account) AskItem {
 	epoch := b.holders[a.slot].Epoch
 	item := AskItem{Key: a.key, Epoch: epoch, Want: a.want(b.ahead(a)), Refund: a.refund}
+	item.Now = min(item.Want, a.missing+a.debt)
 	if surplus := a.surplus(b.ahead(a)); surplus > 0 {
 		item.Return = a.handBack(surplus, epoch)
 	}
--- a/internal/limits/bucket.go
+++ b/internal/limits/bucket.go
@@ -42,8 +42,10 @@
 	sent []grant
 	// want and grain are those of its last ask, at askedAt.
 	want, grain int64
-	askedAt     time.Duration
-	servedAt    time.Duration
+	// prompt is the part of want that is spent on arrival.
+	prompt   int64
+	askedAt  time.Duration
+	servedAt time.Duration
 }
 
 // grant is an amount on its way to a borrower.
@@ -153,6 +155,7 @@
 	credit := min(item.Return, max(0, before-after))
 	b.level += float64(max(0, credit) + max(0, item.Refund))
 	d.want = max(0, item.Want)
+	d.prompt = max(0, item.Now)
 	d.grain = min(max(1, item.Grain), max(1, d.want))
 	d.askedAt = now
 }
@@ -178,7 +181,7 @@
 		}
 		p, waits := asks[d]
 		if waits {
-			b.lend(now, p, amount, short, cfg.loanLife())
+			b.lend(now, p, amount, short, cfg)
 			supply -= amount
 		}
 		if b.reserves(d, waits && amount > 0) {
@@ -194,7 +197,7 @@
 	return !served && d.want > 0 && d.servedAt < d.askedAt && float64(d.grain) <= b.half()
 }
 
-func (b *bucket) lend(now time.Duration, p pendingAsk, amount int64, short bool, life time.Duration) {
+func (b *bucket) lend(now time.Duration, p pendingAsk, amount int64, short bool, cfg LenderConfig) {
 	d := p.debtor
 	item := &p.reply.Items[p.index]
 	item.Short = short || amount < d.want
@@ -202,14 +205,25 @@
 		return
 	}
 	item.Amount = amount
-	d.sent = append(d.sent, grant{seq: d.seq, amount: amount, until: now + life})
+	item.Now = min(amount, d.prompt)
+	d.prompt -= item.Now
+	b.send(d, grant{seq: d.seq, amount: item.Now, until: now + cfg.promptLife()})
+	b.send(d, grant{seq: d.seq, amount: amount - item.Now, until: now + cfg.loanLife()})
 	d.servedAt = now
 	d.want -= amount
-	b.out += amount
-	b.nextExpiry = min(b.nextExpiry, now+life)
 	b.level -= float64(amount)
 }
 
+// send notes that an amount is on its way to a borrower.
+func (b *bucket) send(d *debtor, g grant) {
+	if g.amount == 0 {
+		return
+	}
+	d.sent = append(d.sent, g)
+	b.out += g.amount
+	b.nextExpiry = min(b.nextExpiry, g.until)
+}
+
 // freshDebtors lists those who asked of late, the longest unserved first.
 func (b *bucket) freshDebtors(now, within time.Duration) []*debtor {
 	var out []*debtor
--- a/internal/limits/config.go
+++ b/internal/limits/config.go
@@ -14,6 +14,9 @@
 	// LoanTerm is how long a loan can be spent, on the borrower's clock and
 	// counted from its ask. Default 2 s. It must equal the borrowers'.
 	LoanTerm time.Duration `json:"loan_term_ns"`
+	// PromptTerm is how long the part of a loan that waiting requests take on
+	// arrival can be spent. Default 500 ms. It must equal the borrowers'.
+	PromptTerm time.Duration `json:"prompt_term_ns"`
 	// ClockMargin is the share by which a loan lasts longer on the lender's
 	// clock. Default 0.03.
 	ClockMargin float64 `json:"clock_margin"`
@@ -36,6 +39,7 @@
 	return LenderConfig{
 		Slots:         64,
 		LoanTerm:      2 * time.Second,
+		PromptTerm:    500 * time.Millisecond,
 		ClockMargin:   0.03,
 		BurstTime:     time.Second,
 		MinBurst:      2,
@@ -50,6 +54,7 @@
 	var f faults
 	f.check(c.Slots > 0, "slots must be above zero")
 	f.check(c.LoanTerm > 0, "loan_term must be above zero")
+	f.check(c.PromptTerm > 0 && c.PromptTerm <= c.LoanTerm, "prompt_term must be above zero and at most loan_term")
 	f.check(c.ClockMargin >= 0 && c.ClockMargin < 1, "clock_margin must be from 0 up to 1")
 	f.check(c.BurstTime > 0, "burst_time must be above zero")
 	f.check(c.MinBurst >= 2, "min_burst must be at least 2")
@@ -60,8 +65,13 @@
 }
 
 // loanLife is how long a loan may be unspent on the lender's clock.
-func (c LenderConfig) loanLife() time.Duration {
-	return c.LoanTerm + time.Duration(float64(c.LoanTerm)*c.ClockMargin)
+func (c LenderConfig) loanLife() time.Duration { return c.lengthen(c.LoanTerm) }
+
+// promptLife is the same for the part that waiting requests take on arrival.
+func (c LenderConfig) promptLife() time.Duration { return c.lengthen(c.PromptTerm) }
+
+func (c LenderConfig) lengthen(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*c.ClockMargin)
 }
 
 // burst is the capacity of a limit's bucket.
@@ -86,6 +96,9 @@
 	// LoanTerm is how long a loan can be spent, counted from its ask. Default
 	// 2 s. It must equal the lender's.
 	LoanTerm time.Duration `json:"loan_term_ns"`
+	// PromptTerm is how long the part of a loan that waiting requests take on
+	// arrival can be spent. Default 500 ms. It must equal the lender's.
+	PromptTerm time.Duration `json:"prompt_term_ns"`
 	// AskEvery is the time between two asks to one holder in steady demand.
 	// Default 200 ms.
 	AskEvery time.Duration `json:"ask_every_ns"`
@@ -114,6 +127,7 @@
 	return BorrowerConfig{
 		Slots:         64,
 		LoanTerm:      2 * time.Second,
+		PromptTerm:    500 * time.Millisecond,
 		AskEvery:      200 * time.Millisecond,
 		UrgentAfter:   20 * time.Millisecond,
 		Ahead:         1.25,
@@ -130,6 +144,7 @@
 	f.check(c.Self.VM != "", "self.vm is empty: set the VM's name")
 	f.check(c.Slots > 0, "slots must be above zero")
 	f.check(c.AskEvery > 0 && 4*c.AskEvery <= c.LoanTerm, "ask_every must be above zero and at most a quarter of loan_term")
+	f.check(c.PromptTerm >= c.AskEvery && c.PromptTerm <= c.LoanTerm, "prompt_term must be from ask_every to loan_term")
 	f.check(c.UrgentAfter > 0 && c.UrgentAfter <= c.AskEvery, "urgent_after must be above zero and at most ask_every")
 	f.check(c.Ahead >= 1, "ahead must be at least 1")
 	f.check(c.IdleAfter > 0, "idle_after must be above zero")
--- a/internal/limits/doc.go
+++ b/internal/limits/doc.go
@@ -25,6 +25,9 @@
 // LoanTerm adds up to half of the burst for each further change. Where the
 // rates of clocks differ by d, rate*(1+d) stands in for rate.
 //
+// The part of a loan for which requests already wait is spent on arrival, so it
+// lives for PromptTerm only, and the lender need not be told of its spending.
+//
 // A settled count above its estimate is a debt. It is paid from the next
 // loans before anything else is admitted, so the bound then holds for the
 // amounts admitted, and the true counts exceed it by the debts not yet paid.
--- a/internal/limits/messages.go
+++ b/internal/limits/messages.go
@@ -96,6 +96,8 @@
 	Epoch uint64 `json:"e"`
 	// Want is the amount asked for.
 	Want int64 `json:"w,omitempty"`
+	// Now is the part of Want that waiting requests take on arrival.
+	Now int64 `json:"p,omitempty"`
 	// Grain is the smallest amount that is of use; 0 means 1.
 	Grain int64 `json:"n,omitempty"`
 	// Holding is what the borrower can still spend, Return not counted.
@@ -121,6 +123,8 @@
 	// Epoch is the lender's.
 	Epoch  uint64 `json:"e"`
 	Amount int64  `json:"a,omitempty"`
+	// Now is the part of Amount that can be spent for PromptTerm only.
+	Now int64 `json:"p,omitempty"`
 	// Short says that the supply didn't cover what all want.
 	Short bool `json:"s,omitempty"`
 	// Refused is set in place of an amount: CauseNoLimit for a limit that
