--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,13 @@
 .PHONY: run
 run: build
 	scripts/run.sh
+
+# Figures: Go benchmarks as text, then the processes under failures; cost is what
+# one entry process takes for each request and token.
+.PHONY: bench cost
+bench: build
+	scripts/bench.sh
+	$(GO) test -p 1 -run xxx -bench . -benchtime 1x ./... > out/bench/go.txt
+
+cost: build
+	scripts/cost.sh
