A control process that is replaced alone leaves its VM in service; drain ends both

Cause: catkinctl drain left the control process running (seen for 9 min), and a SIGTERM to the control process alone announced that the whole VM leaves. Ruled out: the entry, which ended 9.6 s after the drain. Conclusion: a signalled control process waits 1.5 s to hear whether its entry stops too; if not it hands over its slots and says no farewell.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -52,6 +52,11 @@
 	statesEvery   = 10
 	// handOverWithin bounds the wait for others to take over the slots.
 	handOverWithin = 5 * time.Second
+	// entryDecides is how long a signalled control process waits to hear that
+	// its entry process was signalled too.
+	entryDecides = 1500 * time.Millisecond
+	// farewellTime lets the last messages leave.
+	farewellTime = 3 * tickEvery
 	// entryQuiet is how long the entry process has to be silent before the
 	// control process takes it to have ended.
 	entryQuiet = time.Second
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -84,6 +84,9 @@
 
 func (s *Shell) handleReport(_ context.Context, req peer.ReportRequest) (peer.ReportReply, error) {
 	s.lastEntry.Store(int64(s.now()))
+	if req.Leaving {
+		s.entryLeaves.Store(true)
+	}
 	s.send(node.Reported{Report: req})
 	return peer.ReportReply{Drain: s.leaving.Load()}, nil
 }
@@ -102,13 +105,6 @@
 	return empty{}, nil
 }
 
-// beginDrain starts the planned stop of this VM; the entry learns it with its
-// next report.
-func (s *Shell) beginDrain(operator string) {
-	s.leaving.Store(true)
-	s.send(node.DrainAsked{Operator: operator})
-}
-
 func (s *Shell) call(d time.Duration, addr, method string, mode peer.Mode, req, resp any) error {
 	ctx, cancel := context.WithTimeout(s.ctx, d)
 	defer cancel()
--- a/internal/control/shell.go
+++ b/internal/control/shell.go
@@ -48,6 +48,13 @@
 	lastEntry atomic.Int64 // process time of the entry's last report
 	leaving   atomic.Bool
 	handed    atomic.Bool
+	// entryLeaves is set once the entry process has reported its planned stop.
+	entryLeaves atomic.Bool
+	// drained is closed once an operator asks for the planned stop of this VM;
+	// drainedBy is who did.
+	drained   chan struct{}
+	drainOnce sync.Once
+	drainedBy string
 
 	ctx    context.Context
 	end    context.CancelFunc
@@ -64,6 +71,7 @@
 		inbox:  ring.New[any](inboxSize),
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
+	s.drained = make(chan struct{})
 	s.waiters.init()
 	s.health.SetReady(false, "no configuration yet")
 	if err := s.buildCore(); err != nil {
@@ -139,7 +147,9 @@
 	s.log.Info().Str("listen", s.cfg.Listen).Str("admin", s.cfg.AdminListen).Msg("serving")
 	select {
 	case <-ctx.Done():
-		s.leave()
+		s.stop()
+	case <-s.drained:
+		s.leave(s.drainedBy)
 	case <-s.ctx.Done():
 	}
 	s.end()
@@ -159,36 +169,6 @@
 	return s.admin.Serve(listener)
 }
 
-// leave hands over what this VM holds and waits until its entry process has
-// ended, so that nobody takes the VM to be gone while it still serves.
-func (s *Shell) leave() {
-	s.log.Info().Msg("planned stop begins")
-	s.send(node.DrainAsked{Operator: string(s.cfg.Self.VM)})
-	limit := time.After(s.cfg.StopWithin)
-	handOver := time.Now().Add(handOverWithin)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-limit:
-			s.log.Warn().Msg("planned stop takes too long, stopping now")
-			return
-		case <-ticker.C:
-			handed := s.handed.Load() || time.Now().After(handOver)
-			if handed && s.now()-time.Duration(s.lastEntry.Load()) > entryQuiet {
-				s.farewell()
-				return
-			}
-		}
-	}
-}
-
-// farewell tells the fleet that this VM has left.
-func (s *Shell) farewell() {
-	s.send(membership.Left{})
-	time.Sleep(3 * tickEvery)
-}
-
 func (s *Shell) closeServers() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -94,6 +94,8 @@
 		c.applyAsked(now, ev)
 	case ListAsked:
 		c.ask(now, platform.Call{Op: platform.OpList, Key: ev.Prefix}, c.listEnded(ev.ID))
+	case HandOver:
+		c.leaseEvent(now, lease.Leave{})
 	case GoneAsked:
 		c.gone(now, ev)
 	case DrainAsked:
--- a/internal/node/controlmessages.go
+++ b/internal/node/controlmessages.go
@@ -64,6 +64,10 @@
 	Operator string `json:"operator"`
 }
 
+// HandOver hands over the slots that this process holds, because it is going to
+// be replaced. The VM stays in service.
+type HandOver struct{}
+
 // GoneAsked is an operator's word that VMs have ended for good and will never
 // run again. It frees what they hold when too few of them are left to be asked.
 type GoneAsked struct {
@@ -125,7 +129,7 @@
 // ControlEvents has a sample of every event that a Control takes.
 func ControlEvents() []any {
 	return []any{
-		ControlTick{}, LenderTick{}, ServersListed{}, ListFailed{}, Reported{}, SnapshotAsked{}, ApplyAsked{}, ListAsked{}, DrainAsked{}, GoneAsked{},
+		ControlTick{}, LenderTick{}, ServersListed{}, ListFailed{}, Reported{}, SnapshotAsked{}, ApplyAsked{}, ListAsked{}, DrainAsked{}, HandOver{}, GoneAsked{},
 		ConfigMessage{},
 		membership.Request{}, membership.Answer{}, membership.Seeds{}, membership.Left{},
 		lease.PromiseAsked{}, lease.PromiseGiven{}, lease.Gone{},
