--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -24,7 +24,7 @@
 // read runs f on the core's own goroutine.
 func (a *administration) read(ctx context.Context, f func(now time.Duration, core *node.Control)) error {
 	q := query{read: f, done: make(chan struct{})}
-	a.shell.send(q)
+	a.shell.Send(q)
 	select {
 	case <-q.done:
 		return nil
@@ -148,7 +148,7 @@
 // judges for itself whom it still has to ask.
 func (a *administration) Gone(ctx context.Context, vms []ident.VM, operator string) error {
 	asked := node.GoneAsked{VMs: vms, Operator: operator}
-	a.shell.send(asked)
+	a.shell.Send(asked)
 	var others []string
 	err := a.read(ctx, func(_ time.Duration, core *node.Control) {
 		for _, m := range core.Members() {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -11,7 +11,7 @@
 	"github.com/catkinstair/catkinstair/internal/membership"
 	"github.com/catkinstair/catkinstair/internal/node"
 	"github.com/catkinstair/catkinstair/internal/platform"
-	"github.com/catkinstair/catkinstair/internal/trace"
+	"github.com/catkinstair/catkinstair/internal/process"
 )
 
 // query reads the core from its own goroutine.
@@ -27,9 +27,9 @@
 	ticks := 0
 	for {
 		select {
-		case <-s.ctx.Done():
+		case <-s.Ctx.Done():
 			return
-		case event := <-s.inbox.Items():
+		case event := <-s.Events():
 			s.take(event)
 		case <-ticker.C:
 			s.step(node.ControlTick{})
@@ -43,7 +43,7 @@
 
 func (s *Shell) take(event any) {
 	if q, ok := event.(query); ok {
-		q.read(s.now(), s.core)
+		q.read(s.Now(), s.core)
 		close(q.done)
 		return
 	}
@@ -51,14 +51,9 @@
 }
 
 func (s *Shell) step(event any) {
-	now := s.now()
+	now := s.Now()
 	actions := s.core.Step(now, event)
-	if s.record != nil {
-		if err := trace.Record(s.record, now, event, actions); err != nil {
-			s.log.Error().Err(err).Msg("trace ends")
-			s.record = nil
-		}
-	}
+	process.Record(s.Process, now, event, actions)
 	for _, a := range actions {
 		s.do(a)
 	}
@@ -66,11 +61,11 @@
 
 func (s *Shell) publishState() {
 	if s.core.Ready() {
-		s.health.SetReady(true, "")
+		s.Health.SetReady(true, "")
 	}
 	held := 0
 	for slot := range s.slots() {
-		if _, ok := s.core.Holds(s.now(), slot); ok {
+		if _, ok := s.core.Holds(s.Now(), slot); ok {
 			held++
 		}
 	}
@@ -78,7 +73,7 @@
 	gauge("catkin_control_config_version", float64(s.core.Accepted().Head.Version))
 	gauge("catkin_control_members", float64(len(s.core.Members())))
 	gauge("catkin_control_service_up", oneIf(s.core.ServiceUp()))
-	gauge("catkin_control_inbox", float64(s.inbox.Len()))
+	gauge("catkin_control_inbox", float64(s.Waiting()))
 }
 
 func (s *Shell) slots() int { return limits.DefaultLenderConfig().Slots }
@@ -102,20 +97,20 @@
 	case membership.Reply:
 		s.waiters.answer(memberWaiter(a.Call), a.Message)
 	case membership.Superseded:
-		s.log.Error().Uint64("by", uint64(a.By)).Msg("a newer process of this VM runs: stopping")
-		s.end()
+		s.Log.Error().Uint64("by", uint64(a.By)).Msg("a newer process of this VM runs: stopping")
+		s.End()
 	case lease.AskPromise:
 		s.askPromise(a)
 	case lease.GivePromise:
 		s.waiters.answer(leaseWaiter(a.Answer.To, a.Answer.Sent), a.Answer)
 	case lease.Gained:
-		s.log.Debug().Int("slot", a.Slot).Uint64("epoch", a.Epoch).Msg("slot gained")
+		s.Log.Debug().Int("slot", a.Slot).Uint64("epoch", a.Epoch).Msg("slot gained")
 	case lease.Lost:
-		s.log.Debug().Int("slot", a.Slot).Uint64("epoch", a.Epoch).Msg("slot lost")
+		s.Log.Debug().Int("slot", a.Slot).Uint64("epoch", a.Epoch).Msg("slot lost")
 	case limits.SendLoan:
 		s.waiters.answer(loanWaiter(a.To, a.Loan.Seq), a.Loan)
 	case node.Wake:
-		time.AfterFunc(a.After, func() { s.inbox.TrySend(any(node.LenderTick{})) })
+		time.AfterFunc(a.After, func() { s.TrySend(any(node.LenderTick{})) })
 	case node.ListNext:
 		s.readListAfter(a.After)
 	case node.SendConfig:
@@ -127,7 +122,7 @@
 	case node.ListEnded:
 		s.waiters.answer(idWaiter("list", a.ID), a)
 	case node.MembersChanged:
-		s.log.Info().Str("member", a.Member.Instance.String()).Str("state", a.Member.State.String()).
+		s.Log.Info().Str("member", a.Member.Instance.String()).Str("state", a.Member.State.String()).
 			Bool("leaving", a.Member.Leaving).Msg("member changed")
 	case node.Log:
 		s.logChange(a)
@@ -136,13 +131,13 @@
 	case platform.Send:
 		s.callService(a)
 	case platform.Health:
-		s.log.Warn().Bool("up", a.Up).Msg("key-value service")
+		s.Log.Warn().Bool("up", a.Up).Msg("key-value service")
 	}
 }
 
 // logChange writes a record of the audit trail as a log line.
 func (s *Shell) logChange(a node.Log) {
 	r := a.Record
-	s.log.Info().Str("audit", r.What).Str("who", r.Who).Str("object", r.Object).Str("before", r.Before).
+	s.Log.Info().Str("audit", r.What).Str("who", r.Who).Str("object", r.Object).Str("before", r.Before).
 		Str("after", r.After).Str("verdict", r.Verdict).Str("sheet", r.SheetHash).Msg(fmt.Sprintf("change: %s", r.Detail))
 }
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -45,7 +45,7 @@
 // await asks the core by event and waits for the answer of type T under name.
 func await[T any](ctx context.Context, s *Shell, name string, event any) (T, error) {
 	var none T
-	item, err := s.waiters.ask(ctx, name, func() { s.send(event) })
+	item, err := s.waiters.ask(ctx, name, func() { s.Send(event) })
 	if err != nil {
 		return none, err
 	}
@@ -72,22 +72,22 @@
 }
 
 func (s *Shell) handleConfig(_ context.Context, msg node.ConfigMessage) (empty, error) {
-	s.send(msg)
+	s.Send(msg)
 	return empty{}, nil
 }
 
 func (s *Shell) handleSnapshot(ctx context.Context, req peer.SnapshotRequest) (peer.SnapshotReply, error) {
 	id := s.waiters.next()
-	event := node.SnapshotAsked{ID: id, Held: req.Held, Until: s.now() + req.Wait}
+	event := node.SnapshotAsked{ID: id, Held: req.Held, Until: s.Now() + req.Wait}
 	return await[peer.SnapshotReply](ctx, s, idWaiter("snapshot", id), event)
 }
 
 func (s *Shell) handleReport(_ context.Context, req peer.ReportRequest) (peer.ReportReply, error) {
-	s.lastEntry.Store(int64(s.now()))
+	s.lastEntry.Store(int64(s.Now()))
 	if req.Leaving {
 		s.entryLeaves.Store(true)
 	}
-	s.send(node.Reported{Report: req})
+	s.Send(node.Reported{Report: req})
 	return peer.ReportReply{Drain: s.leaving.Load()}, nil
 }
 
@@ -101,47 +101,47 @@
 
 // handleGone passes an operator's word on to the core.
 func (s *Shell) handleGone(_ context.Context, req node.GoneAsked) (empty, error) {
-	s.send(req)
+	s.Send(req)
 	return empty{}, nil
 }
 
 func (s *Shell) call(d time.Duration, addr, method string, mode peer.Mode, req, resp any) error {
-	ctx, cancel := context.WithTimeout(s.ctx, d)
+	ctx, cancel := context.WithTimeout(s.Ctx, d)
 	defer cancel()
 	return s.peers.Call(ctx, addr, method, mode, req, resp)
 }
 
 func (s *Shell) askMember(a membership.Ask) {
 	failed := membership.Answer{Call: a.Call}
-	ok := s.submit(func() {
+	ok := s.Submit(func() {
 		mode := peer.Once
 		if a.Fresh {
 			mode = peer.Fresh
 		}
 		answer := membership.Answer{Call: a.Call}
 		answer.OK = s.call(a.Timeout, a.Addr, methodMember, mode, a.Message, &answer.Message) == nil
-		s.send(answer)
+		s.Send(answer)
 	})
 	if !ok {
-		s.inbox.TrySend(any(failed))
+		s.TrySend(any(failed))
 	}
 }
 
 func (s *Shell) askPromise(a lease.AskPromise) {
-	s.submit(func() {
+	s.Submit(func() {
 		var answer lease.Answer
 		if err := s.call(leaseTimeout, a.Addr, peer.MethodLease, peer.Repeatable, a.Ask, &answer); err != nil {
 			return
 		}
-		s.send(lease.PromiseGiven{Answer: answer})
+		s.Send(lease.PromiseGiven{Answer: answer})
 	})
 }
 
 func (s *Shell) sendConfig(a node.SendConfig) {
-	s.submit(func() {
+	s.Submit(func() {
 		err := s.call(configTimeout, a.Addr, peer.MethodConfig, peer.Repeatable, a.Message, &empty{})
 		if err != nil {
-			s.log.Debug().Err(err).Str("peer", a.Addr).Msg("spread of the configuration")
+			s.Log.Debug().Err(err).Str("peer", a.Addr).Msg("spread of the configuration")
 		}
 	})
 }
@@ -149,7 +149,7 @@
 // readListAfter reads the platform's VM list after a time.
 func (s *Shell) readListAfter(d time.Duration) {
 	time.AfterFunc(d, func() {
-		if s.ctx.Err() == nil && !s.submit(s.readList) {
+		if s.Ctx.Err() == nil && !s.Submit(s.readList) {
 			s.readListAfter(s.cfg.ListEvery)
 		}
 	})
@@ -158,8 +158,8 @@
 func (s *Shell) readList() {
 	vms, err := s.list.List(listTimeout)
 	if err != nil {
-		s.log.Debug().Err(err).Msg("VM list")
-		s.send(node.ListFailed{})
+		s.Log.Debug().Err(err).Msg("VM list")
+		s.Send(node.ListFailed{})
 		return
 	}
 	var listed node.ServersListed
@@ -168,7 +168,7 @@
 			listed.Servers = append(listed.Servers, serverOf(vm, server))
 		}
 	}
-	s.send(listed)
+	s.Send(listed)
 }
 
 func serverOf(vm vmlist.VM, server vmlist.Server) peer.BackendServer {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -11,9 +11,9 @@
 
 // callService makes one call to the key-value service.
 func (s *Shell) callService(a platform.Send) {
-	ok := s.submit(func() { s.send(s.serviceReply(a)) })
+	ok := s.Submit(func() { s.Send(s.serviceReply(a)) })
 	if !ok {
-		s.inbox.TrySend(any(platform.Reply{Attempt: a.Attempt, Status: platform.Failed}))
+		s.TrySend(any(platform.Reply{Attempt: a.Attempt, Status: platform.Failed}))
 	}
 }
 
--- a/internal/control/shell.go
+++ b/internal/control/shell.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
-	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
@@ -21,28 +17,21 @@
 	"github.com/catkinstair/catkinstair/internal/adminapi"
 	"github.com/catkinstair/catkinstair/internal/membership"
 	"github.com/catkinstair/catkinstair/internal/node"
-	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/peer"
-	"github.com/catkinstair/catkinstair/internal/ring"
-	"github.com/catkinstair/catkinstair/internal/trace"
+	"github.com/catkinstair/catkinstair/internal/process"
 )
 
 // Shell is one catkin-control process.
 type Shell struct {
-	cfg    Config
-	log    zerolog.Logger
-	health *obs.Health
-	start  time.Time
-	core   *node.Control
-	inbox  *ring.Ring[any]
+	*process.Process
+	cfg  Config
+	core *node.Control
 
-	pool   *ants.Pool
 	kv     kv.Client
 	list   vmlist.Client
 	peers  *peer.Client
 	server *peer.Server
 	admin  *fasthttp.Server
-	record *trace.Recorder
 
 	waiters   waiters
 	lastEntry atomic.Int64 // process time of the entry's last report
@@ -55,25 +44,18 @@
 	drained   chan struct{}
 	drainOnce sync.Once
 	drainedBy string
-
-	ctx    context.Context
-	end    context.CancelFunc
-	duties sync.WaitGroup
 }
 
 // New prepares a shell; Run starts it.
 func New(cfg Config, log zerolog.Logger) (*Shell, error) {
-	s := &Shell{
-		cfg:    cfg,
-		log:    log.With().Str("vm", string(cfg.Self.VM)).Logger(),
-		health: &obs.Health{},
-		start:  time.Now(),
-		inbox:  ring.New[any](inboxSize),
+	frame, err := process.New(process.Config{Name: "control", VM: string(cfg.Self.VM), Inbox: inboxSize,
+		Workers: workers, Trace: cfg.TraceFile}, log)
+	if err != nil {
+		return nil, err
 	}
-	s.ctx, s.end = context.WithCancel(context.Background())
+	s := &Shell{Process: frame, cfg: cfg}
 	s.drained = make(chan struct{})
 	s.waiters.init()
-	s.health.SetReady(false, "no configuration yet")
 	if err := s.buildCore(); err != nil {
 		return nil, err
 	}
@@ -83,37 +65,23 @@
 func (s *Shell) buildCore() error {
 	cfg := node.DefaultControlConfig(node.ControlSettings{
 		Self: s.cfg.Self, Place: s.cfg.Place, EntryAddr: s.cfg.EntryAddr, EntryPeerAddr: s.cfg.EntryPeerAddr,
-		ControlAddr: s.cfg.Listen, Seeds: s.cfg.Seeds, ListEvery: s.cfg.ListEvery, StartUnix: s.start.Unix(), Seed: uint64(s.start.UnixNano()),
+		ControlAddr: s.cfg.Listen, Seeds: s.cfg.Seeds, ListEvery: s.cfg.ListEvery, StartUnix: s.Start.Unix(), Seed: uint64(s.Start.UnixNano()),
 	})
 	core, err := node.NewControl(cfg)
 	if err != nil {
 		return err
 	}
 	s.core = core
-	if s.cfg.TraceFile == "" {
-		return nil
-	}
-	out := io.Writer(os.Stdout)
-	if s.cfg.TraceFile != "-" {
-		if out, err = os.OpenFile(s.cfg.TraceFile, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600); err != nil {
-			return errors.Wrap(err, "open the trace")
-		}
-	}
-	s.record, err = trace.NewRecorder(out, "control", cfg)
-	return err
+	return s.StartTrace(cfg)
 }
 
 func (s *Shell) buildClients() error {
-	pool, err := ants.NewPool(workers, ants.WithNonblocking(true))
-	if err != nil {
-		return errors.Wrap(err, "pool of workers")
-	}
-	s.pool = pool
 	calls := httpcall.Default()
 	s.kv = kv.NewHTTP(s.cfg.KV, calls)
 	s.list = vmlist.NewHTTP(s.cfg.VMList, calls)
 	peerCfg := peer.DefaultConfig()
 	peerCfg.TLS = s.cfg.TLS
+	var err error
 	if s.peers, err = peer.NewClient(peerCfg); err != nil {
 		return err
 	}
@@ -125,9 +93,6 @@
 	return nil
 }
 
-// now is the core's time.
-func (s *Shell) now() time.Duration { return time.Since(s.start) }
-
 // Run serves until the context ends and the planned stop is through.
 func (s *Shell) Run(ctx context.Context) error {
 	peers, err := net.Listen("tcp", s.cfg.Listen)
@@ -139,26 +104,24 @@
 		_ = peers.Close()
 		return errors.Wrap(err, "listen for operators")
 	}
-	s.send(membership.Seeds{Addrs: s.cfg.Seeds})
-	s.duty(s.loop)
+	s.Send(membership.Seeds{Addrs: s.cfg.Seeds})
+	s.Duty(s.loop)
 	s.readListAfter(0)
-	s.duty(func() { s.logEnd("peer server", s.server.Serve(peers)) })
-	s.duty(func() { s.logEnd("administration server", s.serveAdminOn(admin)) })
-	s.log.Info().Str("listen", s.cfg.Listen).Str("admin", s.cfg.AdminListen).Msg("serving")
+	s.Duty(func() { s.LogEnd("peer server", s.server.Serve(peers)) })
+	s.Duty(func() { s.LogEnd("administration server", s.serveAdminOn(admin)) })
+	s.Log.Info().Str("listen", s.cfg.Listen).Str("admin", s.cfg.AdminListen).Msg("serving")
 	select {
 	case <-ctx.Done():
 		s.stop()
 	case <-s.drained:
 		s.leave(s.drainedBy)
-	case <-s.ctx.Done():
+	case <-s.Ctx.Done():
 	}
-	s.end()
+	s.End()
 	s.closeServers()
 	_ = admin.Close() // a stop during the start may come before the server knows its listener
-	s.duties.Wait()
+	s.Close()
 	s.peers.Close()
-	s.pool.Release()
-	s.log.Info().Msg("stopped")
 	return nil
 }
 
@@ -172,42 +135,15 @@
 func (s *Shell) closeServers() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	s.logEnd("administration server", s.admin.ShutdownWithContext(ctx))
+	s.LogEnd("administration server", s.admin.ShutdownWithContext(ctx))
 	s.server.Stop(time.Second)
 }
 
-func (s *Shell) duty(run func()) {
-	s.duties.Add(1)
-	go func() {
-		defer s.duties.Done()
-		run()
-	}()
-}
-
-func (s *Shell) logEnd(what string, err error) {
-	if err != nil {
-		s.log.Error().Err(err).Msg(what + " ended")
-	}
-}
-
-// send hands an event to the core; it waits for room in the ring.
-func (s *Shell) send(event any) {
-	s.inbox.Send(s.ctx.Done(), event)
-}
-
-func (s *Shell) submit(work func()) bool {
-	if err := s.pool.Submit(work); err != nil {
-		metrics.GetOrCreateCounter(`catkin_control_pool_full_total`).Inc()
-		return false
-	}
-	return true
-}
-
 // serveAdmin answers probes and operators.
 func (s *Shell) serveAdmin() fasthttp.RequestHandler {
 	api := adminapi.Handler(&administration{shell: s}, s.cfg.Keys)
 	return func(ctx *fasthttp.RequestCtx) {
-		if s.health.Serve(ctx) {
+		if s.Health.Serve(ctx) {
 			return
 		}
 		api(ctx)
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -12,13 +12,13 @@
 // process is being replaced: it hands over its slots and says no farewell, so
 // that the VM is still named to callers.
 func (s *Shell) stop() {
-	s.log.Info().Msg("stop begins")
+	s.Log.Info().Msg("stop begins")
 	if s.entryStops() {
 		s.leave(string(s.cfg.Self.VM))
 		return
 	}
-	s.log.Info().Msg("the entry process goes on: only the slots are handed over")
-	s.send(node.HandOver{})
+	s.Log.Info().Msg("the entry process goes on: only the slots are handed over")
+	s.Send(node.HandOver{})
 	s.await(handOverWithin, s.handed.Load)
 }
 
@@ -31,26 +31,26 @@
 
 // entrySilent reports whether nothing was heard of the entry process of late.
 func (s *Shell) entrySilent() bool {
-	return s.now()-time.Duration(s.lastEntry.Load()) > entryQuiet
+	return s.Now()-time.Duration(s.lastEntry.Load()) > entryQuiet
 }
 
 // leave is the planned stop of the whole VM: it hands over what this VM holds
 // and waits until its entry process has ended, so that nobody takes the VM to be
 // gone while it still serves.
 func (s *Shell) leave(operator string) {
-	s.log.Info().Str("who", operator).Msg("planned stop of this VM begins")
+	s.Log.Info().Str("who", operator).Msg("planned stop of this VM begins")
 	s.leaving.Store(true)
-	s.send(node.DrainAsked{Operator: operator})
+	s.Send(node.DrainAsked{Operator: operator})
 	began := time.Now()
 	ended := s.await(s.cfg.StopWithin, func() bool {
 		handed := s.handed.Load() || time.Since(began) > handOverWithin
 		return handed && s.entrySilent()
 	})
 	if !ended {
-		s.log.Warn().Msg("planned stop takes too long, stopping now")
+		s.Log.Warn().Msg("planned stop takes too long, stopping now")
 		return
 	}
-	s.send(membership.Left{})
+	s.Send(membership.Left{})
 	time.Sleep(farewellTime)
 }
 
@@ -63,7 +63,7 @@
 		select {
 		case <-limit:
 			return false
-		case <-s.ctx.Done():
+		case <-s.Ctx.Done():
 			return false
 		case <-ticker.C:
 			if cond() {
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -31,7 +31,7 @@
 
 func (s *Shell) claim(a call.Claim) {
 	result, record, revision := s.write(a.Team, a.Key, a.Record, a.Expect, nil)
-	s.send(call.ClaimEnded{ID: a.ID, Result: result, Record: record, Revision: revision})
+	s.Send(call.ClaimEnded{ID: a.ID, Result: result, Record: record, Revision: revision})
 }
 
 // recordOutcome writes what became of a claimed call, with the reply beside it
@@ -46,7 +46,7 @@
 		a.Record.Body = ""
 	}
 	result, record, revision := s.write(a.Team, a.Key, a.Record, a.Expect, kept)
-	s.send(call.OutcomeRecorded{ID: a.ID, Result: result, Record: record, Revision: revision})
+	s.Send(call.OutcomeRecorded{ID: a.ID, Result: result, Record: record, Revision: revision})
 }
 
 // write makes one compare-and-swap of a claim.
@@ -78,7 +78,7 @@
 	}
 	var value claimValue
 	if err := json.Unmarshal(conflict.Current.Value, &value); err != nil {
-		s.log.Error().Err(err).Str("key", conflict.Current.Key).Msg("claim is not readable")
+		s.Log.Error().Err(err).Str("key", conflict.Current.Key).Msg("claim is not readable")
 		return call.WriteUnknown, call.Record{}, 0
 	}
 	if value.Response != nil && value.Record.Body != "" {
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -87,9 +87,9 @@
 	}
 	box := s.boxes.open(id)
 	started := time.Now()
-	s.send(node.CompletionAsked{
+	s.Send(node.CompletionAsked{
 		Request: id, Team: ident.Team(ctx.Request.Header.Peek(headerTeam)), Model: body.Model, Prompt: body.Prompt,
-		MaxTokens: body.MaxTokens, Prefixes: prefixesOf(body.Prompt), Seed: body.Seed, Priority: body.Priority, Deadline: s.now() + wait,
+		MaxTokens: body.MaxTokens, Prefixes: prefixesOf(body.Prompt), Seed: body.Seed, Priority: body.Priority, Deadline: s.Now() + wait,
 	})
 	answer := &answerReader{shell: s, id: id, box: box, started: started, model: body.Model, prompt: body.Prompt}
 	if body.Stream {
@@ -116,7 +116,7 @@
 // next returns the next item: stream.EmitToken, stream.Finish, or a refusal.
 func (r *answerReader) next() any {
 	if len(r.queue) == 0 {
-		r.queue = r.box.take(r.shell.ctx.Done())
+		r.queue = r.box.take(r.shell.Ctx.Done())
 	}
 	if len(r.queue) == 0 {
 		r.done = true
@@ -152,7 +152,7 @@
 func (r *answerReader) close() {
 	r.shell.boxes.close(r.id)
 	if !r.done {
-		r.shell.send(node.CallerGone{Request: r.id})
+		r.shell.Send(node.CallerGone{Request: r.id})
 	}
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -21,9 +21,9 @@
 		reply, err := s.snapshot(held)
 		if err == nil {
 			held = reply.Versions
-			s.send(node.Snapshot{Reply: reply})
+			s.Send(node.Snapshot{Reply: reply})
 		} else {
-			s.log.Debug().Err(err).Msg("snapshot")
+			s.Log.Debug().Err(err).Msg("snapshot")
 		}
 		if !s.pause(err) {
 			return
@@ -47,7 +47,7 @@
 		wait = snapshotRetry
 	}
 	select {
-	case <-s.ctx.Done():
+	case <-s.Ctx.Done():
 		return false
 	case <-time.After(wait):
 		return true
@@ -56,22 +56,22 @@
 
 // context ends with the shell, or after d.
 func (s *Shell) context(d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(s.ctx, d)
+	return context.WithTimeout(s.Ctx, d)
 }
 
 // borrow sends an ask to a holder of slots and hands its loan to the core. A lost
 // answer only costs time: the amount expires.
 func (s *Shell) borrow(a limits.SendAsk) {
-	s.submit(func() {
+	s.Submit(func() {
 		ctx, cancel := s.context(borrowTimeout)
 		defer cancel()
 		var loan limits.Loan
 		err := s.peers.Call(ctx, a.Addr, peer.MethodBorrow, peer.Once, a.Ask, &loan)
 		if err != nil {
-			s.log.Debug().Err(err).Str("holder", a.To.String()).Msg("borrow")
+			s.Log.Debug().Err(err).Str("holder", a.To.String()).Msg("borrow")
 			return
 		}
-		s.send(limits.LoanReceived{Loan: loan})
+		s.Send(limits.LoanReceived{Loan: loan})
 	})
 }
 
@@ -120,7 +120,7 @@
 	var last time.Time
 	for {
 		select {
-		case <-s.ctx.Done():
+		case <-s.Ctx.Done():
 			return
 		case now := <-ticker.C:
 			list, leaving := s.observed.take()
@@ -148,7 +148,7 @@
 		return
 	}
 	if reply.Drain {
-		s.send(drainEvent)
+		s.Send(drainEvent)
 	}
 }
 
@@ -167,7 +167,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-s.ctx.Done():
+		case <-s.Ctx.Done():
 			return
 		case <-ticker.C:
 		}
@@ -177,7 +177,7 @@
 			continue
 		}
 		for _, name := range *names {
-			s.submit(func() { s.pollLoad(ident.BackendServer(name)) })
+			s.Submit(func() { s.pollLoad(ident.BackendServer(name)) })
 		}
 	}
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -161,7 +161,7 @@
 		_ = shell.Run(ctx)
 	}()
 	w.t.Cleanup(func() {
-		shell.end()
+		shell.End()
 		stop()
 		<-ended
 		_ = shell.http.Shutdown()
@@ -169,7 +169,7 @@
 	w.entries = append(w.entries, shell)
 	w.stops = append(w.stops, stop)
 	w.ended = append(w.ended, ended)
-	require.Eventually(w.t, shell.health.Ready, 10*time.Second, 5*time.Millisecond)
+	require.Eventually(w.t, shell.Health.Ready, 10*time.Second, 5*time.Millisecond)
 }
 
 type answer struct {
--- a/internal/entry/lanes.go
+++ b/internal/entry/lanes.go
@@ -51,13 +51,13 @@
 		ln.busy++
 	}
 	l.mu.Unlock()
-	if start && !l.shell.submit(func() { l.drain(ln) }) {
+	if start && !l.shell.Submit(func() { l.drain(ln) }) {
 		l.refuse(ln)
 	}
 }
 
 func (l *lanes) sendNow(steps []stream.SendStep) {
-	if !l.shell.submit(func() { l.shell.sendSteps(steps) }) {
+	if !l.shell.Submit(func() { l.shell.sendSteps(steps) }) {
 		go l.shell.failSteps(steps, stream.FailureNotSent)
 	}
 }
@@ -141,7 +141,7 @@
 // itself is handed on, so that the core can tell a crossed answer.
 func (s *Shell) stepResult(step stream.SendStep, r engine.Result) {
 	if r.Error == "" {
-		s.send(stream.StepDone{Stream: r.Stream, Server: step.Server, Attempt: uint32(r.Attempt), Token: r.Token,
+		s.Send(stream.StepDone{Stream: r.Stream, Server: step.Server, Attempt: uint32(r.Attempt), Token: r.Token,
 			From: r.From, To: r.To, Data: r.Data, EOS: r.EOS})
 		return
 	}
@@ -158,12 +158,12 @@
 	case r.NotRun():
 		failed.Kind = stream.FailureRefused
 	}
-	s.send(failed)
+	s.Send(failed)
 }
 
 func (s *Shell) failSteps(steps []stream.SendStep, kind stream.FailureKind) {
 	for _, st := range steps {
-		s.send(stream.StepFailed{Stream: st.Stream, Server: st.Server, Attempt: st.Attempt, Token: st.Token,
+		s.Send(stream.StepFailed{Stream: st.Stream, Server: st.Server, Attempt: st.Attempt, Token: st.Token,
 			From: st.From, To: st.To, Kind: kind})
 	}
 }
@@ -172,22 +172,22 @@
 // own clock.
 func (s *Shell) sendLoad(id ident.BackendServer, load engine.Load) {
 	age := max(0, time.Since(time.UnixMilli(load.MeasuredAtMillis)))
-	s.send(routing.Load{Server: id, Running: load.Running, Waiting: load.Waiting, Capacity: load.Capacity,
-		MeasuredAt: max(0, s.now()-age)})
+	s.Send(routing.Load{Server: id, Running: load.Running, Waiting: load.Waiting, Capacity: load.Capacity,
+		MeasuredAt: max(0, s.Now()-age)})
 }
 
 // doStream carries out the streams' actions on engines besides steps.
 func (s *Shell) doStream(action stream.Action) {
 	switch a := action.(type) {
 	case stream.CancelAt:
-		s.submit(func() { s.cancelAt(a) })
+		s.Submit(func() { s.cancelAt(a) })
 	case stream.Export:
-		if !s.submit(func() { s.export(a) }) {
-			go s.send(stream.ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+		if !s.Submit(func() { s.export(a) }) {
+			go s.Send(stream.ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 		}
 	case stream.Import:
-		if !s.submit(func() { s.importCache(a) }) {
-			go s.send(stream.ImportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+		if !s.Submit(func() { s.importCache(a) }) {
+			go s.Send(stream.ImportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 		}
 	}
 }
@@ -198,7 +198,7 @@
 		return
 	}
 	if err := s.engines.Cancel(server.Addr, a.Stream, int(a.Attempt), httpcall.Within(cancelTimeout)); err != nil {
-		s.log.Debug().Err(err).Str("server", string(a.Server)).Msg("cancel")
+		s.Log.Debug().Err(err).Str("server", string(a.Server)).Msg("cancel")
 	}
 }
 
@@ -207,12 +207,12 @@
 	if ok {
 		cache, err := s.engines.Export(server.Addr, a.Stream, httpcall.Within(importTimeout))
 		if err == nil {
-			s.send(stream.ExportDone{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt,
+			s.Send(stream.ExportDone{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt,
 				Position: cache.Position, Blob: cache.Blob})
 			return
 		}
 	}
-	s.send(stream.ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+	s.Send(stream.ExportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 }
 
 func (s *Shell) importCache(a stream.Import) {
@@ -220,9 +220,9 @@
 	if ok {
 		err := s.engines.Import(server.Addr, a.Stream, int(a.Attempt), a.Blob, httpcall.Within(importTimeout))
 		if err == nil {
-			s.send(stream.ImportDone{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+			s.Send(stream.ImportDone{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 			return
 		}
 	}
-	s.send(stream.ImportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
+	s.Send(stream.ImportFailed{Stream: a.Stream, Stage: a.Stage, Attempt: a.Attempt})
 }
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -9,9 +9,9 @@
 	"github.com/catkinstair/catkinstair/internal/entrylist"
 	"github.com/catkinstair/catkinstair/internal/limits"
 	"github.com/catkinstair/catkinstair/internal/node"
+	"github.com/catkinstair/catkinstair/internal/process"
 	"github.com/catkinstair/catkinstair/internal/routing"
 	"github.com/catkinstair/catkinstair/internal/stream"
-	"github.com/catkinstair/catkinstair/internal/trace"
 )
 
 var drainEvent = entrylist.Drain{}
@@ -27,9 +27,9 @@
 	s.step(node.Tick{}) // the slices learn their start before the first request
 	for {
 		select {
-		case <-s.ctx.Done():
+		case <-s.Ctx.Done():
 			return
-		case event := <-s.inbox.Items():
+		case event := <-s.Events():
 			s.step(event)
 		case <-ticker.C:
 			s.step(node.Tick{})
@@ -42,14 +42,9 @@
 }
 
 func (s *Shell) step(event any) {
-	now := s.now()
+	now := s.Now()
 	actions := s.core.Step(now, event)
-	if s.record != nil {
-		if err := trace.Record(s.record, now, event, actions); err != nil {
-			s.log.Error().Err(err).Msg("trace ends")
-			s.record = nil
-		}
-	}
+	process.Record(s.Process, now, event, actions)
 	if snap, ok := event.(node.Snapshot); ok {
 		s.directory.take(snap.Reply)
 	}
@@ -64,11 +59,11 @@
 	s.state.Store(&state)
 	switch {
 	case state.Draining:
-		s.health.SetReady(false, "leaving")
+		s.Health.SetReady(false, "leaving")
 	case !state.ConfigKnown:
-		s.health.SetReady(false, "no configuration yet")
+		s.Health.SetReady(false, "no configuration yet")
 	default:
-		s.health.SetReady(true, "")
+		s.Health.SetReady(true, "")
 	}
 	gauge("catkin_entry_open_requests", float64(state.Open))
 	gauge("catkin_entry_config_version", float64(state.ConfigVersion))
@@ -78,7 +73,7 @@
 	gauge("catkin_entry_streams_cut", float64(state.Streams.Cut))
 	gauge("catkin_entry_queue_waiting", float64(state.Admission.Waiting))
 	gauge("catkin_entry_queue_running", float64(state.Admission.Running))
-	gauge("catkin_entry_inbox", float64(s.inbox.Len()))
+	gauge("catkin_entry_inbox", float64(s.Waiting()))
 }
 
 func gauge(name string, value float64) {
@@ -124,8 +119,8 @@
 	case entrylist.AnnounceLeaving:
 		s.observed.leave()
 	case entrylist.CloseListener:
-		go func() { s.logEnd("callers' listener", s.http.Shutdown()) }()
+		go func() { s.LogEnd("callers' listener", s.http.Shutdown()) }()
 	case entrylist.Stop:
-		s.end()
+		s.End()
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -74,7 +74,7 @@
 	name := grantBox(req.From, req.Seq)
 	box := s.boxes.open(name)
 	defer s.boxes.close(name)
-	s.send(entrylist.GrantAsked{From: req.From, Seq: req.Seq})
+	s.Send(entrylist.GrantAsked{From: req.From, Seq: req.Seq})
 	items := box.take(ctx.Done())
 	if len(items) == 0 {
 		return grantReply{}, errors.New("no grant in time")
@@ -83,20 +83,20 @@
 }
 
 func (s *Shell) handleClock(context.Context, clockRequest) (clockReply, error) {
-	return clockReply{Home: s.cfg.Self, Now: s.now()}, nil
+	return clockReply{Home: s.cfg.Self, Now: s.Now()}, nil
 }
 
 // handleForward takes a call whose key names this life of this VM.
 func (s *Shell) handleForward(_ context.Context, req forwardRequest) (forwardReply, error) {
 	if req.Home != s.cfg.Self {
-		return forwardReply{Home: s.cfg.Self, HomeNow: s.now()}, nil
+		return forwardReply{Home: s.cfg.Self, HomeNow: s.Now()}, nil
 	}
 	c := &openCall{box: newMailbox(), service: req.Service, team: req.Team, wait: req.Wait,
 		request: req.Request, hash: req.BodyHash, kept: true}
 	id := s.calls.begin(c)
-	s.send(call.Request{
+	s.Send(call.Request{
 		ID: id, Team: req.Team, Service: req.Service, Key: req.Request.Key, BodyHash: req.BodyHash,
-		Deadline:  s.now() + req.Wait,
+		Deadline:  s.Now() + req.Wait,
 		Forwarded: &call.Forwarded{From: req.From, FromID: req.FromID, Accepted: req.Accepted},
 	})
 	return s.forwardOutcome(id, c)
@@ -105,11 +105,11 @@
 func (s *Shell) forwardOutcome(id call.RequestID, c *openCall) (forwardReply, error) {
 	defer s.calls.end(id)
 	reply := forwardReply{Home: s.cfg.Self}
-	items := c.box.take(s.ctx.Done())
+	items := c.box.take(s.Ctx.Done())
 	if len(items) == 0 {
 		return reply, errors.New("the entry ended")
 	}
-	reply.HomeNow = s.now()
+	reply.HomeNow = s.Now()
 	switch item := items[0].(type) {
 	case call.Restamp:
 		reply.Restamp = true
@@ -127,22 +127,22 @@
 	c := s.calls.get(a.ID)
 	addr := s.directory.peerAddr(a.Home)
 	if c == nil || addr == "" {
-		s.send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
+		s.Send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
 		return
 	}
 	mode := peer.Once
 	if a.NewConnection {
 		mode = peer.Fresh
 	}
-	ctx, cancel := s.context(a.Deadline - s.now())
+	ctx, cancel := s.context(a.Deadline - s.Now())
 	defer cancel()
 	req := forwardRequest{
 		Home: a.Home, From: s.cfg.Self, FromID: a.ID, Accepted: a.Accepted, Team: c.team, Service: c.service,
-		BodyHash: c.hash, Request: c.request, Wait: a.Deadline - s.now(),
+		BodyHash: c.hash, Request: c.request, Wait: a.Deadline - s.Now(),
 	}
 	var reply forwardReply
 	if err := s.peers.Call(ctx, addr, methodForward, mode, req, &reply); err != nil {
-		s.send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
+		s.Send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
 		return
 	}
 	s.homeReply(a, reply)
@@ -150,8 +150,8 @@
 
 func (s *Shell) homeReply(a call.ForwardHome, reply forwardReply) {
 	if reply.Home != a.Home {
-		s.send(call.HomeGone{Home: a.Home})
-		s.send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
+		s.Send(call.HomeGone{Home: a.Home})
+		s.Send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
 		return
 	}
 	event := call.HomeReply{ID: a.ID, Home: reply.Home, HomeNow: reply.HomeNow, Restamp: reply.Restamp,
@@ -160,7 +160,7 @@
 		event.Body = call.BodyRef("forward/" + s.cfg.Self.String() + "/" + strconv.FormatUint(uint64(a.ID), 10))
 		s.calls.store(event.Body, reply.Response)
 	}
-	s.send(event)
+	s.Send(event)
 }
 
 func (s *Shell) askClock(a call.AskClock) {
@@ -169,22 +169,22 @@
 	var reply clockReply
 	addr := s.directory.peerAddr(a.Home)
 	if addr == "" {
-		s.send(call.HomeUnreachable{Home: a.Home})
+		s.Send(call.HomeUnreachable{Home: a.Home})
 		return
 	}
 	if err := s.peers.Call(ctx, addr, methodClock, peer.Repeatable, clockRequest{}, &reply); err != nil {
-		s.send(call.HomeUnreachable{Home: a.Home})
+		s.Send(call.HomeUnreachable{Home: a.Home})
 		return
 	}
 	if reply.Home != a.Home {
-		s.send(call.HomeGone(a))
+		s.Send(call.HomeGone(a))
 		return
 	}
-	s.send(call.HomeClock{Home: reply.Home, Now: reply.Now})
+	s.Send(call.HomeClock{Home: reply.Home, Now: reply.Now})
 }
 
 func (s *Shell) askGrant(a entrylist.AskGrant) {
-	s.submit(func() {
+	s.Submit(func() {
 		addr := s.directory.peerAddr(a.To)
 		if addr == "" {
 			return
@@ -196,6 +196,6 @@
 		if err := s.peers.Call(ctx, addr, methodGrant, peer.Repeatable, req, &reply); err != nil {
 			return
 		}
-		s.send(entrylist.GrantGiven{From: reply.From, Seq: a.Seq, For: reply.For})
+		s.Send(entrylist.GrantGiven{From: reply.From, Seq: a.Seq, For: reply.For})
 	})
 }
--- a/internal/entry/polls.go
+++ b/internal/entry/polls.go
@@ -46,7 +46,7 @@
 
 func (s *Shell) sendLinks() {
 	for _, link := range s.links.take() {
-		s.send(link)
+		s.Send(link)
 	}
 }
 
@@ -82,7 +82,7 @@
 		if err != nil || ev.Seq < 0 {
 			continue
 		}
-		s.send(routing.CacheEvent{Server: server.ID, Seq: uint64(ev.Seq), Prefix: hash, Added: ev.Added})
+		s.Send(routing.CacheEvent{Server: server.ID, Seq: uint64(ev.Seq), Prefix: hash, Added: ev.Added})
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,7 +30,7 @@
 
 // serve answers one request of a caller.
 func (s *Shell) serve(ctx *fasthttp.RequestCtx) {
-	if s.health.Serve(ctx) {
+	if s.Health.Serve(ctx) {
 		return
 	}
 	id := s.requestID(ctx)
@@ -75,8 +75,8 @@
 	box := s.boxes.open(id)
 	defer s.boxes.close(id)
 	team := ident.Team(ctx.QueryArgs().Peek("team"))
-	s.send(node.AddressesAsked{Request: id, Team: team})
-	items := box.take(s.ctx.Done())
+	s.Send(node.AddressesAsked{Request: id, Team: team})
+	items := box.take(s.Ctx.Done())
 	if len(items) == 0 {
 		writeRefusal(ctx, leavingRefusal())
 		return
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -137,8 +137,8 @@
 	c.claimed = !idempotent && c.request.Key != "" && !issued
 	c.kept = c.claimed || !idempotent && s.isHome(c.request.Key)
 	name := s.calls.begin(c)
-	s.send(call.Request{ID: name, Team: team, Service: c.service, Key: c.request.Key, BodyHash: c.hash,
-		Idempotent: idempotent, Deadline: s.now() + wait})
+	s.Send(call.Request{ID: name, Team: team, Service: c.service, Key: c.request.Key, BodyHash: c.hash,
+		Idempotent: idempotent, Deadline: s.Now() + wait})
 	s.writeOutcome(ctx, name, c)
 }
 
@@ -162,7 +162,7 @@
 // outcome waits for the final answer of a call.
 func (s *Shell) outcome(id call.RequestID, c *openCall) (call.Answer, app.Response, *verdict.Refusal) {
 	defer s.calls.end(id)
-	items := c.box.take(s.ctx.Done())
+	items := c.box.take(s.Ctx.Done())
 	if len(items) == 0 {
 		return call.Answer{}, app.Response{}, &verdict.Refusal{Verdict: verdict.MayHaveRun,
 			Cause: verdict.CauseLeaving, Detail: "the entry ended"}
@@ -227,8 +227,8 @@
 func (s *Shell) doCall(action call.Action) {
 	switch a := action.(type) {
 	case call.Send:
-		if !s.submit(func() { s.sendCall(a) }) {
-			go s.send(call.SendEnded{ID: a.ID, Try: a.Try, Result: call.ConnectFailed})
+		if !s.Submit(func() { s.sendCall(a) }) {
+			go s.Send(call.SendEnded{ID: a.ID, Try: a.Try, Result: call.ConnectFailed})
 		}
 	case call.Answer:
 		s.final(a.ID, s.calls.finish(a))
@@ -237,21 +237,21 @@
 	case call.Restamp:
 		s.final(a.ID, a)
 	case call.ForwardHome:
-		if !s.submit(func() { s.forward(a) }) {
-			go s.send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
+		if !s.Submit(func() { s.forward(a) }) {
+			go s.Send(call.HomeUnreachable{Home: a.Home, ID: a.ID})
 		}
 	case call.AskClock:
-		if !s.submit(func() { s.askClock(a) }) {
-			go s.send(call.HomeUnreachable{Home: a.Home})
+		if !s.Submit(func() { s.askClock(a) }) {
+			go s.Send(call.HomeUnreachable{Home: a.Home})
 		}
 	case call.Claim:
-		if !s.submit(func() { s.claim(a) }) {
-			go s.send(call.ClaimEnded{ID: a.ID, Result: call.WriteDown})
+		if !s.Submit(func() { s.claim(a) }) {
+			go s.Send(call.ClaimEnded{ID: a.ID, Result: call.WriteDown})
 		}
 	case call.RecordOutcome:
 		response, _ := s.calls.body(a.Record.Body)
-		if !s.submit(func() { s.recordOutcome(a, response) }) {
-			go s.send(call.OutcomeRecorded{ID: a.ID, Result: call.WriteDown})
+		if !s.Submit(func() { s.recordOutcome(a, response) }) {
+			go s.Send(call.OutcomeRecorded{ID: a.ID, Result: call.WriteDown})
 		}
 	case call.DropBody:
 		s.calls.drop(a.Body)
@@ -269,10 +269,10 @@
 	c := s.calls.get(a.ID)
 	server, ok := s.directory.server(a.Server)
 	if c == nil || !ok {
-		s.send(call.SendEnded{ID: a.ID, Try: a.Try, Result: call.ConnectFailed})
+		s.Send(call.SendEnded{ID: a.ID, Try: a.Try, Result: call.ConnectFailed})
 		return
 	}
-	opt := httpcall.Options{Deadline: s.start.Add(a.Deadline)}
+	opt := httpcall.Options{Deadline: s.Start.Add(a.Deadline)}
 	switch {
 	case a.ReuseWithin == 0:
 		opt.Fresh = true
@@ -295,7 +295,7 @@
 		ended.Body = s.bodyRef(a)
 		s.calls.store(ended.Body, response)
 	}
-	s.send(ended)
+	s.Send(ended)
 }
 
 // bodyRef names an answer uniquely over all VMs and lives: it can stand in the
--- a/internal/entry/shell.go
+++ b/internal/entry/shell.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"os"
-	"sync"
 	"sync/atomic"
-	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
-	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
@@ -20,30 +14,23 @@
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/adapter/kv"
 	"github.com/catkinstair/catkinstair/internal/node"
-	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/peer"
-	"github.com/catkinstair/catkinstair/internal/ring"
-	"github.com/catkinstair/catkinstair/internal/trace"
+	"github.com/catkinstair/catkinstair/internal/process"
 )
 
 // Shell is one catkin-entry process.
 type Shell struct {
-	cfg    Config
-	log    zerolog.Logger
-	health *obs.Health
-	start  time.Time
-	core   *node.Entry
-	inbox  *ring.Ring[any]
-	state  atomic.Pointer[node.EntryState]
+	*process.Process
+	cfg   Config
+	core  *node.Entry
+	state atomic.Pointer[node.EntryState]
 
-	pool    *ants.Pool
 	engines engine.Client
 	apps    app.Client
 	kv      kv.Client
 	peers   *peer.Client
 	server  *peer.Server
 	http    *fasthttp.Server
-	record  *trace.Recorder
 
 	directory directory
 	boxes     boxes
@@ -53,31 +40,22 @@
 	watched   atomic.Pointer[[]string]
 	links     links
 	hints     hintPolls
-
-	// ctx ends when the shell does; end ends it. Open answers have been
-	// written before.
-	ctx    context.Context
-	end    context.CancelFunc
-	duties sync.WaitGroup
 }
 
 // New prepares a shell; Run starts it.
 func New(cfg Config, log zerolog.Logger) (*Shell, error) {
-	s := &Shell{
-		cfg:    cfg,
-		log:    log.With().Str("vm", string(cfg.Self.VM)).Logger(),
-		health: &obs.Health{},
-		start:  time.Now(),
-		inbox:  ring.New[any](inboxSize),
+	frame, err := process.New(process.Config{Name: "entry", VM: string(cfg.Self.VM), Inbox: inboxSize,
+		Workers: cfg.Workers, Trace: cfg.TraceFile}, log)
+	if err != nil {
+		return nil, err
 	}
-	s.ctx, s.end = context.WithCancel(context.Background())
+	s := &Shell{Process: frame, cfg: cfg}
 	s.boxes.init()
 	s.calls.init()
 	s.lanes.init(s)
 	s.observed.init()
 	s.links.init()
 	s.hints.init()
-	s.health.SetReady(false, "no configuration yet")
 	if err := s.buildCore(); err != nil {
 		return nil, err
 	}
@@ -90,7 +68,7 @@
 func (s *Shell) buildCore() error {
 	settings := node.EntrySettings{
 		Self: s.cfg.Self, Place: s.cfg.Place, Addr: s.cfg.Listen,
-		StartUnix: s.start.Unix(), Seed: uint64(s.start.UnixNano()),
+		StartUnix: s.Start.Unix(), Seed: uint64(s.Start.UnixNano()),
 	}
 	cfg := node.DefaultEntryConfig(settings)
 	cfg.List = cfg.List.WithLifetime(s.cfg.Lifetime)
@@ -100,38 +78,17 @@
 		return err
 	}
 	s.core = core
-	return s.startTrace(cfg)
-}
-
-func (s *Shell) startTrace(cfg node.EntryConfig) error {
-	if s.cfg.TraceFile == "" {
-		return nil
-	}
-	out := io.Writer(os.Stdout)
-	if s.cfg.TraceFile != "-" {
-		file, err := os.OpenFile(s.cfg.TraceFile, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-		if err != nil {
-			return errors.Wrap(err, "open the trace")
-		}
-		out = file
-	}
-	record, err := trace.NewRecorder(out, "entry", cfg)
-	s.record = record
-	return err
+	return s.StartTrace(cfg)
 }
 
 func (s *Shell) buildClients() error {
-	pool, err := ants.NewPool(s.cfg.Workers, ants.WithNonblocking(true))
-	if err != nil {
-		return errors.Wrap(err, "pool of workers")
-	}
-	s.pool = pool
 	calls := httpcall.Default()
 	s.engines = engine.NewHTTP(calls)
 	s.apps = app.NewHTTP(calls)
 	s.kv = kv.NewHTTP(s.cfg.KV, calls)
 	peerCfg := peer.DefaultConfig()
 	peerCfg.TLS = s.cfg.TLS
+	var err error
 	if s.peers, err = peer.NewClient(peerCfg); err != nil {
 		return err
 	}
@@ -151,9 +108,6 @@
 	return nil
 }
 
-// now is the core's time.
-func (s *Shell) now() time.Duration { return time.Since(s.start) }
-
 // Run serves until the context ends and the planned stop is through: no request
 // is cut. A second cancellation is not awaited; end the process to stop at once.
 func (s *Shell) Run(ctx context.Context) error {
@@ -166,26 +120,24 @@
 		_ = callers.Close()
 		return errors.Wrap(err, "listen for peers")
 	}
-	s.duty(s.loop)
-	s.duty(s.pollSnapshot)
-	s.duty(s.sendReports)
-	s.duty(s.pollLoads)
-	s.duty(func() { s.logEnd("peer server", s.server.Serve(peers)) })
-	s.duty(func() { s.logEnd("callers' server", s.http.Serve(callers)) })
-	s.log.Info().Str("listen", s.cfg.Listen).Str("peers", s.cfg.PeerListen).Msg("serving")
+	s.Duty(s.loop)
+	s.Duty(s.pollSnapshot)
+	s.Duty(s.sendReports)
+	s.Duty(s.pollLoads)
+	s.Duty(func() { s.LogEnd("peer server", s.server.Serve(peers)) })
+	s.Duty(func() { s.LogEnd("callers' server", s.http.Serve(callers)) })
+	s.Log.Info().Str("listen", s.cfg.Listen).Str("peers", s.cfg.PeerListen).Msg("serving")
 	select {
 	case <-ctx.Done():
-		s.log.Info().Msg("planned stop begins")
-		s.send(drainEvent)
-		<-s.ctx.Done()
-	case <-s.ctx.Done():
+		s.Log.Info().Msg("planned stop begins")
+		s.Send(drainEvent)
+		<-s.Ctx.Done()
+	case <-s.Ctx.Done():
 	}
 	s.closeServers()
 	_ = callers.Close() // a stop during the start may come before the server knows its listener
-	s.duties.Wait()
+	s.Close()
 	s.peers.Close()
-	s.pool.Release()
-	s.log.Info().Msg("stopped")
 	return nil
 }
 
@@ -193,35 +145,6 @@
 func (s *Shell) closeServers() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	s.logEnd("callers' server", s.http.ShutdownWithContext(ctx))
+	s.LogEnd("callers' server", s.http.ShutdownWithContext(ctx))
 	s.server.Stop(flushTimeout)
 }
-
-func (s *Shell) duty(run func()) {
-	s.duties.Add(1)
-	go func() {
-		defer s.duties.Done()
-		run()
-	}()
-}
-
-func (s *Shell) logEnd(what string, err error) {
-	if err != nil {
-		s.log.Error().Err(err).Msg(what + " ended")
-	}
-}
-
-// send hands an event to the core. It waits for room in the ring: the core's
-// loop never waits for anything.
-func (s *Shell) send(event any) {
-	s.inbox.Send(s.ctx.Done(), event)
-}
-
-// submit runs blocking work on the pool, or reports that it is full.
-func (s *Shell) submit(work func()) bool {
-	if err := s.pool.Submit(work); err != nil {
-		metrics.GetOrCreateCounter(`catkin_entry_pool_full_total`).Inc()
-		return false
-	}
-	return true
-}
--- a/internal/node/entrysnapshot.go
+++ b/internal/node/entrysnapshot.go
@@ -149,6 +149,9 @@
 // also counts as one request.
 func (t taker) Take(now time.Duration, team ident.Team, service ident.Service, n int) bool {
 	units := t.entry.accepted.units[workKey{team: team, service: service}]
+	if len(units) > 1 {
+		units = t.shortFirst(now, team, service, units, n)
+	}
 	for i, unit := range units {
 		key := limits.Key{Team: team, Service: service, Unit: unit}
 		if t.entry.borrower.Take(now, key, amount(unit, n)) == limits.Granted {
@@ -161,6 +164,20 @@
 	return len(units) > 0
 }
 
+// shortFirst puts a limit that does not cover the work before the others, so that
+// nothing is taken of them in vain: it would only come back through the lender.
+func (t taker) shortFirst(now time.Duration, team ident.Team, service ident.Service, units []limits.Unit, n int) []limits.Unit {
+	for i, unit := range units {
+		key := limits.Key{Team: team, Service: service, Unit: unit}
+		if t.entry.borrower.Covers(now, key, amount(unit, n)) {
+			continue
+		}
+		first := append([]limits.Unit{unit}, units[:i]...)
+		return append(first, units[i+1:]...)
+	}
+	return units
+}
+
 // RetryAfter implements admission.Taker, for the limit that was short last.
 func (t taker) RetryAfter(now time.Duration, team ident.Team, service ident.Service, requests, n int) time.Duration {
 	unit, ok := t.entry.accepted.short[workKey{team: team, service: service}]
--- /dev/null
+++ b/internal/process/process_test.go
@@ -0,0 +1,68 @@
+package process
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinstair/catkinstair/internal/settings"
+)
+
+func newProcess(t *testing.T, cfg Config) *Process {
+	t.Helper()
+	cfg.Name = "test"
+	p, err := New(cfg, zerolog.Nop())
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		p.End()
+		p.Close()
+	})
+	return p
+}
+
+func TestFullRingAndPoolAreAnswersNotWaits(t *testing.T) {
+	p := newProcess(t, Config{Inbox: 1, Workers: 1})
+	require.True(t, p.TrySend("first"))
+	require.False(t, p.TrySend("second"))
+	require.Equal(t, 1, p.Waiting())
+
+	release := make(chan struct{})
+	require.True(t, p.Submit(func() { <-release }))
+	require.False(t, p.Submit(func() {}))
+	close(release)
+}
+
+func TestSendEndsWithTheProcess(t *testing.T) {
+	p := newProcess(t, Config{Inbox: 1, Workers: 1})
+	p.Send("fills the ring")
+	p.End()
+	p.Send("is dropped")
+	require.Equal(t, 1, p.Waiting())
+}
+
+func TestTraceThatCannotBeOpened(t *testing.T) {
+	p := newProcess(t, Config{Inbox: 1, Workers: 1, Trace: filepath.Join(t.TempDir(), "none", "trace")})
+	require.ErrorContains(t, p.StartTrace(struct{}{}), "open the trace")
+	Record(p, time.Second, "event", []string{"action"})
+}
+
+func TestIdentityNamesEveryFaultAtOnce(t *testing.T) {
+	var id Identity
+	cmd := Command("test", "test", func(set *settings.Set) { id.Declare(set) }, func(*cobra.Command) error { return nil })
+	cmd.SetArgs([]string{"--log-level=loud"})
+	err := cmd.Execute()
+	for _, want := range []string{"--vm", "--failure-domain", "--region", "--log-level", "loud"} {
+		require.ErrorContains(t, err, want)
+	}
+}
+
+func TestIncarnationGrowsWithTime(t *testing.T) {
+	var id Identity
+	first := id.Instance()
+	require.Positive(t, first.Incarnation)
+	require.GreaterOrEqual(t, id.Instance().Incarnation, first.Incarnation)
+}
