--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -61,3 +61,18 @@
 	err := set.Resolve(env(map[string]string{"CATKIN_KV_ADDR": "127.0.0.1:1", "CATKIN_WAIT": "soon"}))
 	require.ErrorContains(t, err, "soon")
 }
+
+func FuzzResolve(f *testing.F) {
+	f.Add("127.0.0.1:1", "3s", "info", "127.0.0.1:5,127.0.0.2:5")
+	f.Add("localhost", "-1s", "loud", "here,\"")
+	f.Fuzz(func(t *testing.T, addr, wait, level, peers string) {
+		var v sample
+		_, set := declare(&v)
+		err := set.Resolve(env(map[string]string{"CATKIN_KV_ADDR": addr, "CATKIN_WAIT": wait,
+			"CATKIN_LOG_LEVEL": level, "CATKIN_PEERS": peers}))
+		if err == nil {
+			require.NoError(t, Addr(v.addr))
+			require.Positive(t, v.wait)
+		}
+	})
+}
