--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -163,9 +163,13 @@
 	return err
 }
 
+// errNoOrders says that there is nothing to list, rather than that nothing was
+// ordered.
+var errNoOrders = errors.New("this version gives no orders to engines")
+
 // Orders implements adminapi.Backend.
 func (a *administration) Orders(context.Context) ([]adminapi.Order, error) {
-	return []adminapi.Order{}, nil
+	return nil, errNoOrders
 }
 
 // Audit implements adminapi.Backend.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -91,7 +91,7 @@
 	if req.Home != s.cfg.Self {
 		return forwardReply{Home: s.cfg.Self, HomeNow: s.Now()}, nil
 	}
-	c := &openCall{box: newMailbox(), service: req.Service, team: req.Team, wait: req.Wait,
+	c := &openCall{box: newMailbox(), service: req.Service, team: req.Team,
 		request: req.Request, hash: req.BodyHash, kept: true}
 	id := s.calls.begin(c)
 	s.Send(call.Request{
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -6,7 +6,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
@@ -34,7 +33,6 @@
 	service ident.Service
 	team    ident.Team
 	hash    uint64
-	wait    time.Duration
 	// kept answers stay until the core drops them: those that a home or the
 	// holder of a claim still has use for.
 	kept bool
@@ -129,7 +127,7 @@
 		writeRefusal(ctx, badRequest(headerTimeout+" wants a number of milliseconds from 1 to 3600000"))
 		return
 	}
-	c := &openCall{box: newMailbox(), service: ident.Service(service), team: team, wait: wait,
+	c := &openCall{box: newMailbox(), service: ident.Service(service), team: team,
 		request: requestOf(ctx, path, id)}
 	c.hash = hashOf(c.request)
 	idempotent := s.idempotent(c.service, c.request.Method)
--- a/scripts/cost.sh
+++ b/scripts/cost.sh
@@ -11,7 +11,7 @@
 SPAN=${SPAN:-8}
 ADDR=$(vm_ip 0):8080
 
-metric() { curl -fs "http://$ADDR/metrics" | awk -v name="$1" '$1 == name {print $2}'; }
+metric() { http GET "$ADDR" /metrics | awk -v name="$1" '$1 == name {print $2}'; }
 
 point() { # what, completions, reads, reservations
   local cpu0 cpu1 steps0 steps1
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -45,16 +45,33 @@
 
 start_vm() { start_control "$@"; start_entry "$@"; }
 
+# http METHOD ADDRESS PATH [BODY [HEADER...]]: prints the answer's body; fails on
+# a status of 400 or more. Bash alone, so that nothing has to be installed.
+http() {
+  local method=$1 addr=$2 path=$3 body=${4:-} header line status
+  exec 9<>"/dev/tcp/${addr%:*}/${addr#*:}" || return 1
+  {
+    printf '%s %s HTTP/1.0\r\nHost: %s\r\nContent-Length: %d\r\n' "$method" "$path" "$addr" "${#body}"
+    for header in "${@:5}"; do printf '%s\r\n' "$header"; done
+    printf '\r\n%s' "$body"
+  } >&9
+  IFS=' ' read -r _ status line <&9 || true
+  while IFS= read -r line <&9 && [ "$line" != $'\r' ]; do :; done
+  cat <&9
+  exec 9<&- 9>&-
+  [ "${status:-599}" -lt 400 ]
+}
+
 wait_ready() { # address
   for _ in $(seq 1 300); do
-    if curl -fs -o /dev/null "http://$1/readyz"; then return 0; fi
+    if http GET "$1" /readyz >/dev/null 2>&1; then return 0; fi
     sleep 0.1
   done
   echo "no answer from $1" >&2
   return 1
 }
 
-fault() { curl -fsS -X POST "http://$FAULTS/fault" -d "$1" >/dev/null; }
+fault() { http POST "$FAULTS" /fault "$1" >/dev/null; }
 
 stop_all() { # gracefully, then at once
   local p
--- a/scripts/measure-control.sh
+++ b/scripts/measure-control.sh
@@ -25,7 +25,7 @@
 cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; } # user and system
 rss_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
 wire_bytes() { # control process n: in and out, between the system's processes
-  curl -fs "http://$(vm_ip "$1"):8083/metrics" | awk '/^catkin_peer_wire_bytes_total/ {s += $2} END {printf "%d", s}'
+  http GET "$(vm_ip "$1"):8083" /metrics | awk '/^catkin_peer_wire_bytes_total/ {s += $2} END {printf "%d", s}'
 }
 tcp_bytes() { # pid: sent and received on connections open now
   ss -tinpH | awk -v want="pid=$1," '
@@ -52,11 +52,11 @@
 }
 
 measure() { # name
-  curl -fs "http://$(vm_ip 0):8083/metrics" >"$OUT/metrics.before"
+  http GET "$(vm_ip 0):8083" /metrics >"$OUT/metrics.before"
   sample "$OUT/before"
   sleep "$SPAN"
   sample "$OUT/after"
-  curl -fs "http://$(vm_ip 0):8083/metrics" >"$OUT/metrics.after"
+  http GET "$(vm_ip 0):8083" /metrics >"$OUT/metrics.after"
   report "$1"
   awk -v span="$SPAN" -f scripts/method-traffic.awk "$OUT/metrics.before" "$OUT/metrics.after" >"$OUT/methods $1.txt"
 }
