Config status tells how old each VM's word is

Cause: every line said 0s ago, whatever was known. Conclusion: the age comes from the spread's own reports.

--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -54,27 +54,36 @@
 	return await[config.Outcome](ctx, a.shell, idWaiter("apply", id), event)
 }
 
-// ConfigStatus implements adminapi.Backend.
+// ConfigStatus implements adminapi.Backend. Versions come with the membership's
+// records; how old that word is, is known of VMs that told this one directly.
 func (a *administration) ConfigStatus(ctx context.Context) (adminapi.ConfigStatus, error) {
 	var status adminapi.ConfigStatus
-	err := a.read(ctx, func(_ time.Duration, core *node.Control) {
+	err := a.read(ctx, func(now time.Duration, core *node.Control) {
 		head := core.Accepted().Head
+		told := core.Told()
 		status = adminapi.ConfigStatus{Newest: head.Version, Day: head.Day, Operator: head.Operator}
 		for _, m := range core.Members() {
 			if m.State == membership.Gone {
 				continue
 			}
-			version := m.ConfigVersion
+			vm := adminapi.VMVersion{VM: m.Instance.VM, Version: m.ConfigVersion, AgeMS: neverTold}
+			if seen, ok := told[vm.VM]; ok {
+				vm.Version = max(vm.Version, seen.Version)
+				vm.AgeMS = (now - seen.At).Milliseconds()
+			}
 			if m.Instance == a.shell.cfg.Self {
-				version = head.Version
+				vm.Version, vm.AgeMS = head.Version, 0
 			}
-			status.Newest = max(status.Newest, version)
-			status.VMs = append(status.VMs, adminapi.VMVersion{VM: m.Instance.VM, Version: version})
+			status.Newest = max(status.Newest, vm.Version)
+			status.VMs = append(status.VMs, vm)
 		}
 	})
 	return status, err
 }
 
+// neverTold is the age of the word of a VM that never told this one directly.
+const neverTold = -1
+
 // VMs implements adminapi.Backend.
 func (a *administration) VMs(ctx context.Context) ([]adminapi.VM, error) {
 	list := []adminapi.VM{}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -341,6 +341,9 @@
 // Accepted is the configuration in force on this VM.
 func (c *Control) Accepted() config.Snapshot { return c.spread.Snapshot() }
 
+// Told returns what each VM itself last told this one of its version.
+func (c *Control) Told() map[ident.VM]config.Seen { return c.spread.Seen() }
+
 // Ready reports whether this VM knows what was accepted.
 func (c *Control) Ready() bool { return c.spread.Ready() }
 
