--- /dev/null
+++ b/cmd/catkin-router/main.go
@@ -0,0 +1,25 @@
+// Command catkin-router is the whole system on one VM of the users' platform: it
+// answers callers, routes their requests over paths of backend servers, and takes
+// its part in placing the model's layers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/catkinstair/catkinstair/internal/router"
+	"github.com/catkinstair/catkinstair/internal/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	if err := router.Command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(settings.ExitCode)
+	}
+}
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -150,7 +150,8 @@
 		p.release()
 		return nil, &Error{Kind: KindDial, Sent: SentNone, Err: errors.New("deadline passed before dialing")}
 	}
-	raw, err := net.DialTimeout("tcp", addr, timeout)
+	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: c.cfg.KeepAlive}
+	raw, err := dialer.Dial("tcp", addr)
 	if err != nil {
 		p.release()
 		return nil, &Error{Kind: KindDial, Sent: SentNone, Err: err}
--- a/internal/adapter/httpcall/config.go
+++ b/internal/adapter/httpcall/config.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"net"
 	"strings"
 	"time"
 
@@ -20,6 +21,9 @@
 	MaxIdlePerAddr int
 	// MaxBodyBytes bounds the body of an answer. Default 16 MiB.
 	MaxBodyBytes int
+	// KeepAlive is TCP's own probing, which shows a connection that went silent
+	// for good. Default: after 1 s without a byte, each 500 ms, lost after 3.
+	KeepAlive net.KeepAliveConfig
 }
 
 // DefaultConfig returns the defaults that Config names.
@@ -30,6 +34,7 @@
 		MaxConnsPerAddr: 512,
 		MaxIdlePerAddr:  64,
 		MaxBodyBytes:    16 << 20,
+		KeepAlive:       net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
 	}
 }
 
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -23,6 +23,8 @@
 	idleRead time.Duration
 	// deadline bounds the whole call.
 	deadline time.Time
+	// used is set once an answer was read on it.
+	used bool
 }
 
 // Read sets the deadline of a streamed body's next part.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,8 +10,8 @@
 	"github.com/catkinstair/catkinstair/internal/limits"
 	"github.com/catkinstair/catkinstair/internal/membership"
 	"github.com/catkinstair/catkinstair/internal/node"
-	"github.com/catkinstair/catkinstair/internal/platform"
 	"github.com/catkinstair/catkinstair/internal/process"
+	"github.com/catkinstair/catkinstair/internal/store"
 )
 
 // query reads the core from its own goroutine.
@@ -128,9 +128,9 @@
 		s.logChange(a)
 	case node.HandedOver:
 		s.handed.Store(true)
-	case platform.Send:
+	case store.Send:
 		s.callService(a)
-	case platform.Health:
+	case store.Health:
 		s.Log.Warn().Bool("up", a.Up).Msg("key-value service")
 	}
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -6,50 +6,50 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkinstair/catkinstair/internal/adapter/kv"
-	"github.com/catkinstair/catkinstair/internal/platform"
+	"github.com/catkinstair/catkinstair/internal/store"
 )
 
 // callService makes one call to the key-value service.
-func (s *Shell) callService(a platform.Send) {
+func (s *Shell) callService(a store.Send) {
 	ok := s.Submit(func() { s.Send(s.serviceReply(a)) })
 	if !ok {
-		s.TrySend(any(platform.Reply{Attempt: a.Attempt, Status: platform.Failed}))
+		s.TrySend(any(store.Reply{Attempt: a.Attempt, Status: store.Failed}))
 	}
 }
 
-func (s *Shell) serviceReply(a platform.Send) platform.Reply {
+func (s *Shell) serviceReply(a store.Send) store.Reply {
 	entries, revision, err := s.perform(a.Call, a.Timeout)
-	reply := platform.Reply{Attempt: a.Attempt, Status: platform.OK, Entries: entries, Revision: revision}
+	reply := store.Reply{Attempt: a.Attempt, Status: store.OK, Entries: entries, Revision: revision}
 	var conflict *kv.ConflictError
 	switch {
 	case err == nil:
 	case errors.Is(err, kv.ErrNotFound):
-		reply.Status = platform.NotFound
+		reply.Status = store.NotFound
 	case errors.As(err, &conflict):
-		reply.Status = platform.Conflict
+		reply.Status = store.Conflict
 		if conflict.Current != nil {
-			reply.Entries = []platform.Entry{entryOf(*conflict.Current)}
+			reply.Entries = []store.Entry{entryOf(*conflict.Current)}
 		}
 	case errors.Is(err, kv.ErrDown):
-		reply.Status = platform.Failed
+		reply.Status = store.Failed
 	default:
-		reply.Status = platform.Lost
+		reply.Status = store.Lost
 	}
 	return reply
 }
 
-func (s *Shell) perform(call platform.Call, timeout time.Duration) ([]platform.Entry, int64, error) {
+func (s *Shell) perform(call store.Call, timeout time.Duration) ([]store.Entry, int64, error) {
 	switch call.Op {
-	case platform.OpGet:
+	case store.OpGet:
 		entry, err := s.kv.Get(call.Key, timeout)
-		return []platform.Entry{entryOf(entry)}, entry.Revision, err
-	case platform.OpList:
+		return []store.Entry{entryOf(entry)}, entry.Revision, err
+	case store.OpList:
 		listing, err := s.kv.List(call.Key, timeout)
 		return entriesOf(listing), listing.Revision, err
-	case platform.OpWatch:
+	case store.OpWatch:
 		listing, err := s.kv.Watch(call.Key, call.After, call.Wait)
 		return entriesOf(listing), listing.Revision, err
-	case platform.OpPut:
+	case store.OpPut:
 		revision, err := s.kv.CAS(call.Key, call.Value, call.Expect, "", timeout)
 		return nil, revision, err
 	default:
@@ -57,8 +57,8 @@
 	}
 }
 
-func entriesOf(listing kv.Listing) []platform.Entry {
-	var out []platform.Entry
+func entriesOf(listing kv.Listing) []store.Entry {
+	var out []store.Entry
 	for _, e := range listing.Entries {
 		if !e.Deleted {
 			out = append(out, entryOf(e))
@@ -67,6 +67,6 @@
 	return out
 }
 
-func entryOf(e kv.Entry) platform.Entry {
-	return platform.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
+func entryOf(e kv.Entry) store.Entry {
+	return store.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
 }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+)
+
+// Config holds the settings of a Fleet.
+type Config struct {
+	// ReturnGrace is how long a record that vanished while the store could not be
+	// reached is still believed: the platform writes it again within two seconds
+	// of the store's return. Default 2.5 s.
+	ReturnGrace time.Duration
+	// Suspicion is how long a backend server is avoided after a failure; it
+	// doubles with each further one. Default 300 ms.
+	Suspicion time.Duration
+	// MaxSuspicion bounds it. Default 5 s.
+	MaxSuspicion time.Duration
+}
+
+// DefaultConfig returns the defaults that Config names.
+func DefaultConfig() Config {
+	return Config{ReturnGrace: 2500 * time.Millisecond, Suspicion: 300 * time.Millisecond, MaxSuspicion: 5 * time.Second}
+}
+
+// Server is what is believed of one backend server.
+type Server struct {
+	Record
+	// Orders is the number of orders accepted in this life, as far as known.
+	Orders uint64
+	// Streams and TokenLayers are this VM's own work in progress there.
+	Streams     int
+	TokenLayers float64
+	// SlowX is over 1 for a server that was seen to be slower than its card.
+	SlowX float64
+
+	strikes      int
+	suspectUntil time.Duration
+	// goneAt is when a record that vanished during an outage stops counting.
+	goneAt time.Duration
+}
+
+// Suspect reports whether s is avoided at now.
+func (s *Server) Suspect(now time.Duration) bool { return now < s.suspectUntil }
+
+// Fleet is the belief of one VM.
+type Fleet struct {
+	cfg     Config
+	servers map[ID]*Server
+	byAddr  map[string]ID
+	version uint64
+}
+
+// New returns a Fleet without backend servers.
+func New(cfg Config) *Fleet {
+	return &Fleet{cfg: cfg, servers: map[ID]*Server{}, byAddr: map[string]ID{}}
+}
+
+// Version rises with each change of a record.
+func (f *Fleet) Version() uint64 { return f.version }
+
+// Len is the number of backend servers known.
+func (f *Fleet) Len() int { return len(f.servers) }
+
+// Get returns the server named id, or nil.
+func (f *Fleet) Get(id ID) *Server { return f.servers[id] }
+
+// At returns the server at addr, or nil.
+func (f *Fleet) At(addr string) *Server { return f.servers[f.byAddr[addr]] }
+
+// Put takes in a record and reports whether it begins a new life. A new life
+// holds nothing of the work and the failures of the one before.
+func (f *Fleet) Put(r Record) (newLife bool) {
+	f.version++
+	s := f.servers[r.ID]
+	if s == nil || s.Born != r.Born {
+		if s != nil {
+			f.forgetAddr(s)
+		}
+		f.servers[r.ID] = &Server{Record: r, SlowX: 1}
+		f.byAddr[r.Addr] = r.ID
+		return true
+	}
+	if s.Addr != r.Addr {
+		f.forgetAddr(s)
+	}
+	s.Record, s.goneAt = r, 0
+	f.byAddr[r.Addr] = r.ID
+	return false
+}
+
+// Remove takes out a record. While the store was away the removal may only mean
+// that the record lapsed, so the server is believed for ReturnGrace more.
+func (f *Fleet) Remove(now time.Duration, id ID, storeWasAway bool) {
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	if storeWasAway {
+		if s.goneAt == 0 {
+			s.goneAt = now + f.cfg.ReturnGrace
+		}
+		return
+	}
+	f.drop(s)
+}
+
+// Expire drops the servers whose grace has passed.
+func (f *Fleet) Expire(now time.Duration) {
+	for _, s := range f.servers {
+		if s.goneAt > 0 && now >= s.goneAt {
+			f.drop(s)
+		}
+	}
+}
+
+func (f *Fleet) drop(s *Server) {
+	f.version++
+	f.forgetAddr(s)
+	delete(f.servers, s.ID)
+}
+
+func (f *Fleet) forgetAddr(s *Server) {
+	if f.byAddr[s.Addr] == s.ID {
+		delete(f.byAddr, s.Addr)
+	}
+}
+
+// Of returns the servers of a service in the order of their ids.
+func (f *Fleet) Of(service string) []*Server {
+	var out []*Server
+	for _, s := range f.servers {
+		if s.Service == service {
+			out = append(out, s)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// Failed records that work at one life of a server failed for its own reasons.
+// least is the shortest time for which it is avoided.
+func (f *Fleet) Failed(now time.Duration, in Instance, least time.Duration) {
+	s := f.current(in)
+	if s == nil {
+		return
+	}
+	span := min(f.cfg.Suspicion<<min(s.strikes, 8), f.cfg.MaxSuspicion)
+	s.strikes++
+	s.suspectUntil = max(s.suspectUntil, now+max(span, least))
+}
+
+// Worked records that work at one life of a server went well.
+func (f *Fleet) Worked(in Instance) {
+	if s := f.current(in); s != nil {
+		s.strikes, s.suspectUntil = 0, 0
+	}
+}
+
+// Begin adds own work of tokens x layers at a server; End takes it off.
+func (f *Fleet) Begin(in Instance, tokenLayers float64) {
+	if s := f.current(in); s != nil {
+		s.Streams++
+		s.TokenLayers += tokenLayers
+	}
+}
+
+// End takes off what Begin added.
+func (f *Fleet) End(in Instance, tokenLayers float64) {
+	if s := f.current(in); s != nil && s.Streams > 0 {
+		s.Streams--
+		s.TokenLayers = max(0, s.TokenLayers-tokenLayers)
+	}
+}
+
+func (f *Fleet) current(in Instance) *Server {
+	if s := f.servers[in.ID]; s != nil && s.Born == in.Born {
+		return s
+	}
+	return nil
+}
+
+// IDs returns the ids of all backend servers, in no order.
+func (f *Fleet) IDs() []ID {
+	out := make([]ID, 0, len(f.servers))
+	for id := range f.servers {
+		out = append(out, id)
+	}
+	return out
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -14,7 +14,7 @@
 	"github.com/catkinstair/catkinstair/internal/limits"
 	"github.com/catkinstair/catkinstair/internal/membership"
 	"github.com/catkinstair/catkinstair/internal/peer"
-	"github.com/catkinstair/catkinstair/internal/platform"
+	"github.com/catkinstair/catkinstair/internal/store"
 )
 
 // Control is the core of one catkin-control process.
@@ -25,7 +25,7 @@
 	lease    *lease.Core
 	lender   *limits.Lender
 	spread   *config.Spread
-	service  *platform.Client
+	service  *store.Client
 	trail    *audit.Trail
 
 	listed        map[ident.BackendServer]peer.BackendServer
@@ -33,7 +33,7 @@
 	memberVersion uint64
 	configVersion uint64
 	entry         entryWatch
-	share         platform.Fleet
+	share         store.Fleet
 	waiters       []SnapshotAsked
 	apply         *applying
 	applyQueue    []ApplyAsked
@@ -62,7 +62,7 @@
 	if c.spread, err = config.NewSpread(cfg.Spread); err != nil {
 		return nil, errors.Wrap(err, "configuration")
 	}
-	if c.service, err = platform.New(cfg.Platform); err != nil {
+	if c.service, err = store.New(cfg.Platform); err != nil {
 		return nil, errors.Wrap(err, "platform")
 	}
 	if c.trail, err = audit.New(cfg.Audit); err != nil {
@@ -93,7 +93,7 @@
 	case ApplyAsked:
 		c.applyAsked(now, ev)
 	case ListAsked:
-		c.ask(now, platform.Call{Op: platform.OpList, Key: ev.Prefix}, c.listEnded(ev.ID))
+		c.ask(now, store.Call{Op: store.OpList, Key: ev.Prefix}, c.listEnded(ev.ID))
 	case HandOver:
 		c.leaseEvent(now, lease.Leave{})
 	case GoneAsked:
@@ -109,7 +109,7 @@
 	case limits.AskReceived:
 		c.lend(c.lender.Step(now, ev))
 		c.emit(Wake{After: c.cfg.Lender.DivideEvery})
-	case platform.Reply:
+	case store.Reply:
 		c.serviceDo(now, c.service.Step(now, ev))
 	}
 	c.answerWaiters(now)
@@ -126,7 +126,7 @@
 	c.spreadDo(now, c.spread.Step(now, config.SpreadTick{}))
 	c.tickApply(now)
 	c.trailDo(now, c.trail.Step(now, audit.Tick{}))
-	c.serviceDo(now, c.service.Step(now, platform.Tick{}))
+	c.serviceDo(now, c.service.Step(now, store.Tick{}))
 }
 
 func (c *Control) lend(actions []limits.Action) {
--- a/internal/node/controlapply.go
+++ b/internal/node/controlapply.go
@@ -10,7 +10,7 @@
 	"github.com/catkinstair/catkinstair/internal/config"
 	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/limits"
-	"github.com/catkinstair/catkinstair/internal/platform"
+	"github.com/catkinstair/catkinstair/internal/store"
 )
 
 // applying is the sheet that is being taken through acceptance.
@@ -86,7 +86,7 @@
 		c.swapHead(now, by, a)
 	case config.DeleteParts:
 		for _, hash := range a.Hashes {
-			c.ask(now, platform.Call{Op: platform.OpDelete, Key: keyPartPrefix + string(hash), Expect: anyRevision}, nil)
+			c.ask(now, store.Call{Op: store.OpDelete, Key: keyPartPrefix + string(hash), Expect: anyRevision}, nil)
 		}
 	case config.WakeApply:
 		by.wakeAt = a.At
@@ -99,16 +99,16 @@
 const anyRevision = -1
 
 func (c *Control) loadHead(now time.Duration, by *applying) {
-	c.ask(now, platform.Call{Op: platform.OpGet, Key: keyHead}, func(now time.Duration, done platform.Done) {
+	c.ask(now, store.Call{Op: store.OpGet, Key: keyHead}, func(now time.Duration, done store.Done) {
 		c.applyReply(now, by, headLoaded(done))
 	})
 }
 
-func headLoaded(done platform.Done) config.ApplyEvent {
-	if done.Status == platform.NotFound {
+func headLoaded(done store.Done) config.ApplyEvent {
+	if done.Status == store.NotFound {
 		return config.HeadLoaded{}
 	}
-	if done.Status != platform.OK || len(done.Entries) != 1 {
+	if done.Status != store.OK || len(done.Entries) != 1 {
 		return config.ServiceFailed{Reason: "the head could not be read: " + string(done.Status)}
 	}
 	head, err := decodeHead(done.Entries[0].Value)
@@ -124,10 +124,10 @@
 	left := len(a.Texts)
 	stored := true
 	for _, hash := range sortedHashes(a.Texts) {
-		call := platform.Call{Op: platform.OpPut, Key: keyPartPrefix + string(hash), Value: []byte(a.Texts[hash]), Give: partsWait}
-		c.ask(now, call, func(now time.Duration, done platform.Done) {
+		call := store.Call{Op: store.OpPut, Key: keyPartPrefix + string(hash), Value: []byte(a.Texts[hash]), Give: partsWait}
+		c.ask(now, call, func(now time.Duration, done store.Done) {
 			left--
-			stored = stored && (done.Status == platform.OK || done.Status == platform.Conflict)
+			stored = stored && (done.Status == store.OK || done.Status == store.Conflict)
 			if left > 0 {
 				return
 			}
@@ -155,12 +155,12 @@
 		c.applyReply(now, by, config.ServiceFailed{Reason: err.Error()})
 		return
 	}
-	call := platform.Call{Op: platform.OpPut, Key: keyHead, Value: value, Expect: int64(a.Expect), Urgent: true}
-	c.ask(now, call, func(now time.Duration, done platform.Done) {
+	call := store.Call{Op: store.OpPut, Key: keyHead, Value: value, Expect: int64(a.Expect), Urgent: true}
+	c.ask(now, call, func(now time.Duration, done store.Done) {
 		switch done.Status {
-		case platform.OK:
+		case store.OK:
 			c.applyReply(now, by, config.HeadSwapped{})
-		case platform.Conflict:
+		case store.Conflict:
 			c.applyReply(now, by, config.HeadConflict{})
 		default:
 			c.applyReply(now, by, config.ServiceFailed{Reason: "the head could not be written: " + string(done.Status)})
--- a/internal/node/controlconfig.go
+++ b/internal/node/controlconfig.go
@@ -9,7 +9,7 @@
 	"github.com/catkinstair/catkinstair/internal/lease"
 	"github.com/catkinstair/catkinstair/internal/limits"
 	"github.com/catkinstair/catkinstair/internal/membership"
-	"github.com/catkinstair/catkinstair/internal/platform"
+	"github.com/catkinstair/catkinstair/internal/store"
 )
 
 // ControlConfig is the configuration of a Control.
@@ -36,7 +36,7 @@
 	Lender     limits.LenderConfig       `json:"lender"`
 	Spread     config.SpreadConfig       `json:"spread"`
 	Apply      config.ApplyConfig        `json:"apply"`
-	Platform   platform.Config           `json:"platform"`
+	Platform   store.Config              `json:"platform"`
 	Audit      audit.Config              `json:"audit"`
 }
 
@@ -76,7 +76,7 @@
 		Lender:     limits.DefaultLenderConfig(),
 		Spread:     config.DefaultSpreadConfig(s.Self.VM, s.Place.FailureDomain),
 		Apply:      config.DefaultApplyConfig(),
-		Platform:   platform.DefaultConfig(),
+		Platform:   store.DefaultConfig(),
 		Audit:      audit.DefaultConfig(s.Self),
 	}
 	cfg.Membership.Seed = s.Seed
--- a/internal/node/controlduties.go
+++ b/internal/node/controlduties.go
@@ -7,7 +7,7 @@
 	"github.com/catkinstair/catkinstair/internal/ident"
 	"github.com/catkinstair/catkinstair/internal/lease"
 	"github.com/catkinstair/catkinstair/internal/membership"
-	"github.com/catkinstair/catkinstair/internal/platform"
+	"github.com/catkinstair/catkinstair/internal/store"
 )
 
 // entryWatch is what this VM knows of its own entry process.
@@ -43,7 +43,7 @@
 func (c *Control) shareBudget(now time.Duration) {
 	roster := c.lease.Roster()
 	perDomain := map[ident.FailureDomain]int{}
-	share := platform.Fleet{Applying: c.apply != nil}
+	share := store.Fleet{Applying: c.apply != nil}
 	for _, m := range c.present() {
 		share.Processes++
 		if perDomain[m.Place.FailureDomain] < c.cfg.Spread.WatchersPerDomain {
--- a/internal/node/controlmessages.go
+++ b/internal/node/controlmessages.go
@@ -10,7 +10,7 @@
 	"github.com/catkinstair/catkinstair/internal/limits"
 	"github.com/catkinstair/catkinstair/internal/membership"
 	"github.com/catkinstair/catkinstair/internal/peer"
-	"github.com/catkinstair/catkinstair/internal/platform"
+	"github.com/catkinstair/catkinstair/internal/store"
 )
 
 // ControlTick lets time pass in every slice of a Control. The shell sends one
@@ -89,9 +89,9 @@
 
 // ListEnded answers ListAsked. OK is false when the service did not answer.
 type ListEnded struct {
-	ID      uint64           `json:"id"`
-	OK      bool             `json:"ok"`
-	Entries []platform.Entry `json:"entries,omitempty"`
+	ID      uint64        `json:"id"`
+	OK      bool          `json:"ok"`
+	Entries []store.Entry `json:"entries,omitempty"`
 }
 
 // Wake asks for a LenderTick after a time.
@@ -134,7 +134,7 @@
 		membership.Request{}, membership.Answer{}, membership.Seeds{}, membership.Left{},
 		lease.PromiseAsked{}, lease.PromiseGiven{}, lease.Gone{},
 		limits.AskReceived{},
-		platform.Reply{},
+		store.Reply{},
 	}
 }
 
--- a/internal/node/controlservice.go
+++ b/internal/node/controlservice.go
@@ -7,30 +7,30 @@
 	"github.com/catkinstair/catkinstair/internal/audit"
 	"github.com/catkinstair/catkinstair/internal/config"
 	"github.com/catkinstair/catkinstair/internal/lease"
-	"github.com/catkinstair/catkinstair/internal/platform"
+	"github.com/catkinstair/catkinstair/internal/store"
 )
 
 // serviceWork holds what goes on when the key-value service has answered.
 type serviceWork struct {
 	last uint64
-	then map[uint64]func(now time.Duration, done platform.Done)
+	then map[uint64]func(now time.Duration, done store.Done)
 }
 
 func newServiceWork() serviceWork {
-	return serviceWork{then: map[uint64]func(time.Duration, platform.Done){}}
+	return serviceWork{then: map[uint64]func(time.Duration, store.Done){}}
 }
 
 // ask makes a call to the service within its budget, then goes on with then.
-func (c *Control) ask(now time.Duration, call platform.Call, then func(time.Duration, platform.Done)) {
+func (c *Control) ask(now time.Duration, call store.Call, then func(time.Duration, store.Done)) {
 	c.work.last++
 	id := c.work.last
 	c.work.then[id] = then
-	c.serviceDo(now, c.service.Step(now, platform.Request{ID: id, Call: call}))
+	c.serviceDo(now, c.service.Step(now, store.Request{ID: id, Call: call}))
 }
 
-func (c *Control) serviceDo(now time.Duration, actions []platform.Action) {
+func (c *Control) serviceDo(now time.Duration, actions []store.Action) {
 	for _, a := range actions {
-		done, ok := a.(platform.Done)
+		done, ok := a.(store.Done)
 		if !ok {
 			c.emit(a)
 			continue
@@ -43,19 +43,19 @@
 	}
 }
 
-func (c *Control) listEnded(id uint64) func(time.Duration, platform.Done) {
-	return func(_ time.Duration, done platform.Done) {
-		c.emit(ListEnded{ID: id, OK: done.Status == platform.OK || done.Status == platform.Stale, Entries: done.Entries})
+func (c *Control) listEnded(id uint64) func(time.Duration, store.Done) {
+	return func(_ time.Duration, done store.Done) {
+		c.emit(ListEnded{ID: id, OK: done.Status == store.OK || done.Status == store.Stale, Entries: done.Entries})
 	}
 }
 
 func (c *Control) readRoster(now time.Duration) {
-	c.ask(now, platform.Call{Op: platform.OpGet, Key: keyRoster, Urgent: true}, func(now time.Duration, done platform.Done) {
+	c.ask(now, store.Call{Op: store.OpGet, Key: keyRoster, Urgent: true}, func(now time.Duration, done store.Done) {
 		switch {
-		case done.Status == platform.NotFound && c.mayFoundRoster(now):
+		case done.Status == store.NotFound && c.mayFoundRoster(now):
 			c.leaseEvent(now, lease.RosterMissing{})
 			return
-		case done.Status == platform.OK && len(done.Entries) == 1:
+		case done.Status == store.OK && len(done.Entries) == 1:
 			roster, err := lease.DecodeRoster(done.Entries[0].Value)
 			if err == nil {
 				c.leaseEvent(now, lease.RosterRead{Revision: uint64(done.Entries[0].Revision), Roster: roster})
@@ -79,12 +79,12 @@
 		c.leaseEvent(now, result)
 		return
 	}
-	call := platform.Call{Op: platform.OpPut, Key: keyRoster, Value: value, Expect: int64(w.Expect), Urgent: true}
-	c.ask(now, call, func(now time.Duration, done platform.Done) {
+	call := store.Call{Op: store.OpPut, Key: keyRoster, Value: value, Expect: int64(w.Expect), Urgent: true}
+	c.ask(now, call, func(now time.Duration, done store.Done) {
 		switch done.Status {
-		case platform.OK:
+		case store.OK:
 			result.Outcome, result.Revision = lease.CASOK, uint64(done.Revision)
-		case platform.Conflict:
+		case store.Conflict:
 			if !done.Overwritten {
 				result.Outcome = lease.CASConflict
 			}
@@ -95,20 +95,20 @@
 
 // readHead follows the head of the configuration: at once, or once it is newer.
 func (c *Control) readHead(now time.Duration, after uint64) {
-	call := platform.Call{Op: platform.OpGet, Key: keyHead}
+	call := store.Call{Op: store.OpGet, Key: keyHead}
 	if after > 0 {
-		call = platform.Call{Op: platform.OpWatch, Key: keyHead, After: int64(after), Wait: watchWait}
+		call = store.Call{Op: store.OpWatch, Key: keyHead, After: int64(after), Wait: watchWait}
 	}
-	c.ask(now, call, func(now time.Duration, done platform.Done) {
+	c.ask(now, call, func(now time.Duration, done store.Done) {
 		c.spreadDo(now, c.spread.Step(now, headRead(after, done)))
 	})
 }
 
-func headRead(after uint64, done platform.Done) config.SpreadEvent {
-	if done.Status == platform.NotFound {
+func headRead(after uint64, done store.Done) config.SpreadEvent {
+	if done.Status == store.NotFound {
 		return config.HeadRead{}
 	}
-	if done.Status != platform.OK {
+	if done.Status != store.OK {
 		return config.ReadFailed{}
 	}
 	if len(done.Entries) == 0 {
@@ -136,13 +136,13 @@
 	left := len(hashes)
 	whole := true
 	for _, hash := range hashes {
-		call := platform.Call{Op: platform.OpGet, Key: keyPartPrefix + string(hash), Give: partsWait}
-		c.ask(now, call, func(now time.Duration, done platform.Done) {
+		call := store.Call{Op: store.OpGet, Key: keyPartPrefix + string(hash), Give: partsWait}
+		c.ask(now, call, func(now time.Duration, done store.Done) {
 			left--
 			switch {
-			case done.Status == platform.OK && len(done.Entries) == 1:
+			case done.Status == store.OK && len(done.Entries) == 1:
 				texts[hash] = string(done.Entries[0].Value)
-			case done.Status != platform.NotFound:
+			case done.Status != store.NotFound:
 				whole = false
 			}
 			if left == 0 {
@@ -158,10 +158,10 @@
 		if !ok {
 			continue
 		}
-		call := platform.Call{Op: platform.OpPut, Key: keyTrail + w.Key, Value: []byte(w.Lines)}
-		c.ask(now, call, func(now time.Duration, done platform.Done) {
+		call := store.Call{Op: store.OpPut, Key: keyTrail + w.Key, Value: []byte(w.Lines)}
+		c.ask(now, call, func(now time.Duration, done store.Done) {
 			event := audit.Event(audit.BatchFailed{Key: w.Key})
-			if done.Status == platform.OK || done.Status == platform.Conflict {
+			if done.Status == store.OK || done.Status == store.Conflict {
 				event = audit.BatchWritten{Key: w.Key}
 			}
 			c.trailDo(now, c.trail.Step(now, event))
--- /dev/null
+++ b/internal/paths/paths.go
@@ -0,0 +1,266 @@
+// Package paths chooses the backend servers that a streamed request passes: a
+// list of parts that covers every layer of the model once and in order.
+//
+// The choice is a shortest path over the boundaries of the held ranges. The
+// weight of a part is the predicted time that the whole request spends there:
+// reading its prompt, then a step for each token of the answer, both slowed by the
+// requests that are already there (internal/engine). Crossing to another failure
+// domain adds the links' delay for each token and a price for the shared pipe.
+package paths
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/engine"
+	"github.com/catkinstair/catkinstair/internal/fleet"
+)
+
+// MaxParts is the longest path that a backend server accepts.
+const MaxParts = 32
+
+// Part is one backend server and the layers that a request runs there.
+type Part struct {
+	Instance fleet.Instance
+	Addr     string
+	Layers   fleet.Layers
+}
+
+// Holder is a backend server that may be used, with the work of all VMs there.
+type Holder struct {
+	Instance fleet.Instance
+	Addr     string
+	Domain   string
+	Card     engine.Card
+	Held     fleet.Layers
+	// Streams and TokenLayers are the estimated work in progress of all VMs.
+	Streams     float64
+	TokenLayers float64
+	// SlowX multiplies the card's times.
+	SlowX float64
+	// Penalty is added once, for a holder that is used only for want of others.
+	Penalty time.Duration
+}
+
+// Request is what a path is looked for.
+type Request struct {
+	PromptTokens, AnswerTokens float64
+	// Domain is the caller's side: the first part should stand there.
+	Domain string
+}
+
+// Config holds the settings of the search.
+type Config struct {
+	// PartCost is added for each part: the mean wait for a pass to end and the
+	// work that a further part makes. Default 4 ms.
+	PartCost time.Duration
+	// CrossingCost is added for each change of the failure domain, for the shared
+	// pipe and its price. Default 600 ms.
+	CrossingCost time.Duration
+	// AwayCost is added when the first part stands in another failure domain than
+	// the VM: every event of the answer crosses. Default 1 s.
+	AwayCost time.Duration
+	// FullShare is the part of the KV cache that may be planned for. Default 0.95.
+	FullShare float64
+}
+
+// DefaultConfig returns the defaults that Config names.
+func DefaultConfig() Config {
+	return Config{PartCost: 4 * time.Millisecond, CrossingCost: 600 * time.Millisecond, AwayCost: time.Second, FullShare: 0.95}
+}
+
+// Path is the result of a search.
+type Path struct {
+	Parts []Part
+	// Cost is the predicted time of the whole request, with what was added.
+	Cost time.Duration
+	// First is the predicted time to the first token.
+	First time.Duration
+}
+
+type state struct {
+	cost   float64
+	first  float64
+	parts  int
+	from   int // index of the state before, -1 at the start
+	holder int
+	at     int // boundary
+}
+
+// Find returns the path of least predicted time, or ok false where the holders
+// with room cover no whole model.
+func Find(cfg Config, spec *engine.Spec, holders []Holder, r Request) (Path, bool) {
+	holders = withRoom(cfg, spec, holders, r)
+	bounds := boundaries(spec, holders)
+	domains := domainsOf(holders)
+	extra := 0.0
+	// A path with too many parts is looked for again with dearer parts.
+	for range 4 {
+		p, ok := search(cfg, spec, holders, bounds, domains, r, extra)
+		if !ok {
+			return Path{}, false
+		}
+		if len(p.Parts) <= MaxParts {
+			return p, true
+		}
+		extra = extra*4 + float64(20*time.Millisecond)
+	}
+	return Path{}, false
+}
+
+// withRoom leaves out the holders whose KV cache has no room for the request in
+// all their layers.
+func withRoom(cfg Config, spec *engine.Spec, holders []Holder, r Request) []Holder {
+	out := holders[:0:0]
+	for _, h := range holders {
+		room := spec.TokenLayers(h.Card, h.Held.Len()) * cfg.FullShare
+		// A sub-range needs less; the whole range is the safe reading.
+		if h.Held.Len() > 0 && h.TokenLayers+(r.PromptTokens+r.AnswerTokens)*float64(h.Held.Len()) <= room {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func boundaries(spec *engine.Spec, holders []Holder) []int {
+	seen := map[int]bool{0: true, spec.Layers: true}
+	for _, h := range holders {
+		seen[h.Held.From], seen[h.Held.To] = true, true
+	}
+	out := make([]int, 0, len(seen))
+	for b := range seen {
+		if b >= 0 && b <= spec.Layers {
+			out = append(out, b)
+		}
+	}
+	sort.Ints(out)
+	return out
+}
+
+func domainsOf(holders []Holder) map[string]int {
+	out := map[string]int{}
+	for _, h := range holders {
+		if _, ok := out[h.Domain]; !ok {
+			out[h.Domain] = len(out)
+		}
+	}
+	return out
+}
+
+// search is Dijkstra on a line: boundaries are taken in rising order, and each
+// keeps the best way that ends in each failure domain.
+func search(cfg Config, spec *engine.Spec, holders []Holder, bounds []int, domains map[string]int, r Request, extra float64) (Path, bool) {
+	index := make(map[int]int, len(bounds))
+	for i, b := range bounds {
+		index[b] = i
+	}
+	nd := len(domains)
+	best := make([]state, len(bounds)*nd)
+	for i := range best {
+		best[i].cost = math.Inf(1)
+	}
+	for i, at := range bounds[:len(bounds)-1] {
+		for hi := range holders {
+			h := &holders[hi]
+			if h.Held.From > at || h.Held.To <= at {
+				continue
+			}
+			before, ok := cheapest(cfg, spec, best[i*nd:(i+1)*nd], at, h, holders, r)
+			if !ok {
+				continue
+			}
+			slot := domains[h.Domain]
+			for j := i + 1; j < len(bounds) && bounds[j] <= h.Held.To; j++ {
+				total, first := partCost(cfg, spec, h, bounds[j]-at, r)
+				next := state{cost: before.cost + total + extra, first: before.first + first, from: before.from, holder: hi, at: at}
+				if next.cost < best[j*nd+slot].cost {
+					best[j*nd+slot] = next
+				}
+			}
+		}
+	}
+	return collect(best, bounds, holders, nd, index)
+}
+
+// cheapest returns the best way to reach boundary at and go on with h.
+func cheapest(cfg Config, spec *engine.Spec, states []state, at int, h *Holder, holders []Holder, r Request) (state, bool) {
+	if at == 0 {
+		s := state{from: -1}
+		if r.Domain != "" && h.Domain != r.Domain {
+			s.cost = float64(cfg.AwayCost)
+		}
+		return s, true
+	}
+	out := state{cost: math.Inf(1)}
+	for slot := range states {
+		s := &states[slot]
+		if math.IsInf(s.cost, 1) {
+			continue
+		}
+		cost, first := s.cost, s.first
+		if from := holders[s.holder].Domain; from != h.Domain {
+			delay := float64(spec.Delay(from, h.Domain))
+			cost += float64(cfg.CrossingCost) + delay*r.AnswerTokens
+			first += delay
+		}
+		if cost < out.cost {
+			out = state{cost: cost, first: first, from: slot}
+		}
+	}
+	return out, !math.IsInf(out.cost, 1)
+}
+
+// partCost predicts the time of a request in n layers of h, and the part of it
+// before the first token, in nanoseconds.
+func partCost(cfg Config, spec *engine.Spec, h *Holder, n int, r Request) (total, first float64) {
+	context := r.PromptTokens + r.AnswerTokens/2
+	step := h.SlowX * float64(spec.TokenStep(h.Card, n, h.Streams+1, context))
+	first = h.SlowX*float64(spec.Read(h.Card, n, r.PromptTokens)) + step*float64(spec.Stride)/2
+	return first + step*r.AnswerTokens + float64(cfg.PartCost) + float64(h.Penalty), first
+}
+
+func collect(best []state, bounds []int, holders []Holder, nd int, index map[int]int) (Path, bool) {
+	last := len(bounds) - 1
+	end, slot := math.Inf(1), -1
+	for s := range nd {
+		if c := best[last*nd+s].cost; c < end {
+			end, slot = c, s
+		}
+	}
+	if slot < 0 {
+		return Path{}, false
+	}
+	p := Path{Cost: time.Duration(end), First: time.Duration(best[last*nd+slot].first)}
+	for i := last; i > 0; {
+		s := best[i*nd+slot]
+		h := holders[s.holder]
+		p.Parts = append(p.Parts, Part{Instance: h.Instance, Addr: h.Addr, Layers: fleet.Layers{From: s.at, To: bounds[i]}})
+		i, slot = index[s.at], s.from
+	}
+	for a, b := 0, len(p.Parts)-1; a < b; a, b = a+1, b-1 {
+		p.Parts[a], p.Parts[b] = p.Parts[b], p.Parts[a]
+	}
+	p.Parts = joinRepeated(p.Parts)
+	return p, true
+}
+
+// joinRepeated makes one part of a server that comes twice: it holds one range
+// without gaps, so it can run all that lies between.
+func joinRepeated(parts []Part) []Part {
+	out := parts[:0:0]
+	for _, p := range parts {
+		for i := range out {
+			if out[i].Instance == p.Instance {
+				out[i].Layers.To = p.Layers.To
+				out = out[:i+1]
+				p.Addr = ""
+				break
+			}
+		}
+		if p.Addr != "" {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,216 @@
+// Package placement decides which layers of a model each backend server should
+// hold. It always starts from what the servers hold now and asks for the fewest
+// moves: gaps are filled from idle servers, or from servers whose layers others
+// hold as well; nothing is moved for looks.
+//
+// In each failure domain servers are given consecutive ranges, the fastest first,
+// until the whole model is covered once (a cover), then a second time, and so on
+// while servers are left. The last, partial cover is the reserve: it lets requests
+// pass a dead server of the same range at once, and it is idle enough to be moved.
+//
+// A plan is a wish. What the servers report is the truth, and the next plan is
+// made from it.
+package placement
+
+import (
+	"sort"
+
+	"github.com/catkinstair/catkinstair/internal/engine"
+	"github.com/catkinstair/catkinstair/internal/fleet"
+)
+
+// Holder is a backend server that takes work.
+type Holder struct {
+	Instance fleet.Instance
+	Domain   string
+	Card     engine.Card
+	// Held is what the server holds, or what it was ordered to hold when that
+	// order is under way (Moving).
+	Held   fleet.Layers
+	Moving bool
+	// Suspect servers are not relied on to cover layers and get no order.
+	Suspect bool
+}
+
+// Order asks a server to hold exactly the given layers.
+type Order struct {
+	Instance fleet.Instance
+	Layers   fleet.Layers
+}
+
+// Config holds the settings of a plan.
+type Config struct {
+	// RoomShare of the engine's planned tokens is kept free on each server beside
+	// the weights. Default 0.8.
+	RoomShare float64
+}
+
+// DefaultConfig returns the defaults that Config names.
+func DefaultConfig() Config { return Config{RoomShare: 0.8} }
+
+type plan struct {
+	cfg     Config
+	spec    *engine.Spec
+	holders []Holder
+	orders  []Order
+}
+
+// Plan returns the orders that bring the holders to the wanted state.
+func Plan(cfg Config, spec *engine.Spec, holders []Holder) []Order {
+	p := &plan{cfg: cfg, spec: spec, holders: append([]Holder(nil), holders...)}
+	sort.Slice(p.holders, func(a, b int) bool { return p.before(&p.holders[a], &p.holders[b]) })
+	domains := p.domains()
+	for _, d := range domains {
+		p.fill(d, 1, true)
+	}
+	p.fillAnywhere()
+	for level := 2; p.idle() && level <= len(p.holders); level++ {
+		for _, d := range domains {
+			p.fill(d, level, false)
+		}
+	}
+	return p.orders
+}
+
+// before sorts the fastest first, then by id, so that two plans agree.
+func (p *plan) before(a, b *Holder) bool {
+	if a.Card.StepX != b.Card.StepX {
+		return a.Card.StepX < b.Card.StepX
+	}
+	return a.Instance.ID < b.Instance.ID
+}
+
+func (p *plan) domains() []string {
+	seen := map[string]bool{}
+	var out []string
+	for i := range p.holders {
+		if d := p.holders[i].Domain; !seen[d] {
+			seen[d] = true
+			out = append(out, d)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (p *plan) idle() bool {
+	for i := range p.holders {
+		if p.free(&p.holders[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plan) free(h *Holder) bool {
+	return h.Held.Len() == 0 && !h.Moving && !h.Suspect && p.fitting(h) > 0
+}
+
+func (p *plan) fitting(h *Holder) int {
+	return p.spec.Fitting(h.Card, p.cfg.RoomShare*float64(p.spec.RoomTokens))
+}
+
+// covers counts for each layer the servers that hold it in domain, or in all
+// domains for "".
+func (p *plan) covers(domain string) []int {
+	n := make([]int, p.spec.Layers)
+	for i := range p.holders {
+		h := &p.holders[i]
+		if h.Suspect || (domain != "" && h.Domain != domain) {
+			continue
+		}
+		for l := max(0, h.Held.From); l < min(h.Held.To, p.spec.Layers); l++ {
+			n[l]++
+		}
+	}
+	return n
+}
+
+// firstGap returns the first run of layers held fewer than level times, from
+// layer start on.
+func firstGap(covers []int, level, start int) fleet.Layers {
+	from := start
+	for from < len(covers) && covers[from] >= level {
+		from++
+	}
+	to := from
+	for to < len(covers) && covers[to] < level {
+		to++
+	}
+	return fleet.Layers{From: from, To: to}
+}
+
+// fill closes the gaps of a domain at a level, from idle servers and, where move
+// is set, from servers whose layers are held by others too.
+func (p *plan) fill(domain string, level int, move bool) {
+	for start := 0; start < p.spec.Layers; {
+		covers := p.covers(domain)
+		gap := firstGap(covers, level, start)
+		if gap.Len() == 0 {
+			return
+		}
+		h := p.candidate(domain, covers, move)
+		if h == nil {
+			return
+		}
+		p.order(h, gap)
+		start = h.Held.To
+	}
+}
+
+// candidate is the fastest idle server, or the slowest whose layers are all held
+// twice.
+func (p *plan) candidate(domain string, covers []int, move bool) *Holder {
+	for i := range p.holders {
+		h := &p.holders[i]
+		if (domain == "" || h.Domain == domain) && p.free(h) {
+			return h
+		}
+	}
+	if !move {
+		return nil
+	}
+	for i := len(p.holders) - 1; i >= 0; i-- {
+		h := &p.holders[i]
+		if (domain == "" || h.Domain == domain) && p.spare(h, covers) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (p *plan) spare(h *Holder, covers []int) bool {
+	if h.Moving || h.Suspect || h.Held.Len() == 0 || p.fitting(h) == 0 {
+		return false
+	}
+	for l := h.Held.From; l < h.Held.To; l++ {
+		if covers[l] < 2 {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *plan) order(h *Holder, gap fleet.Layers) {
+	h.Held = fleet.Layers{From: gap.From, To: gap.From + min(gap.Len(), p.fitting(h))}
+	h.Moving = true
+	p.orders = append(p.orders, Order{Instance: h.Instance, Layers: h.Held})
+}
+
+// fillAnywhere closes gaps that no failure domain covers, from any of them: a
+// domain without spare servers may then lean on another's.
+func (p *plan) fillAnywhere() {
+	for start := 0; start < p.spec.Layers; {
+		covers := p.covers("")
+		gap := firstGap(covers, 1, start)
+		if gap.Len() == 0 {
+			return
+		}
+		h := p.candidate("", covers, true)
+		if h == nil {
+			return
+		}
+		p.order(h, gap)
+		start = h.Held.To
+	}
+}
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -16,7 +16,7 @@
 	"internal/membership",
 	"internal/node",
 	"internal/orders",
-	"internal/platform",
+	"internal/store",
 	"internal/routing",
 	"internal/stream",
 	"internal/verdict",
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,72 @@
+// Package retry holds a VM's share of the budget that all VMs have for sending a
+// request to a second backend server: in a sliding window at most a part of the
+// requests, and a fixed number more.
+package retry
+
+import "time"
+
+// Config holds the settings of a Budget.
+type Config struct {
+	// Ratio of the requests in Window may be repeated, and Slack more by all VMs
+	// together.
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
+	// Margin is the part of both that is used: VMs count apart and windows slide.
+	// Default 0.8.
+	Margin float64
+}
+
+// slots is the number of pieces a window is counted in.
+const slots = 20
+
+type piece struct {
+	span             int64
+	requests, repeat float64
+}
+
+// Budget counts the requests and repeats of one service at one VM.
+type Budget struct {
+	cfg    Config
+	pieces [slots]piece
+}
+
+// New returns an empty Budget.
+func New(cfg Config) *Budget {
+	return &Budget{cfg: cfg}
+}
+
+// Request counts a request of a caller.
+func (b *Budget) Request(now time.Duration) { b.piece(now).requests++ }
+
+// Repeat counts a further send and reports whether it is allowed, with vms the
+// number of VMs that share the slack.
+func (b *Budget) Repeat(now time.Duration, vms int) bool {
+	at := b.piece(now)
+	var requests, repeats float64
+	oldest := at.span - slots + 1
+	for i := range b.pieces {
+		if b.pieces[i].span >= oldest {
+			requests += b.pieces[i].requests
+			repeats += b.pieces[i].repeat
+		}
+	}
+	allowed := b.cfg.Margin * (b.cfg.Ratio*requests + b.cfg.Slack/float64(max(1, vms)))
+	if repeats+1 > allowed {
+		return false
+	}
+	at.repeat++
+	return true
+}
+
+func (b *Budget) piece(now time.Duration) *piece {
+	span := int64(now / (b.cfg.Window / slots))
+	p := &b.pieces[span%slots]
+	if p.span != span {
+		*p = piece{span: span}
+	}
+	return p
+}
+
+// DefaultMargin is Config.Margin's default.
+const DefaultMargin = 0.8
--- /dev/null
+++ b/internal/router/config.go
@@ -0,0 +1,73 @@
+package router
+
+import (
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/duty"
+	"github.com/catkinstair/catkinstair/internal/placement"
+)
+
+// Config holds the settings of a Router beside those of the platform's file.
+type Config struct {
+	Dispatch  dispatch.Config
+	Duty      duty.Config
+	Placement placement.Config
+
+	// WatchWait is how long a watch of the store waits for an event. Default 20 s;
+	// a connection that goes silent is found by TCP's own probes.
+	WatchWait time.Duration
+	// WatchPause is the pause between two watches: what changes meanwhile comes in
+	// one answer. It is a part of the drain and configuration bounds. Default
+	// 250 ms.
+	WatchPause time.Duration
+	// StoreTimeout bounds a short call to the store. Default 1 s.
+	StoreTimeout time.Duration
+	// StoreRetry is the pause after a failed call to the store; a random part of
+	// it is added. Default 200 ms.
+	StoreRetry time.Duration
+	// Settle is how long no new backend server may have come before the first plan
+	// of an empty fleet: a plan for the first few would be made of too little.
+	// Default 1.2 s.
+	Settle time.Duration
+	// PlanEvery is the interval at which the giver of orders looks at the layers.
+	// Default 100 ms.
+	PlanEvery time.Duration
+	// OrderTimeout bounds one order. Default 1 s.
+	OrderTimeout time.Duration
+	// Stalled is how long a stream may be silent before its first backend server
+	// is asked whether it waits for another. Default 300 ms.
+	Stalled time.Duration
+	// DialTimeout bounds a new connection to a backend server. Default 500 ms.
+	DialTimeout time.Duration
+	// KeptFor is how long after its last answer a connection may carry a request
+	// that may be repeated; other requests get a new one. Default 1 s.
+	KeptFor time.Duration
+	// ListenAfterStop is how long a stopping process still takes connections:
+	// callers hold its address for the directory's lifetime. Default 3 s.
+	ListenAfterStop time.Duration
+	// StopMargin is how long before the platform's kill a stopping process ends.
+	// Default 500 ms.
+	StopMargin time.Duration
+	// AddressLifetime is the lifetime of a directory's answer, at most the
+	// platform's. Default 2 s.
+	AddressLifetime time.Duration
+	// MetricsPort is the port of the metrics; 0 for none.
+	MetricsPort int
+	// LogLevel is the least level of log lines. Default info.
+	LogLevel string
+	// Workers bounds the blocking calls of duties. Default 64.
+	Workers int
+}
+
+// DefaultConfig returns the defaults that Config names.
+func DefaultConfig() Config {
+	return Config{
+		Duty: duty.DefaultConfig(), Placement: placement.DefaultConfig(),
+		WatchWait: 20 * time.Second, WatchPause: 250 * time.Millisecond, StoreTimeout: time.Second,
+		StoreRetry: 200 * time.Millisecond, Settle: 1200 * time.Millisecond, PlanEvery: 100 * time.Millisecond,
+		OrderTimeout: time.Second, Stalled: 300 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
+		KeptFor: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
+		AddressLifetime: 2 * time.Second, LogLevel: "info", Workers: 64,
+	}
+}
--- /dev/null
+++ b/internal/router/orders.go
@@ -0,0 +1,177 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
+	"github.com/catkinstair/catkinstair/internal/engine"
+	"github.com/catkinstair/catkinstair/internal/fleet"
+	"github.com/catkinstair/catkinstair/internal/placement"
+	"github.com/catkinstair/catkinstair/platform"
+)
+
+const (
+	// loadSlack is added to a load's predicted time before the order is taken for
+	// lost: the record has to come back through the store. Source: the store's
+	// answer and a heartbeat of the users' sites (1.2 s).
+	loadSlack = 1500 * time.Millisecond
+	// orderRetry is the pause after an order that was refused or got no answer.
+	orderRetry = 500 * time.Millisecond
+)
+
+// giveOrders plans while this VM holds the duty.
+func (r *Router) giveOrders(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, r.cfg.PlanEvery)
+		for _, o := range r.plan() {
+			if err := r.pool.Submit(func() { r.place(o) }); err != nil {
+				r.log.Warn().Err(err).Msg("order not sent: all workers are busy")
+			}
+		}
+	}
+}
+
+// order is a placement with what its call needs.
+type order struct {
+	placement.Order
+	addr     string
+	accepted uint64
+	fence    uint64
+	load     time.Duration
+}
+
+// plan asks the core for the orders of every model service, and notes them as
+// under way.
+func (r *Router) plan() []order {
+	now := r.clock.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	table := r.core.Table()
+	settled := r.everHeld || now-r.lastNew > r.cfg.Settle
+	if table == nil || !r.duty.MayAct(now) || !settled {
+		return nil
+	}
+	r.core.Fleet.Expire(now)
+	var out []order
+	for name, svc := range table.Config().Services {
+		if svc.Engine == nil {
+			continue
+		}
+		for _, o := range placement.Plan(r.cfg.Placement, svc.Engine, r.placeHolders(now, name, svc.Engine)) {
+			s := r.core.Fleet.Get(o.Instance.ID)
+			load := svc.Engine.LoadTime(o.Layers.Len())
+			r.moving[o.Instance] = movement{layers: o.Layers, until: now + load + loadSlack}
+			out = append(out, order{Order: o, addr: s.Addr, accepted: s.Orders, fence: r.duty.Fence(), load: load})
+		}
+	}
+	return out
+}
+
+func (r *Router) placeHolders(now time.Duration, service string, spec *engine.Spec) []placement.Holder {
+	var out []placement.Holder
+	for _, s := range r.core.Fleet.Of(service) {
+		card, known := spec.Cards[s.Card]
+		if s.Life != fleet.Ready || !known {
+			continue
+		}
+		h := placement.Holder{Instance: s.Instance(), Domain: s.Domain, Card: card, Held: s.Held, Suspect: s.Suspect(now)}
+		if m, ok := r.moving[s.Instance()]; ok {
+			if now < m.until {
+				h.Held, h.Moving = m.layers, true
+			} else {
+				delete(r.moving, s.Instance())
+			}
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// place sends one order. One without an answer may have been accepted: the next
+// plan goes by what the server reports.
+func (r *Router) place(o order) {
+	body, err := platform.EncodePlace(o.Layers, o.fence, o.accepted)
+	if err != nil {
+		r.log.Error().Err(err).Msg("order not encoded")
+		return
+	}
+	status, err := r.sendOrder(o.addr, body)
+	ev := r.log.Info()
+	switch {
+	case err == nil && status == platform.StatusOrderBegun:
+		r.orderBegun(o)
+	case err == nil && status == fasthttp.StatusOK:
+	default:
+		ev = r.log.Warn().Err(err)
+		r.refreshOrders(o)
+	}
+	r.met.orders.Inc()
+	ev.Str("server", string(o.Instance.ID)).Int("from", o.Layers.From).Int("to", o.Layers.To).Uint64("fence", o.fence).
+		Uint64("expected", o.accepted).Int("status", status).Dur("load", o.load).Msg("order: hold layers")
+}
+
+// orderBegun counts an accepted order.
+func (r *Router) orderBegun(o order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.core.Fleet.Get(o.Instance.ID); s != nil && s.Born == o.Instance.Born {
+		s.Orders = max(s.Orders, o.accepted+1)
+	}
+}
+
+// sendOrder makes the call, if this VM still holds the duty at this moment.
+func (r *Router) sendOrder(addr string, body []byte) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + addr + platform.OrderURI)
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(body)
+	r.mu.Lock()
+	may := r.duty.MayAct(r.clock.now())
+	r.mu.Unlock()
+	if !may {
+		return 0, errDutyLost
+	}
+	err := r.calls.Do(addr, req, resp, httpcall.Within(r.cfg.OrderTimeout).OnFresh())
+	return resp.StatusCode(), err
+}
+
+// refreshOrders asks a server that refused an order what it holds and how many
+// orders it has accepted: its record tells neither at once.
+func (r *Router) refreshOrders(o order) {
+	rep, err := r.report(o.addr)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m, ok := r.moving[o.Instance]; ok {
+		m.until = r.clock.now() + orderRetry
+		r.moving[o.Instance] = m
+	}
+	if err != nil {
+		r.log.Warn().Err(err).Str("server", string(o.Instance.ID)).Msg("report not read")
+		return
+	}
+	s := r.core.Fleet.Get(o.Instance.ID)
+	if s != nil && s.Born == rep.Born && rep.Orders >= s.Orders {
+		s.Orders, s.Held = rep.Orders, rep.Held
+	}
+}
+
+func (r *Router) report(addr string) (platform.Report, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + platform.ReportURI)
+	r.met.reports.Inc()
+	if err := r.calls.Do(addr, req, resp, httpcall.Within(r.cfg.DialTimeout)); err != nil {
+		return platform.Report{}, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return platform.Report{}, httpcall.StatusError(addr, req, resp, httpcall.MayHaveArrived)
+	}
+	return platform.DecodeReport(resp.Body())
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,163 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
+	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/duty"
+	"github.com/catkinstair/catkinstair/internal/fleet"
+	"github.com/catkinstair/catkinstair/internal/obs"
+	"github.com/catkinstair/catkinstair/internal/paths"
+	"github.com/catkinstair/catkinstair/internal/retry"
+	"github.com/catkinstair/catkinstair/platform"
+)
+
+// Router is the process of one VM.
+type Router struct {
+	cfg   Config
+	set   *platform.Settings
+	log   zerolog.Logger
+	clock clock
+	met   *counters
+
+	backends *httpcall.Client
+	calls    *httpcall.Client // short calls to the store and orders
+	store    *platform.Store
+	pool     *ants.Pool
+
+	// mu guards the cores. Nothing blocks while it is held, and a choice takes well
+	// under a millisecond, so a lock is cheaper than a hand-over to a goroutine.
+	mu       sync.Mutex
+	core     *dispatch.Core
+	duty     *duty.Core
+	members  map[string]member
+	lastNew  time.Duration // when the last new backend server came
+	everHeld bool          // a backend server was seen holding layers
+	away     bool          // the store could not be read
+	backAt   time.Duration // when it could be read again
+	moving   map[fleet.Instance]movement
+
+	stopping atomic.Bool
+	open     atomic.Int64 // requests in progress
+}
+
+// movement is an order under way: the layers that a server will hold.
+type movement struct {
+	layers fleet.Layers
+	until  time.Duration
+}
+
+// New returns the Router of a VM.
+func New(cfg Config, set *platform.Settings) (*Router, error) {
+	log, err := obs.NewLogger(os.Stdout, cfg.LogLevel, "catkin-router")
+	if err != nil {
+		return nil, err
+	}
+	hc := httpcall.DefaultConfig()
+	hc.DialTimeout = cfg.DialTimeout
+	backends, err := httpcall.New(hc)
+	if err != nil {
+		return nil, err
+	}
+	pool, err := ants.NewPool(cfg.Workers, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, errors.Wrap(err, "pool of workers")
+	}
+	cfg.Dispatch.Domain = set.Domain
+	cfg.Dispatch.Paths = paths.DefaultConfig()
+	cfg.Dispatch.Fleet = fleet.DefaultConfig()
+	cfg.Dispatch.ComeBack = dispatch.DefaultComeBack
+	cfg.Dispatch.Retry = retry.Config{Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow, Slack: set.Bounds.RetrySlack, Margin: retry.DefaultMargin}
+	calls := httpcall.Default()
+	return &Router{
+		cfg: cfg, set: set, log: log.With().Str("vm", set.VM).Logger(), clock: newClock(), met: newCounters(),
+		backends: backends, calls: calls, store: platform.NewStore(calls, set.Store.Addr), pool: pool,
+		core: dispatch.New(cfg.Dispatch), duty: duty.New(cfg.Duty, set.VM),
+		members: map[string]member{}, moving: map[fleet.Instance]movement{}, away: true,
+	}, nil
+}
+
+// Run serves until ctx ends, then stops as planned: no request is cut short.
+func (r *Router) Run(ctx context.Context) error {
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	r.log.Info().Str("domain", r.set.Domain).Str("callers", r.set.Listen.Callers).Str("version", obs.Version()).Msg("start")
+	callers, err := r.serveCallers()
+	if err != nil {
+		return err
+	}
+	if err := r.serveSmall(); err != nil {
+		return err
+	}
+	var duties sync.WaitGroup
+	for _, d := range []func(context.Context){r.followStore, r.keepPresence, r.giveOrders} {
+		duties.Add(1)
+		go func() { defer duties.Done(); d(work) }()
+	}
+	<-ctx.Done()
+	r.stop(callers, end)
+	duties.Wait()
+	return nil
+}
+
+// stop is the planned stop. The VM leaves the directory at once, serves on while
+// callers may hold its address, and ends when its last request has.
+func (r *Router) stop(callers *fasthttp.Server, endDuties func()) {
+	began := time.Now()
+	r.stopping.Store(true)
+	r.log.Info().Int64("requests", r.open.Load()).Msg("stop: leaving the directory")
+	endDuties()
+	r.leaveStore()
+	last := began.Add(r.set.Bounds.Grace - r.cfg.StopMargin)
+	time.Sleep(time.Until(began.Add(r.cfg.ListenAfterStop)))
+	ctx, cancel := context.WithDeadline(context.Background(), last)
+	defer cancel()
+	if err := callers.ShutdownWithContext(ctx); err != nil {
+		r.log.Warn().Err(err).Int64("requests", r.open.Load()).Msg("stop: the time is up")
+		return
+	}
+	for r.open.Load() > 0 && time.Now().Before(last) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	r.log.Info().Dur("took", time.Since(began)).Msg("stop: done")
+}
+
+// ready reports whether the VM may take requests, and why not.
+func (r *Router) ready() (bool, string) {
+	if r.stopping.Load() {
+		return false, "stopping"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.core.Table() == nil {
+		return false, "no configuration yet"
+	}
+	return true, ""
+}
+
+func listen(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp4", addr)
+	return l, errors.Wrapf(err, "listening on %s", addr)
+}
+
+// pause waits for d and up to a half more, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d + rand.N(d/2+1))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/router/stream.go
@@ -0,0 +1,273 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/relay"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+	"github.com/catkinstair/catkinstair/platform"
+)
+
+// stream is the answer of one streamed request, read by the callers' server as
+// its body. It may come from several runs: each goes on behind the last event
+// that the caller has.
+type stream struct {
+	x      *exchange
+	send   sent
+	events relay.Splitter
+	lastID string
+	passed int
+	ready  []byte // whole events that were not read yet
+	done   bool   // the last run has ended as a whole
+	unsent int
+
+	run     context.CancelCauseFunc
+	runCtx  context.Context
+	stall   *time.Timer
+	mu      sync.Mutex // guards heard
+	heard   time.Time
+	closing bool
+}
+
+// serveStream finds a run that gives a first event, then hands the stream to the
+// callers' server.
+func (x *exchange) serveStream() {
+	st := &stream{x: x, lastID: string(x.ctx.Request.Header.Peek(platform.HeaderResume))}
+	if ref := st.start(); ref != nil {
+		x.giveUp(*ref)
+		x.finish()
+		return
+	}
+	resp := st.send.answer.Header
+	x.copyHeader(resp)
+	x.r.met.firstEvent.UpdateDuration(x.began)
+	x.ctx.Response.SetBodyStream(st, -1)
+}
+
+// start makes sends until one gives an event, or a final answer that is no
+// stream.
+func (st *stream) start() *verdict.Refusal {
+	x := st.x
+	var last *verdict.Refusal
+	for {
+		ch, refusal := x.choose()
+		if refusal != nil {
+			if last != nil {
+				refusal = last
+			}
+			return refusal
+		}
+		err := st.open(ch)
+		if err == nil {
+			return nil
+		}
+		cause := verdict.CauseBackendLost
+		if st.send.ran == verdict.NotRun {
+			cause = verdict.CauseBackendRefused
+		}
+		again := x.next(&st.send, &st.unsent)
+		last = &verdict.Refusal{Verdict: st.send.ran, Cause: cause, RetryAfter: x.r.cfg.Dispatch.ComeBack}
+		if !again {
+			return last
+		}
+		x.r.met.repeated.Inc()
+	}
+}
+
+var errNotServed = errors.New("the backend server did not serve the request")
+
+// open makes one send and reads up to its first event.
+func (st *stream) open(ch *dispatch.Choice) error {
+	x := st.x
+	st.runCtx, st.run = context.WithCancelCause(x.callerCtx)
+	st.events = relay.Splitter{}
+	st.watchStall(ch)
+	st.send = x.send(st.runCtx, ch, st.lastID)
+	if st.send.answer == nil {
+		st.endRun()
+		return st.send.err
+	}
+	resp := st.send.answer.Header
+	if st.send.ran == verdict.NotRun || resp.StatusCode != http.StatusOK {
+		st.endRun()
+		if st.send.ran != verdict.NotRun && st.passed == 0 && !x.req.Route.MayRepeat() {
+			return st.passFailure()
+		}
+		return errNotServed
+	}
+	err := st.more()
+	if err != nil {
+		st.endRun()
+		st.send.err = err
+		if st.send.ran == verdict.Ran {
+			st.send.ran = verdict.MayHaveRun
+		}
+	}
+	return err
+}
+
+// passFailure hands a backend server's own failure to the caller as it is.
+func (st *stream) passFailure() error {
+	body, err := st.send.answer.ReadAll(maxErrorBody)
+	if err != nil {
+		return err
+	}
+	st.ready, st.done = body, true
+	return nil
+}
+
+// more reads until there is at least one whole event, or the end.
+func (st *stream) more() error {
+	var buf [8 << 10]byte
+	for len(st.ready) == 0 && !st.done {
+		n, err := st.send.answer.Read(buf[:])
+		st.touch()
+		events, tooLong := st.events.Push(buf[:n])
+		for _, e := range events {
+			st.ready = append(st.ready, e.Bytes...)
+			if e.ID != "" {
+				st.lastID = e.ID
+			}
+			st.passed++
+		}
+		switch {
+		case tooLong != nil:
+			return tooLong
+		case errors.Is(err, io.EOF):
+			if len(st.events.Rest()) > 0 {
+				return io.ErrUnexpectedEOF
+			}
+			st.done = true
+		case err != nil && len(st.ready) == 0:
+			return err
+		}
+	}
+	return nil
+}
+
+// Read gives the next whole events to the callers' server. An error that is not
+// io.EOF makes it break the connection off, so that a cut answer never looks
+// whole.
+func (st *stream) Read(b []byte) (int, error) {
+	for len(st.ready) == 0 {
+		if st.done {
+			return 0, io.EOF
+		}
+		if err := st.more(); err != nil && !st.resume(err) {
+			return 0, errors.Wrap(err, "stream broken off")
+		}
+	}
+	n := copy(b, st.ready)
+	st.ready = st.ready[n:]
+	return n, nil
+}
+
+// resume goes on with another run behind the last event that was passed on.
+func (st *stream) resume(cause error) bool {
+	x := st.x
+	if stalled := context.Cause(st.runCtx); stalled != nil {
+		cause = stalled
+	}
+	st.endRun()
+	st.send.err, st.send.ran = cause, verdict.MayHaveRun
+	for {
+		again := x.next(&st.send, &st.unsent)
+		if !again {
+			return false
+		}
+		ch, refusal := x.choose()
+		if refusal != nil {
+			x.r.log.Info().Str("request", x.req.ID).Str("cause", string(refusal.Cause)).Str("after", st.lastID).Msg("stream not resumed")
+			return false
+		}
+		x.r.met.resumed.Inc()
+		if err := st.open(ch); err == nil {
+			x.r.log.Info().Str("request", x.req.ID).Str("after", st.lastID).Msg("stream resumed")
+			return true
+		}
+	}
+}
+
+// Close ends the stream; the callers' server calls it once the body is written
+// or the caller is lost.
+func (st *stream) Close() error {
+	x := st.x
+	if st.closing {
+		return nil
+	}
+	st.closing = true
+	if st.send.answer != nil {
+		st.endRun()
+		status := st.send.answer.Header.StatusCode
+		st.send.answer.Close()
+		if st.done {
+			x.worked(st.send.choice)
+			x.r.met.served.Inc()
+		} else {
+			x.release(st.send.choice)
+			x.r.met.failed.Inc()
+		}
+		x.logSend(x.r.log.Info(), &st.send, status).Bool("whole", st.done).Int("events", st.passed).Msg("stream ended")
+	}
+	x.finish()
+	return nil
+}
+
+// endRun ends what watches a run. Its connection is left to the exchange.
+func (st *stream) endRun() {
+	st.stall.Stop()
+	if !st.done {
+		st.run(nil)
+	}
+}
+
+func (st *stream) touch() {
+	st.mu.Lock()
+	st.heard = time.Now()
+	st.mu.Unlock()
+}
+
+// watchStall asks the first server of a path that has been silent for long
+// whether the request waits for another one there, and if so ends the run.
+func (st *stream) watchStall(ch *dispatch.Choice) {
+	limit := st.x.r.cfg.Stalled + ch.First
+	run, first := st.run, ch.Target().Addr
+	st.touch()
+	st.stall = time.AfterFunc(limit, func() {
+		st.mu.Lock()
+		silent := time.Since(st.heard)
+		st.mu.Unlock()
+		if silent < limit {
+			st.stall.Reset(limit - silent)
+			return
+		}
+		if fault := st.x.r.stalledAt(first, st.x.req.ID); fault != "" {
+			st.x.r.log.Info().Str("request", st.x.req.ID).Str("fault", fault).Dur("silent", silent).Msg("stream waits for a lost server of its path")
+			run(&stalledError{fault: fault})
+			return
+		}
+		st.stall.Reset(limit)
+	})
+}
+
+// stalledError says that a run waits for the server at fault.
+type stalledError struct{ fault string }
+
+func (e *stalledError) Error() string { return "the run waits for the server at " + e.fault }
+
+// stalledAt asks an engine which server a request waits for.
+func (r *Router) stalledAt(first, requestID string) string {
+	rep, err := r.report(first)
+	if err != nil {
+		r.log.Info().Err(err).Str("addr", first).Msg("report not read")
+		return ""
+	}
+	return rep.Stalled[requestID]
+}
--- a/internal/platform/doc.go
+++ b/internal/store/doc.go
@@ -1,4 +1,4 @@
-// Package platform decides how a process uses the platform's key-value service:
+// Package store decides how a process uses the platform's key-value service:
 // when a call may be sent, when it is tried again, and what is said when the
 // service does not answer.
 //
@@ -21,4 +21,4 @@
 //
 // The package is a plain state machine. The shell sends what Send says and hands
 // the outcome back as a Reply; it ticks the machine a few times a second.
-package platform
+package store
