Loads: VMs tell each other their work on each backend server

Change: members send their own work to the head of their failure domain, heads exchange sums (internal/loads).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,8 +10,11 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/catkinstair/catkinstair/internal/engine"
 	"github.com/catkinstair/catkinstair/internal/fleet"
+	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/internal/retry"
 	"github.com/catkinstair/catkinstair/internal/routes"
@@ -20,8 +23,12 @@
 
 // Config holds the settings of a Core.
 type Config struct {
+	// VM names this VM; Incarnation rises with each start of it.
+	VM          string
+	Incarnation uint64
 	// Domain is the failure domain of this VM.
 	Domain string
+	Loads  loads.Config
 	Paths  paths.Config
 	Fleet  fleet.Config
 	Retry  retry.Config
@@ -35,13 +42,15 @@
 	cfg     Config
 	table   *routes.Table
 	Fleet   *fleet.Fleet
+	Loads   *loads.Core
 	budgets map[string]*retry.Budget
 	vms     int
 }
 
 // New returns a Core that knows no configuration yet.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, Fleet: fleet.New(cfg.Fleet), budgets: map[string]*retry.Budget{}, vms: 1}
+	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
+	return &Core{cfg: cfg, Fleet: fleet.New(cfg.Fleet), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), budgets: map[string]*retry.Budget{}, vms: 1}
 }
 
 // Table returns the configuration in force, or nil.
@@ -128,8 +137,7 @@
 	return &Choice{Parts: p.Parts, First: p.First, tokens: r.PromptTokens + r.AnswerTokens}
 }
 
-// holders are the servers that a path may use now. Other VMs are taken to load
-// each server as much as this one does.
+// holders are the servers that a path may use now, with the work of all VMs.
 func (c *Core) holders(now time.Duration, r *Request) []paths.Holder {
 	spec := r.Service.Engine
 	servers := c.Fleet.Of(r.Service.Name)
@@ -139,8 +147,10 @@
 		if s.Life != fleet.Ready || s.Held.Len() == 0 || !known || r.Avoid[s.ID] || s.Suspect(now) {
 			continue
 		}
+		own := loads.Load{Streams: float64(s.Streams), TokenLayers: s.TokenLayers}
+		others := c.Loads.Others(now, LoadKey(s.ID), own)
 		out = append(out, paths.Holder{Instance: s.Instance(), Addr: s.Addr, Domain: s.Domain, Card: card, Held: s.Held,
-			Streams: float64(s.Streams * c.vms), TokenLayers: s.TokenLayers * float64(c.vms), SlowX: s.SlowX})
+			Streams: own.Streams + others.Streams, TokenLayers: own.TokenLayers + others.TokenLayers, SlowX: s.SlowX})
 	}
 	return out
 }
@@ -198,6 +208,20 @@
 	}
 }
 
+// LoadKey is a server's key in messages of loads.
+func LoadKey(id fleet.ID) loads.Key { return loads.Key(xxhash.Sum64String(string(id))) }
+
+// OwnLoads is this VM's work in progress on each server.
+func (c *Core) OwnLoads() map[loads.Key]loads.Load {
+	out := map[loads.Key]loads.Load{}
+	for _, id := range c.Fleet.IDs() {
+		if s := c.Fleet.Get(id); s.Streams > 0 {
+			out[LoadKey(id)] = loads.Load{Streams: float64(s.Streams), TokenLayers: s.TokenLayers}
+		}
+	}
+	return out
+}
+
 // Spec returns the engine of a service in the configuration in force, or nil.
 func (c *Core) Spec(service string) *engine.Spec {
 	if c.table == nil {
--- a/internal/router/presence.go
+++ b/internal/router/presence.go
@@ -67,7 +67,7 @@
 }
 
 func (r *Router) announce(lease uint64, opt httpcall.Options) error {
-	value, err := json.Marshal(member{VM: r.set.VM, Domain: r.set.Domain, Callers: r.set.Listen.Callers})
+	value, err := json.Marshal(member{VM: r.set.VM, Domain: r.set.Domain, Callers: r.set.Listen.Callers, Peers: r.set.Listen.Datagrams})
 	if err != nil {
 		return err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/duty"
 	"github.com/catkinstair/catkinstair/internal/fleet"
+	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/internal/retry"
@@ -35,6 +36,7 @@
 	backends *httpcall.Client
 	calls    *httpcall.Client // short calls to the store and orders
 	store    *platform.Store
+	peers    *net.UDPConn
 	pool     *ants.Pool
 
 	// mu guards the cores. Nothing blocks while it is held, and a choice takes well
@@ -75,7 +77,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "pool of workers")
 	}
-	cfg.Dispatch.Domain = set.Domain
+	cfg.Dispatch.VM, cfg.Dispatch.Domain = set.VM, set.Domain
+	cfg.Dispatch.Incarnation = uint64(time.Now().UnixMilli())
+	cfg.Dispatch.Loads = loads.DefaultConfig()
 	cfg.Dispatch.Paths = paths.DefaultConfig()
 	cfg.Dispatch.Fleet = fleet.DefaultConfig()
 	cfg.Dispatch.ComeBack = dispatch.DefaultComeBack
@@ -101,8 +105,11 @@
 	if err := r.serveSmall(); err != nil {
 		return err
 	}
+	if err := r.listenPeers(); err != nil {
+		return errors.Wrap(err, "socket for other VMs")
+	}
 	var duties sync.WaitGroup
-	for _, d := range []func(context.Context){r.followStore, r.keepPresence, r.giveOrders} {
+	for _, d := range []func(context.Context){r.followStore, r.keepPresence, r.giveOrders, r.hearLoads, r.tellLoads} {
 		duties.Add(1)
 		go func() { defer duties.Done(); d(work) }()
 	}
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/fleet"
+	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/routes"
 	"github.com/catkinstair/catkinstair/platform"
 )
@@ -25,7 +26,9 @@
 	VM      string `json:"vm"`
 	Domain  string `json:"domain"`
 	Callers string `json:"callers"`
-	lease   uint64
+	// Peers receives messages between the VMs, by UDP.
+	Peers string `json:"peers"`
+	lease uint64
 }
 
 // followStore reads everything once, then watches what changes.
@@ -195,10 +198,13 @@
 	}
 	r.core.SetVMs(len(r.members))
 	names := make([]string, 0, len(r.members))
-	for name := range r.members {
+	peers := make([]loads.Member, 0, len(r.members))
+	for name, m := range r.members {
 		names = append(names, name)
+		peers = append(peers, loads.Member{VM: name, Domain: m.Domain, Addr: m.Peers})
 	}
 	sort.Strings(names)
+	r.core.Loads.SetMembers(peers)
 	r.duty.SetRank(sort.SearchStrings(names, r.set.VM))
 }
 
