Streams: blame the server that a run waits for; send again to the same first server; more room beside the weights

Cause: (1) a resumed stream avoided the first server of its path, not the one at fault; (2) the route's attempts counted sends, though a second path may begin at the same server; (3) refusals for want of room: at 250 streams in flight of 850 tokens the covers had 240,000 tokens of room. Change: faultOf; SentTo; RoomShare 0.8 -> 1.4 of the operators' tokens.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -77,8 +77,10 @@
 	Service routes.Service
 	// PromptTokens and AnswerTokens are predictions; zero for plain requests.
 	PromptTokens, AnswerTokens float64
-	// Sends counts the backend servers that the request was sent to.
-	Sends int
+	// Sends counts the sends; SentTo holds the backend servers sent to, of which a
+	// route allows a number.
+	Sends  int
+	SentTo map[fleet.ID]bool
 	// Avoid holds those that failed this request.
 	Avoid map[fleet.ID]bool
 }
@@ -110,9 +112,9 @@
 // Choose picks the backend servers for the next send of r, and counts its load
 // there. A first send is always allowed; a further one draws on the budget.
 func (c *Core) Choose(now time.Duration, r *Request) (*Choice, *verdict.Refusal) {
-	ch := c.find(now, r)
+	ch, cause := c.find(now, r)
 	if ch == nil {
-		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoBackend, RetryAfter: c.cfg.ComeBack,
+		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: c.cfg.ComeBack,
 			Detail: "no backend server of " + r.Service.Name + " can take the request now"}
 	}
 	if r.Sends > 0 && !c.budget(r.Service.Name).Repeat(now, c.vms) {
@@ -123,18 +125,26 @@
 	return ch, nil
 }
 
-func (c *Core) find(now time.Duration, r *Request) *Choice {
+// find returns a choice, or why there is none.
+func (c *Core) find(now time.Duration, r *Request) (*Choice, verdict.Cause) {
 	c.Fleet.Expire(now)
 	if r.Service.Engine == nil {
-		return c.plain(now, r)
+		return c.plain(now, r), verdict.CauseNoBackend
 	}
 	holders := c.holders(now, r)
 	q := paths.Request{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Domain: c.cfg.Domain}
+	if len(r.SentTo) >= r.Route.Attempts {
+		q.First = r.SentTo
+	}
 	p, ok := paths.Find(c.cfg.Paths, r.Service.Engine, holders, q)
-	if !ok {
-		return nil
+	switch {
+	case ok:
+		return &Choice{Parts: p.Parts, First: p.First, tokens: r.PromptTokens + r.AnswerTokens}, ""
+	case paths.Covered(r.Service.Engine, holders):
+		return nil, verdict.CauseNoRoom
+	default:
+		return nil, verdict.CauseNoCover
 	}
-	return &Choice{Parts: p.Parts, First: p.First, tokens: r.PromptTokens + r.AnswerTokens}
 }
 
 // holders are the servers that a path may use now, with the work of all VMs.
@@ -168,7 +178,7 @@
 	var best *fleet.Server
 	least := 0.0
 	for _, s := range c.Fleet.Of(r.Service.Name) {
-		if s.Life != fleet.Ready || r.Avoid[s.ID] {
+		if s.Life != fleet.Ready || r.Avoid[s.ID] || (len(r.SentTo) >= r.Route.Attempts && !r.SentTo[s.ID]) {
 			continue
 		}
 		load := float64(s.Streams) / float64(max(1, s.Slots))
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -48,6 +48,8 @@
 	PromptTokens, AnswerTokens float64
 	// Domain is the caller's side: the first part should stand there.
 	Domain string
+	// First, where not empty, holds the only servers that may come first.
+	First map[fleet.ID]bool
 }
 
 // Config holds the settings of the search.
@@ -109,6 +111,21 @@
 	return Path{}, false
 }
 
+// Covered reports whether the holders hold every layer of the model, with room or
+// without.
+func Covered(spec *engine.Spec, holders []Holder) bool {
+	next := 0
+	for moved := true; moved && next < spec.Layers; {
+		moved = false
+		for _, h := range holders {
+			if h.Held.From <= next && h.Held.To > next {
+				next, moved = h.Held.To, true
+			}
+		}
+	}
+	return next >= spec.Layers
+}
+
 // withRoom leaves out the holders whose KV cache has no room for the request in
 // all their layers.
 func withRoom(cfg Config, spec *engine.Spec, holders []Holder, r Request) []Holder {
@@ -185,6 +202,9 @@
 
 // cheapest returns the best way to reach boundary at and go on with h.
 func cheapest(cfg Config, spec *engine.Spec, states []state, at int, h *Holder, holders []Holder, r Request) (state, bool) {
+	if at == 0 && len(r.First) > 0 && !r.First[h.Instance.ID] {
+		return state{}, false
+	}
 	if at == 0 {
 		s := state{from: -1}
 		if r.Domain != "" && h.Domain != r.Domain {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -41,12 +41,13 @@
 // Config holds the settings of a plan.
 type Config struct {
 	// RoomShare of the engine's planned tokens is kept free on each server beside
-	// the weights. Default 0.8.
+	// the weights: what a cover has in flight at the peak, and half as much more for a
+	// failure domain that lost a large server. Default 1.4.
 	RoomShare float64
 }
 
 // DefaultConfig returns the defaults that Config names.
-func DefaultConfig() Config { return Config{RoomShare: 0.8} }
+func DefaultConfig() Config { return Config{RoomShare: 1.4} }
 
 type plan struct {
 	cfg     Config
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -126,7 +126,7 @@
 		}
 	}
 	x := &exchange{r: r, ctx: ctx, team: team, began: time.Now(), worst: verdict.NotRun}
-	x.req = dispatch.Request{ID: string(h.Peek(platform.HeaderRequestID)), Route: route, Avoid: map[fleet.ID]bool{}}
+	x.req = dispatch.Request{ID: string(h.Peek(platform.HeaderRequestID)), Route: route, SentTo: map[fleet.ID]bool{}, Avoid: map[fleet.ID]bool{}}
 	svc, ok := table.Service(route, x.req.ID)
 	if !ok {
 		return nil, fasthttp.StatusNotFound
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -13,6 +13,10 @@
 	"github.com/catkinstair/catkinstair/platform"
 )
 
+// maxSends bounds the sends of a request: also those that were refused cost its
+// time. How many backend servers it is sent to is the route's Attempts.
+const maxSends = 5
+
 // maxUnsent bounds the tries of a request of which nothing was sent yet.
 const maxUnsent = 4
 
@@ -36,7 +40,7 @@
 	target := ch.Target()
 	answer, err := x.r.backends.Open(ctx, target.Addr, string(h.Method()), head, body, opt)
 	if err != nil {
-		return sent{choice: ch, err: err, ran: httpcall.SentOf(err).Verdict(), fault: target.Addr}
+		return sent{choice: ch, err: err, ran: httpcall.SentOf(err).Verdict(), fault: faultOf(ctx, target.Addr)}
 	}
 	s := sent{choice: ch, answer: answer, ran: verdict.Ran}
 	resp := answer.Header
@@ -111,7 +115,10 @@
 		return *unsent < maxUnsent
 	}
 	x.req.Sends++
-	return x.req.Sends < x.req.Route.Attempts
+	if target := s.choice.Target(); s.fault != target.Addr {
+		x.req.SentTo[target.Instance.ID] = true // one that was lost does not count
+	}
+	return x.req.Sends < maxSends
 }
 
 func (x *exchange) logSend(ev *zerolog.Event, s *sent, status int) *zerolog.Event {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -104,8 +104,11 @@
 	}
 	err := st.more()
 	if err != nil {
+		if stalled := context.Cause(st.runCtx); stalled != nil {
+			err = stalled
+		}
+		st.send.err, st.send.fault = err, faultOf(st.runCtx, ch.Target().Addr)
 		st.endRun()
-		st.send.err = err
 		if st.send.ran == verdict.Ran {
 			st.send.ran = verdict.MayHaveRun
 		}
@@ -175,8 +178,9 @@
 	if stalled := context.Cause(st.runCtx); stalled != nil {
 		cause = stalled
 	}
-	st.endRun()
 	st.send.err, st.send.ran = cause, verdict.MayHaveRun
+	st.send.fault = faultOf(st.runCtx, st.send.choice.Target().Addr)
+	st.endRun()
 	for {
 		again := x.next(&st.send, &st.unsent)
 		if !again {
@@ -262,6 +266,20 @@
 
 func (e *stalledError) Error() string { return "the run waits for the server at " + e.fault }
 
+// faultOf is the address of the server to blame for a run on first that ended:
+// the one that the run waited for, none where the caller left, otherwise first.
+func faultOf(run context.Context, first string) string {
+	var s *stalledError
+	switch cause := context.Cause(run); {
+	case cause == nil:
+		return first
+	case errors.As(cause, &s):
+		return s.fault
+	default:
+		return ""
+	}
+}
+
 // stalledAt asks an engine which server a request waits for.
 func (r *Router) stalledAt(first, requestID string) string {
 	rep, err := r.report(first)
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -85,6 +85,8 @@
 	CauseQueueFull       Cause = "queue-full"
 	CauseDeadline        Cause = "deadline"
 	CauseNoBackend       Cause = "no-backend-server"
+	CauseNoRoom          Cause = "no-room"
+	CauseNoCover         Cause = "layers-held-by-nobody"
 	CauseNoConfig        Cause = "no-configuration"
 	CauseBadRequest      Cause = "bad-request"
 	CauseLeaving         Cause = "leaving"
