--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -34,6 +34,10 @@
 	mu      sync.Mutex // guards heard
 	heard   time.Time
 	closing bool
+
+	first  time.Duration // from the request to its first event
+	maxGap time.Duration // longest pause between two events
+	last   time.Time     // when the last event came
 }
 
 // serveStream finds a run that gives a first event, then hands the stream to the
@@ -140,6 +144,9 @@
 			}
 			st.passed++
 		}
+		if len(events) > 0 {
+			st.pace(time.Now())
+		}
 		switch {
 		case tooLong != nil:
 			return tooLong
@@ -155,6 +162,17 @@
 	return nil
 }
 
+// pace notes what the caller feels: the time to the first event and the longest
+// pause.
+func (st *stream) pace(now time.Time) {
+	if st.last.IsZero() {
+		st.first = now.Sub(st.x.began)
+	} else {
+		st.maxGap = max(st.maxGap, now.Sub(st.last))
+	}
+	st.last = now
+}
+
 // Read gives the next whole events to the callers' server. An error that is not
 // io.EOF makes it break the connection off, so that a cut answer never looks
 // whole.
@@ -218,7 +236,8 @@
 			x.release(st.send.choice)
 			x.r.met.failed.Inc()
 		}
-		x.logSend(x.r.log.Info(), &st.send, status).Bool("whole", st.done).Int("events", st.passed).Msg("stream ended")
+		x.logSend(x.r.log.Info(), &st.send, status).Bool("whole", st.done).Int("events", st.passed).Dur("first", st.first).Dur("maxGap", st.maxGap).
+			Str("path", platform.EncodePath(st.send.choice.Parts)).Msg("stream ended")
 	}
 	x.finish()
 	return nil
