Lost servers: their part is given to others while the run goes on, and all VMs hear of it

VMs that see the same load half a second late all turned to the fastest servers, which overflowed. Change: an order to change the path (dispatch.Replace); findings travel with the loads; a bound of the KV cache drawn for each request between 0.6 and 0.95; a record at a used address ends the old one.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,11 +33,26 @@
 	Paths  paths.Config
 	Fleet  fleet.Config
 	Retry  retry.Config
+	// SoftFull and HardFull are parts of a server's KV cache. Each request draws its
+	// own bound between them, and only where that leaves no path is HardFull taken:
+	// VMs that see the same load some hundred milliseconds late do not all turn to
+	// the fastest servers until these overflow. Defaults 0.6 and 0.95.
+	SoftFull, HardFull float64
+	// LostFor is how long a server that an engine waits for in vain is avoided at
+	// least: it is dead, or cut off for longer than a hiccup. Default 2 s.
+	LostFor time.Duration
 	// ComeBack is the least time after which a refused caller is told to return:
 	// the layers of a dead backend server are loaded again within it. Default 1.2 s.
 	ComeBack time.Duration
 }
 
+// DefaultConfig returns the defaults that Config names; the VM's own names and the
+// budget of repeats are the caller's to set.
+func DefaultConfig() Config {
+	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Fleet: fleet.DefaultConfig(),
+		SoftFull: 0.6, HardFull: 0.95, LostFor: 2 * time.Second, ComeBack: 1200 * time.Millisecond}
+}
+
 // Core is the state of one VM.
 type Core struct {
 	cfg     Config
@@ -136,7 +152,12 @@
 	if len(r.SentTo) >= r.Route.Attempts {
 		q.First = r.SentTo
 	}
+	q.FullShare = c.cfg.SoftFull + (c.cfg.HardFull-c.cfg.SoftFull)*chance(r.ID, r.Sends)
 	p, ok := paths.Find(c.cfg.Paths, r.Service.Engine, holders, q)
+	if !ok {
+		q.FullShare = c.cfg.HardFull
+		p, ok = paths.Find(c.cfg.Paths, r.Service.Engine, holders, q)
+	}
 	switch {
 	case ok:
 		return &Choice{Parts: p.Parts, First: p.First, tokens: r.PromptTokens + r.AnswerTokens}, ""
@@ -147,6 +168,13 @@
 	}
 }
 
+// chance is a number from 0 to 1 that is the request's own for each send.
+func chance(id string, sends int) float64 {
+	d := xxhash.NewWithSeed(uint64(sends))
+	_, _ = d.WriteString(id) // a Digest's Write never fails
+	return float64(d.Sum64()>>11) / (1 << 53)
+}
+
 // holders are the servers that a path may use now, with the work of all VMs.
 func (c *Core) holders(now time.Duration, r *Request) []paths.Holder {
 	spec := r.Service.Engine
@@ -158,7 +186,7 @@
 			continue
 		}
 		own := loads.Load{Streams: float64(s.Streams), TokenLayers: s.TokenLayers}
-		others := c.Loads.Others(now, LoadKey(s.ID), own)
+		others := c.Loads.Others(now, LoadKey(s.Instance()), own)
 		out = append(out, paths.Holder{Instance: s.Instance(), Addr: s.Addr, Domain: s.Domain, Card: card, Held: s.Held,
 			Streams: own.Streams + others.Streams, TokenLayers: own.TokenLayers + others.TokenLayers, SlowX: s.SlowX})
 	}
@@ -198,6 +226,53 @@
 	return &Choice{Parts: []paths.Part{{Instance: best.Instance(), Addr: best.Addr}}}
 }
 
+// Replace returns a choice that is ch but for the part at a lost server, which
+// others take over: the rest of the path keeps its KV cache. It returns nil where
+// nobody can, or where the lost server is the first of the path. Its load is
+// counted; the load of ch stays until it is released.
+func (c *Core) Replace(now time.Duration, r *Request, ch *Choice, lost string) *Choice {
+	at := 0
+	for i, p := range ch.Parts {
+		if p.Addr == lost {
+			at = i
+		}
+	}
+	if at == 0 {
+		return nil
+	}
+	q := paths.Request{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Layers: ch.Parts[at].Layers,
+		Domain: c.domainOf(ch.Parts[at-1]), FullShare: c.cfg.HardFull}
+	if at+1 < len(ch.Parts) {
+		q.NextDomain = c.domainOf(ch.Parts[at+1])
+	}
+	onPath := map[fleet.ID]bool{}
+	for _, p := range ch.Parts {
+		onPath[p.Instance.ID] = true
+	}
+	var holders []paths.Holder
+	for _, h := range c.holders(now, r) {
+		if !onPath[h.Instance.ID] {
+			holders = append(holders, h)
+		}
+	}
+	piece, ok := paths.Find(c.cfg.Paths, r.Service.Engine, holders, q)
+	if !ok || len(ch.Parts)+len(piece.Parts)-1 > paths.MaxParts {
+		return nil
+	}
+	parts := append([]paths.Part(nil), ch.Parts[:at]...)
+	parts = append(append(parts, piece.Parts...), ch.Parts[at+1:]...)
+	out := &Choice{Parts: parts, First: ch.First, tokens: ch.tokens}
+	c.hold(out)
+	return out
+}
+
+func (c *Core) domainOf(p paths.Part) string {
+	if s := c.Fleet.Get(p.Instance.ID); s != nil {
+		return s.Domain
+	}
+	return ""
+}
+
 func (c *Core) hold(ch *Choice) {
 	for _, p := range ch.Parts {
 		c.Fleet.Begin(p.Instance, ch.tokens*float64(p.Layers.Len()))
@@ -218,15 +293,45 @@
 	}
 }
 
-// LoadKey is a server's key in messages of loads.
-func LoadKey(id fleet.ID) loads.Key { return loads.Key(xxhash.Sum64String(string(id))) }
+// LoadKey is the key of a server's life in messages of loads.
+func LoadKey(in fleet.Instance) loads.Key {
+	return loads.Key(xxhash.Sum64String(string(in.ID) + "/" + strconv.FormatInt(in.Born, 36)))
+}
+
+// Lost records that a server was found dead, and reports whether other VMs should
+// hear of it.
+func (c *Core) Lost(now time.Duration, in fleet.Instance) bool {
+	c.Fleet.Failed(now, in, c.cfg.LostFor)
+	return c.Loads.Found(now, LoadKey(in))
+}
+
+// Heard takes in a message of another VM and returns the servers that it newly
+// calls dead.
+func (c *Core) Heard(now time.Duration, m loads.Message) []*fleet.Server {
+	news := c.Loads.Take(now, m)
+	if len(news) == 0 {
+		return nil
+	}
+	called := make(map[loads.Key]bool, len(news))
+	for _, k := range news {
+		called[k] = true
+	}
+	var out []*fleet.Server
+	for _, id := range c.Fleet.IDs() {
+		if s := c.Fleet.Get(id); called[LoadKey(s.Instance())] {
+			c.Fleet.Failed(now, s.Instance(), c.cfg.LostFor)
+			out = append(out, s)
+		}
+	}
+	return out
+}
 
 // OwnLoads is this VM's work in progress on each server.
 func (c *Core) OwnLoads() map[loads.Key]loads.Load {
 	out := map[loads.Key]loads.Load{}
 	for _, id := range c.Fleet.IDs() {
 		if s := c.Fleet.Get(id); s.Streams > 0 {
-			out[LoadKey(id)] = loads.Load{Streams: float64(s.Streams), TokenLayers: s.TokenLayers}
+			out[LoadKey(s.Instance())] = loads.Load{Streams: float64(s.Streams), TokenLayers: s.TokenLayers}
 		}
 	}
 	return out
@@ -239,6 +344,3 @@
 	}
 	return c.table.Config().Services[service].Engine
 }
-
-// DefaultComeBack is Config.ComeBack's default.
-const DefaultComeBack = 1200 * time.Millisecond
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,6 +72,12 @@
 // holds nothing of the work and the failures of the one before.
 func (f *Fleet) Put(r Record) (newLife bool) {
 	f.version++
+	if other := f.At(r.Addr); other != nil && other.ID != r.ID {
+		if other.Born > r.Born {
+			return false // an old record of a server whose address is used again
+		}
+		f.drop(other)
+	}
 	s := f.servers[r.ID]
 	if s == nil || s.Born != r.Born {
 		if s != nil {
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -1,4 +1,5 @@
-// Package loads tells each VM how much work all VMs have on each backend server.
+// Package loads tells each VM how much work all VMs have on each backend server,
+// and which servers one of them has found dead.
 //
 // Engines report their load late, and asking them is priced, so the VMs tell each
 // other. In each failure domain the VM with the least name is the head: members
@@ -42,6 +43,8 @@
 	Sum    bool         `cbor:"3,keyasint"`
 	Seq    uint64       `cbor:"4,keyasint"`
 	Loads  map[Key]Load `cbor:"5,keyasint"`
+	// Lost holds servers that were found dead, with the age of the finding.
+	Lost map[Key]time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Config holds the settings of a Core.
@@ -54,11 +57,13 @@
 	// Stale is the age from which a message no longer counts. Default 3 s: a head
 	// that died is replaced when its record in the store has lapsed.
 	Stale time.Duration
+	// Passed is how long a finding of a dead server is passed on. Default 1 s.
+	Passed time.Duration
 }
 
 // DefaultConfig returns the defaults that Config names.
 func DefaultConfig() Config {
-	return Config{Least: 200 * time.Millisecond, PerVM: 4 * time.Millisecond, Stale: 3 * time.Second}
+	return Config{Least: 200 * time.Millisecond, PerVM: 4 * time.Millisecond, Stale: 3 * time.Second, Passed: time.Second}
 }
 
 type heard struct {
@@ -76,12 +81,13 @@
 	owns    map[string]heard // by VM: members of this domain
 	sums    map[string]heard // by domain
 	told    map[Key]Load     // own work that the domain's sum holds at present
+	lost    map[Key]time.Duration
 }
 
 // New returns the Core of the VM self; start makes the numbers of its messages
 // rise over restarts.
 func New(cfg Config, self Member, start uint64) *Core {
-	return &Core{cfg: cfg, self: self, seq: start, owns: map[string]heard{}, sums: map[string]heard{}}
+	return &Core{cfg: cfg, self: self, seq: start, owns: map[string]heard{}, sums: map[string]heard{}, lost: map[Key]time.Duration{}}
 }
 
 // SetMembers replaces the list of VMs.
@@ -130,14 +136,35 @@
 	}
 	c.seq++
 	if head.VM != c.self.VM {
-		m := Message{From: c.self.VM, Domain: c.self.Domain, Seq: c.seq, Loads: own}
+		m := Message{From: c.self.VM, Domain: c.self.Domain, Seq: c.seq, Loads: own, Lost: c.findings(now)}
 		c.told = own
 		return []Send{{Addr: head.Addr, Message: m}}
 	}
 	sum := c.sum(now, own)
 	c.told = own
 	c.sums[c.self.Domain] = heard{seq: c.seq, at: now, loads: sum}
-	return c.spread(Message{From: c.self.VM, Domain: c.self.Domain, Sum: true, Seq: c.seq, Loads: sum})
+	return c.spread(Message{From: c.self.VM, Domain: c.self.Domain, Sum: true, Seq: c.seq, Loads: sum, Lost: c.findings(now)})
+}
+
+// Found notes that a server was found dead just now, and reports whether that is
+// news to pass on.
+func (c *Core) Found(now time.Duration, k Key) bool {
+	at, known := c.lost[k]
+	c.lost[k] = now
+	return !known || now-at > c.cfg.Passed
+}
+
+// findings are the servers found dead lately, with their ages.
+func (c *Core) findings(now time.Duration) map[Key]time.Duration {
+	out := map[Key]time.Duration{}
+	for k, at := range c.lost {
+		if now-at > c.cfg.Passed {
+			delete(c.lost, k)
+			continue
+		}
+		out[k] = now - at
+	}
+	return out
 }
 
 func (c *Core) sum(now time.Duration, own map[Key]Load) map[Key]Load {
@@ -187,8 +214,22 @@
 	return out
 }
 
-// Take takes in a message; an older one than is known changes nothing.
-func (c *Core) Take(now time.Duration, m Message) {
+// Take takes in a message and returns the servers that it newly calls dead. Loads
+// that are older than what is known change nothing.
+func (c *Core) Take(now time.Duration, m Message) []Key {
+	var news []Key
+	for k, age := range m.Lost {
+		at, known := c.lost[k]
+		if age >= 0 && age <= c.cfg.Passed && (!known || now-at > c.cfg.Passed) {
+			c.lost[k] = now - age
+			news = append(news, k)
+		}
+	}
+	c.takeLoads(now, m)
+	return news
+}
+
+func (c *Core) takeLoads(now time.Duration, m Message) {
 	at, key := c.owns, m.From
 	if m.Sum {
 		at, key = c.sums, m.Domain
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -46,8 +46,13 @@
 // Request is what a path is looked for.
 type Request struct {
 	PromptTokens, AnswerTokens float64
-	// Domain is the caller's side: the first part should stand there.
-	Domain string
+	// Layers is the range to cover; the zero value means the whole model.
+	Layers fleet.Layers
+	// Domain is where the request comes from: the VM for a whole path, the part
+	// before Layers otherwise. NextDomain is where it goes on; "" for nowhere.
+	Domain, NextDomain string
+	// FullShare is the part of a holder's KV cache that may be planned for.
+	FullShare float64
 	// First, where not empty, holds the only servers that may come first.
 	First map[fleet.ID]bool
 }
@@ -63,13 +68,11 @@
 	// AwayCost is added when the first part stands in another failure domain than
 	// the VM: every event of the answer crosses. Default 1 s.
 	AwayCost time.Duration
-	// FullShare is the part of the KV cache that may be planned for. Default 0.95.
-	FullShare float64
 }
 
 // DefaultConfig returns the defaults that Config names.
 func DefaultConfig() Config {
-	return Config{PartCost: 4 * time.Millisecond, CrossingCost: 600 * time.Millisecond, AwayCost: time.Second, FullShare: 0.95}
+	return Config{PartCost: 4 * time.Millisecond, CrossingCost: 600 * time.Millisecond, AwayCost: time.Second}
 }
 
 // Path is the result of a search.
@@ -93,8 +96,11 @@
 // Find returns the path of least predicted time, or ok false where the holders
 // with room cover no whole model.
 func Find(cfg Config, spec *engine.Spec, holders []Holder, r Request) (Path, bool) {
-	holders = withRoom(cfg, spec, holders, r)
-	bounds := boundaries(spec, holders)
+	if r.Layers.Len() == 0 {
+		r.Layers = fleet.Layers{To: spec.Layers}
+	}
+	holders = withRoom(spec, holders, r)
+	bounds := boundaries(r.Layers, holders)
 	domains := domainsOf(holders)
 	extra := 0.0
 	// A path with too many parts is looked for again with dearer parts.
@@ -128,10 +134,10 @@
 
 // withRoom leaves out the holders whose KV cache has no room for the request in
 // all their layers.
-func withRoom(cfg Config, spec *engine.Spec, holders []Holder, r Request) []Holder {
+func withRoom(spec *engine.Spec, holders []Holder, r Request) []Holder {
 	out := holders[:0:0]
 	for _, h := range holders {
-		room := spec.TokenLayers(h.Card, h.Held.Len()) * cfg.FullShare
+		room := spec.TokenLayers(h.Card, h.Held.Len()) * r.FullShare
 		// A sub-range needs less; the whole range is the safe reading.
 		if h.Held.Len() > 0 && h.TokenLayers+(r.PromptTokens+r.AnswerTokens)*float64(h.Held.Len()) <= room {
 			out = append(out, h)
@@ -140,14 +146,14 @@
 	return out
 }
 
-func boundaries(spec *engine.Spec, holders []Holder) []int {
-	seen := map[int]bool{0: true, spec.Layers: true}
+func boundaries(all fleet.Layers, holders []Holder) []int {
+	seen := map[int]bool{all.From: true, all.To: true}
 	for _, h := range holders {
 		seen[h.Held.From], seen[h.Held.To] = true, true
 	}
 	out := make([]int, 0, len(seen))
 	for b := range seen {
-		if b >= 0 && b <= spec.Layers {
+		if b >= all.From && b <= all.To {
 			out = append(out, b)
 		}
 	}
@@ -197,20 +203,13 @@
 			}
 		}
 	}
-	return collect(best, bounds, holders, nd, index)
+	return collect(cfg, best, bounds, holders, nd, index, r)
 }
 
 // cheapest returns the best way to reach boundary at and go on with h.
 func cheapest(cfg Config, spec *engine.Spec, states []state, at int, h *Holder, holders []Holder, r Request) (state, bool) {
-	if at == 0 && len(r.First) > 0 && !r.First[h.Instance.ID] {
-		return state{}, false
-	}
-	if at == 0 {
-		s := state{from: -1}
-		if r.Domain != "" && h.Domain != r.Domain {
-			s.cost = float64(cfg.AwayCost)
-		}
-		return s, true
+	if at == r.Layers.From {
+		return entry(cfg, spec, h, r)
 	}
 	out := state{cost: math.Inf(1)}
 	for slot := range states {
@@ -231,6 +230,24 @@
 	return out, !math.IsInf(out.cost, 1)
 }
 
+// entry is the state before the first part: a whole path comes from the VM, a
+// piece of one from the part before it.
+func entry(cfg Config, spec *engine.Spec, h *Holder, r Request) (state, bool) {
+	s := state{from: -1}
+	switch {
+	case at0(r) && len(r.First) > 0 && !r.First[h.Instance.ID]:
+		return state{}, false
+	case r.Domain == "" || h.Domain == r.Domain:
+	case at0(r):
+		s.cost = float64(cfg.AwayCost)
+	default:
+		s.cost = float64(cfg.CrossingCost) + float64(spec.Delay(r.Domain, h.Domain))*r.AnswerTokens
+	}
+	return s, true
+}
+
+func at0(r Request) bool { return r.Layers.From == 0 }
+
 // partCost predicts the time of a request in n layers of h, and the part of it
 // before the first token, in nanoseconds.
 func partCost(cfg Config, spec *engine.Spec, h *Holder, n int, r Request) (total, first float64) {
@@ -240,11 +257,15 @@
 	return first + step*r.AnswerTokens + float64(cfg.PartCost) + float64(h.Penalty), first
 }
 
-func collect(best []state, bounds []int, holders []Holder, nd int, index map[int]int) (Path, bool) {
+func collect(cfg Config, best []state, bounds []int, holders []Holder, nd int, index map[int]int, r Request) (Path, bool) {
 	last := len(bounds) - 1
 	end, slot := math.Inf(1), -1
 	for s := range nd {
-		if c := best[last*nd+s].cost; c < end {
+		c := best[last*nd+s].cost
+		if !math.IsInf(c, 1) && r.NextDomain != "" && holders[best[last*nd+s].holder].Domain != r.NextDomain {
+			c += float64(cfg.CrossingCost)
+		}
+		if c < end {
 			end, slot = c, s
 		}
 	}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -63,7 +63,7 @@
 // DefaultConfig returns the defaults that Config names.
 func DefaultConfig() Config {
 	return Config{
-		Duty: duty.DefaultConfig(), Placement: placement.DefaultConfig(),
+		Dispatch: dispatch.DefaultConfig(), Duty: duty.DefaultConfig(), Placement: placement.DefaultConfig(),
 		WatchWait: 20 * time.Second, WatchPause: 250 * time.Millisecond, StoreTimeout: time.Second,
 		StoreRetry: 200 * time.Millisecond, Settle: 1200 * time.Millisecond, PlanEvery: 100 * time.Millisecond,
 		OrderTimeout: time.Second, Stalled: 300 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -42,9 +42,50 @@
 			r.log.Warn().Err(err).Stringer("from", from).Msg("loads: message not read")
 			continue
 		}
-		r.mu.Lock()
-		r.core.Loads.Take(r.clock.now(), m)
-		r.mu.Unlock()
+		r.hear(m)
+	}
+}
+
+func (r *Router) hear(m loads.Message) {
+	r.mu.Lock()
+	var lost []string
+	for _, s := range r.core.Heard(r.clock.now(), m) {
+		lost = append(lost, s.Addr)
+		r.log.Info().Str("server", string(s.ID)).Str("addr", s.Addr).Str("from", m.From).Msg("backend server lost, another VM says")
+	}
+	r.mu.Unlock()
+	r.leave(lost)
+}
+
+// lost notes that an engine waits in vain for the server at addr, and tells the
+// other VMs.
+func (r *Router) lost(addr string) {
+	r.mu.Lock()
+	news := false
+	if s := r.core.Fleet.At(addr); s != nil {
+		news = r.core.Lost(r.clock.now(), s.Instance())
+	}
+	r.mu.Unlock()
+	if news {
+		r.leave([]string{addr})
+	}
+}
+
+// leave takes all streams off lost servers and sends the news on at once.
+func (r *Router) leave(lost []string) {
+	if len(lost) == 0 {
+		return
+	}
+	select {
+	case r.news <- struct{}{}:
+	default: // a message is about to be sent anyway
+	}
+	for _, addr := range lost {
+		for _, st := range r.streams.over(addr) {
+			if err := r.pool.Submit(func() { st.leave(addr) }); err != nil {
+				r.log.Warn().Err(err).Str("request", st.x.req.ID).Msg("stream not moved at once: all workers are busy; its own watch does it")
+			}
+		}
 	}
 }
 
@@ -54,7 +95,7 @@
 		r.mu.Lock()
 		wait := r.core.Loads.Interval()
 		r.mu.Unlock()
-		pause(ctx, wait*4/5)
+		r.awaitNews(ctx, wait)
 		r.mu.Lock()
 		sends := r.core.Loads.Tick(r.clock.now(), r.core.OwnLoads())
 		r.mu.Unlock()
@@ -64,6 +105,17 @@
 	}
 }
 
+// awaitNews waits for the next message's time, or for news that go at once.
+func (r *Router) awaitNews(ctx context.Context, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.news:
+	}
+}
+
 func (r *Router) tell(s loads.Send) {
 	body, err := cbor.Marshal(s.Message)
 	if err == nil && len(body) > maxDatagram {
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -124,6 +124,17 @@
 
 // sendOrder makes the call, if this VM still holds the duty at this moment.
 func (r *Router) sendOrder(addr string, body []byte) (int, error) {
+	r.mu.Lock()
+	may := r.duty.MayAct(r.clock.now())
+	r.mu.Unlock()
+	if !may {
+		return 0, errDutyLost
+	}
+	return r.order(addr, body)
+}
+
+// order makes the call of an order, on a connection of its own.
+func (r *Router) order(addr string, body []byte) (int, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -131,12 +142,6 @@
 	req.SetRequestURI("http://" + addr + platform.OrderURI)
 	req.Header.SetContentType("application/json")
 	req.SetBodyRaw(body)
-	r.mu.Lock()
-	may := r.duty.MayAct(r.clock.now())
-	r.mu.Unlock()
-	if !may {
-		return 0, errDutyLost
-	}
 	err := r.calls.Do(addr, req, resp, httpcall.Within(r.cfg.OrderTimeout).OnFresh())
 	return resp.StatusCode(), err
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,9 +18,7 @@
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/duty"
 	"github.com/catkinstair/catkinstair/internal/fleet"
-	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/obs"
-	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/internal/retry"
 	"github.com/catkinstair/catkinstair/platform"
 )
@@ -51,6 +49,9 @@
 	backAt   time.Duration // when it could be read again
 	moving   map[fleet.Instance]movement
 
+	streams *streamTable
+	news    chan struct{} // a server was found lost
+
 	stopping atomic.Bool
 	open     atomic.Int64 // requests in progress
 }
@@ -79,10 +80,6 @@
 	}
 	cfg.Dispatch.VM, cfg.Dispatch.Domain = set.VM, set.Domain
 	cfg.Dispatch.Incarnation = uint64(time.Now().UnixMilli())
-	cfg.Dispatch.Loads = loads.DefaultConfig()
-	cfg.Dispatch.Paths = paths.DefaultConfig()
-	cfg.Dispatch.Fleet = fleet.DefaultConfig()
-	cfg.Dispatch.ComeBack = dispatch.DefaultComeBack
 	cfg.Dispatch.Retry = retry.Config{Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow, Slack: set.Bounds.RetrySlack, Margin: retry.DefaultMargin}
 	calls := httpcall.Default()
 	return &Router{
@@ -90,6 +87,7 @@
 		backends: backends, calls: calls, store: platform.NewStore(calls, set.Store.Addr), pool: pool,
 		core: dispatch.New(cfg.Dispatch), duty: duty.New(cfg.Duty, set.VM),
 		members: map[string]member{}, moving: map[fleet.Instance]movement{}, away: true,
+		streams: newStreamTable(), news: make(chan struct{}, 1),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/router/stall.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/platform"
+)
+
+// watchStall looks after a run that has been silent for long: its first server is
+// asked whether the request waits for another one.
+func (st *stream) watchStall(ch *dispatch.Choice) {
+	limit := st.x.r.cfg.Stalled + ch.First
+	first := ch.Target().Addr
+	st.touch()
+	st.stall = time.AfterFunc(limit, func() {
+		st.mu.Lock()
+		silent := time.Since(st.heard)
+		st.mu.Unlock()
+		if silent < limit {
+			st.stall.Reset(limit - silent)
+			return
+		}
+		if fault := st.x.r.stalledAt(first, st.x.req.ID); fault != "" {
+			st.x.r.lost(fault)
+			st.leave(fault)
+		}
+		st.stall.Reset(limit)
+	})
+}
+
+// leave takes the stream off a lost server: its part of the path is given to
+// others while the run goes on; where that fails the run is ended, and resumed
+// elsewhere.
+func (st *stream) leave(fault string) {
+	st.mu.Lock()
+	old, run := st.send.choice, st.run
+	if st.ended || st.moving || !passes(old, fault) {
+		st.mu.Unlock()
+		return
+	}
+	st.moving = true
+	st.mu.Unlock()
+
+	next := st.repath(old, fault)
+
+	st.mu.Lock()
+	st.moving = false
+	moved := next != nil && !st.ended
+	if moved {
+		st.send.choice = next
+	}
+	st.heard = time.Now()
+	st.mu.Unlock()
+	switch {
+	case moved:
+		st.x.release(old)
+	case next != nil:
+		st.x.release(next)
+	default:
+		run(&stalledError{fault: fault})
+	}
+}
+
+// repath finds others for the part of a lost server and orders the first server to
+// use them. It returns nil where either fails.
+func (st *stream) repath(old *dispatch.Choice, fault string) *dispatch.Choice {
+	x := st.x
+	x.r.mu.Lock()
+	next := x.r.core.Replace(x.r.clock.now(), &x.req, old, fault)
+	x.r.mu.Unlock()
+	log := x.r.log.With().Str("request", x.req.ID).Str("fault", fault).Logger()
+	if next == nil {
+		log.Info().Msg("stream waits for a lost server: nobody else has room for its layers")
+		return nil
+	}
+	status, err := x.r.repath(next, x.req.ID)
+	if err != nil || status/100 != 2 {
+		x.release(next)
+		log.Info().Err(err).Int("status", status).Msg("stream waits for a lost server: order to change its path refused")
+		return nil
+	}
+	x.r.met.repathed.Inc()
+	log.Info().Str("path", platform.EncodePath(next.Parts)).Msg("stream goes on over another path")
+	return next
+}
+
+func passes(ch *dispatch.Choice, addr string) bool {
+	for _, p := range ch.Parts {
+		if p.Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// repath orders the first server of a path to go on with a request over it.
+func (r *Router) repath(ch *dispatch.Choice, requestID string) (int, error) {
+	body, err := platform.EncodeRepath(requestID, ch.Parts)
+	if err != nil {
+		return 0, err
+	}
+	return r.order(ch.Target().Addr, body)
+}
+
+// stalledError says that a run waits for the server at fault.
+type stalledError struct{ fault string }
+
+func (e *stalledError) Error() string { return "the run waits for the server at " + e.fault }
+
+// faultOf is the address of the server to blame for a run on first that ended:
+// the one that the run waited for, none where the caller left, otherwise first.
+func faultOf(run context.Context, first string) string {
+	var s *stalledError
+	switch cause := context.Cause(run); {
+	case cause == nil:
+		return first
+	case errors.As(cause, &s):
+		return s.fault
+	default:
+		return ""
+	}
+}
+
+// stalledAt asks an engine which server a request waits for.
+func (r *Router) stalledAt(first, requestID string) string {
+	rep, err := r.report(first)
+	if err != nil {
+		r.log.Info().Err(err).Str("addr", first).Msg("report not read")
+		return ""
+	}
+	return rep.Stalled[requestID]
+}
+
+// streamTable holds the streams in progress, to find those that pass a lost
+// server.
+type streamTable struct {
+	mu  sync.Mutex
+	all map[*stream]struct{}
+}
+
+func newStreamTable() *streamTable { return &streamTable{all: map[*stream]struct{}{}} }
+
+func (t *streamTable) add(st *stream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all[st] = struct{}{}
+}
+
+func (t *streamTable) remove(st *stream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.all, st)
+}
+
+// over returns the streams whose path passes addr.
+func (t *streamTable) over(addr string) []*stream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*stream
+	for st := range t.all {
+		if ch := st.choice(); ch != nil && passes(ch, addr) {
+			out = append(out, st)
+		}
+	}
+	return out
+}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -31,8 +31,10 @@
 	run     context.CancelCauseFunc
 	runCtx  context.Context
 	stall   *time.Timer
-	mu      sync.Mutex // guards heard
+	mu      sync.Mutex // guards heard, ended and send.choice, which a change of path replaces
 	heard   time.Time
+	moving  bool // an order to change the path is under way
+	ended   bool // the run is over; its choice is no longer replaced
 	closing bool
 
 	first  time.Duration // from the request to its first event
@@ -44,7 +46,9 @@
 // callers' server.
 func (x *exchange) serveStream() {
 	st := &stream{x: x, lastID: string(x.ctx.Request.Header.Peek(platform.HeaderResume))}
+	x.r.streams.add(st)
 	if ref := st.start(); ref != nil {
+		x.r.streams.remove(st)
 		x.giveUp(*ref)
 		x.finish()
 		return
@@ -90,10 +94,10 @@
 // open makes one send and reads up to its first event.
 func (st *stream) open(ch *dispatch.Choice) error {
 	x := st.x
-	st.runCtx, st.run = context.WithCancelCause(x.callerCtx)
 	st.events = relay.Splitter{}
+	st.begin(ch)
 	st.watchStall(ch)
-	st.send = x.send(st.runCtx, ch, st.lastID)
+	st.setSend(x.send(st.runCtx, ch, st.lastID))
 	if st.send.answer == nil {
 		st.endRun()
 		return st.send.err
@@ -120,6 +124,29 @@
 	return err
 }
 
+// begin makes ch the choice of a new run.
+func (st *stream) begin(ch *dispatch.Choice) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.runCtx, st.run = context.WithCancelCause(st.x.callerCtx)
+	st.send, st.ended = sent{choice: ch}, false
+}
+
+// setSend takes in what came of a send. The choice stays: the path may have been
+// changed meanwhile.
+func (st *stream) setSend(s sent) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	s.choice = st.send.choice
+	st.send = s
+}
+
+func (st *stream) choice() *dispatch.Choice {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.send.choice
+}
+
 // passFailure hands a backend server's own failure to the caller as it is.
 func (st *stream) passFailure() error {
 	body, err := st.send.answer.ReadAll(maxErrorBody)
@@ -197,7 +224,7 @@
 		cause = stalled
 	}
 	st.send.err, st.send.ran = cause, verdict.MayHaveRun
-	st.send.fault = faultOf(st.runCtx, st.send.choice.Target().Addr)
+	st.send.fault = faultOf(st.runCtx, st.choice().Target().Addr)
 	st.endRun()
 	for {
 		again := x.next(&st.send, &st.unsent)
@@ -225,6 +252,7 @@
 		return nil
 	}
 	st.closing = true
+	x.r.streams.remove(st)
 	if st.send.answer != nil {
 		st.endRun()
 		status := st.send.answer.Header.StatusCode
@@ -246,6 +274,9 @@
 // endRun ends what watches a run. Its connection is left to the exchange.
 func (st *stream) endRun() {
 	st.stall.Stop()
+	st.mu.Lock()
+	st.ended = true
+	st.mu.Unlock()
 	if !st.done {
 		st.run(nil)
 	}
@@ -256,55 +287,3 @@
 	st.heard = time.Now()
 	st.mu.Unlock()
 }
-
-// watchStall asks the first server of a path that has been silent for long
-// whether the request waits for another one there, and if so ends the run.
-func (st *stream) watchStall(ch *dispatch.Choice) {
-	limit := st.x.r.cfg.Stalled + ch.First
-	run, first := st.run, ch.Target().Addr
-	st.touch()
-	st.stall = time.AfterFunc(limit, func() {
-		st.mu.Lock()
-		silent := time.Since(st.heard)
-		st.mu.Unlock()
-		if silent < limit {
-			st.stall.Reset(limit - silent)
-			return
-		}
-		if fault := st.x.r.stalledAt(first, st.x.req.ID); fault != "" {
-			st.x.r.log.Info().Str("request", st.x.req.ID).Str("fault", fault).Dur("silent", silent).Msg("stream waits for a lost server of its path")
-			run(&stalledError{fault: fault})
-			return
-		}
-		st.stall.Reset(limit)
-	})
-}
-
-// stalledError says that a run waits for the server at fault.
-type stalledError struct{ fault string }
-
-func (e *stalledError) Error() string { return "the run waits for the server at " + e.fault }
-
-// faultOf is the address of the server to blame for a run on first that ended:
-// the one that the run waited for, none where the caller left, otherwise first.
-func faultOf(run context.Context, first string) string {
-	var s *stalledError
-	switch cause := context.Cause(run); {
-	case cause == nil:
-		return first
-	case errors.As(cause, &s):
-		return s.fault
-	default:
-		return ""
-	}
-}
-
-// stalledAt asks an engine which server a request waits for.
-func (r *Router) stalledAt(first, requestID string) string {
-	rep, err := r.report(first)
-	if err != nil {
-		r.log.Info().Err(err).Str("addr", first).Msg("report not read")
-		return ""
-	}
-	return rep.Stalled[requestID]
-}
