Paths: the pipe between failure domains is planned for, and another domain's whole path goes before crossing twice

Change: crossing tokens are counted over a second, told with the loads, priced as a queue and refused from 0.6 of the pipe; AwayCost 1 s -> 300 ms; half of the repeats are kept for answers under way; a slow stream's first server is asked at doubling intervals; HardFull 0.95 -> 0.85.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,7 +36,8 @@
 	// SoftFull and HardFull are parts of a server's KV cache. Each request draws its
 	// own bound between them, and only where that leaves no path is HardFull taken:
 	// VMs that see the same load some hundred milliseconds late do not all turn to
-	// the fastest servers until these overflow. Defaults 0.6 and 0.95.
+	// the fastest servers until these overflow. Defaults 0.6 and 0.85.
+	// The rest is what the estimates lag behind.
 	SoftFull, HardFull float64
 	// LostFor is how long a server that an engine waits for in vain is avoided at
 	// least: it is dead, or cut off for longer than a hiccup. Default 2 s.
@@ -50,7 +51,7 @@
 // budget of repeats are the caller's to set.
 func DefaultConfig() Config {
 	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Fleet: fleet.DefaultConfig(),
-		SoftFull: 0.6, HardFull: 0.95, LostFor: 2 * time.Second, ComeBack: 1200 * time.Millisecond}
+		SoftFull: 0.6, HardFull: 0.85, LostFor: 2 * time.Second, ComeBack: 1200 * time.Millisecond}
 }
 
 // Core is the state of one VM.
@@ -61,6 +62,7 @@
 	Loads   *loads.Core
 	budgets map[string]*retry.Budget
 	vms     int
+	pipe    pipeMeter
 }
 
 // New returns a Core that knows no configuration yet.
@@ -97,6 +99,8 @@
 	// route allows a number.
 	Sends  int
 	SentTo map[fleet.ID]bool
+	// Begun is set once the caller has a part of the answer.
+	Begun bool
 	// Avoid holds those that failed this request.
 	Avoid map[fleet.ID]bool
 }
@@ -133,11 +137,15 @@
 		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: c.cfg.ComeBack,
 			Detail: "no backend server of " + r.Service.Name + " can take the request now"}
 	}
-	if r.Sends > 0 && !c.budget(r.Service.Name).Repeat(now, c.vms) {
+	need := retry.Again
+	if r.Begun {
+		need = retry.Resume
+	}
+	if r.Sends > 0 && !c.budget(r.Service.Name).Repeat(now, need, c.vms) {
 		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseRetryBudget, RetryAfter: c.cfg.ComeBack,
 			Detail: "the budget for repeats is used up"}
 	}
-	c.hold(ch)
+	c.hold(now, ch)
 	return ch, nil
 }
 
@@ -152,6 +160,7 @@
 	if len(r.SentTo) >= r.Route.Attempts {
 		q.First = r.SentTo
 	}
+	q.PipeUse = c.pipeUse(now, r)
 	q.FullShare = c.cfg.SoftFull + (c.cfg.HardFull-c.cfg.SoftFull)*chance(r.ID, r.Sends)
 	p, ok := paths.Find(c.cfg.Paths, r.Service.Engine, holders, q)
 	if !ok {
@@ -241,7 +250,7 @@
 		return nil
 	}
 	q := paths.Request{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Layers: ch.Parts[at].Layers,
-		Domain: c.domainOf(ch.Parts[at-1]), FullShare: c.cfg.HardFull}
+		Domain: c.domainOf(ch.Parts[at-1]), FullShare: c.cfg.HardFull, PipeUse: c.pipeUse(now, r)}
 	if at+1 < len(ch.Parts) {
 		q.NextDomain = c.domainOf(ch.Parts[at+1])
 	}
@@ -262,7 +271,7 @@
 	parts := append([]paths.Part(nil), ch.Parts[:at]...)
 	parts = append(append(parts, piece.Parts...), ch.Parts[at+1:]...)
 	out := &Choice{Parts: parts, First: ch.First, tokens: ch.tokens}
-	c.hold(out)
+	c.hold(now, out)
 	return out
 }
 
@@ -273,7 +282,29 @@
 	return ""
 }
 
-func (c *Core) hold(ch *Choice) {
+// pipeKey stands for the pipe between failure domains in messages of loads.
+const pipeKey loads.Key = 0
+
+// pipeUse is the part of the pipe's plannable share that is in use, by all VMs.
+func (c *Core) pipeUse(now time.Duration, r *Request) float64 {
+	most := r.Service.Engine.PipeTokens() * pipeFull
+	if most <= 0 {
+		return 0
+	}
+	own := loads.Load{TokenLayers: c.pipe.rate(now)}
+	return (own.TokenLayers + c.Loads.Others(now, pipeKey, own).TokenLayers) / most
+}
+
+func (c *Core) hold(now time.Duration, ch *Choice) {
+	crossings := 0
+	for i := 1; i < len(ch.Parts); i++ {
+		if c.domainOf(ch.Parts[i]) != c.domainOf(ch.Parts[i-1]) {
+			crossings++
+		}
+	}
+	if crossings > 0 {
+		c.pipe.add(now, ch.tokens*float64(crossings))
+	}
 	for _, p := range ch.Parts {
 		c.Fleet.Begin(p.Instance, ch.tokens*float64(p.Layers.Len()))
 	}
@@ -327,8 +358,11 @@
 }
 
 // OwnLoads is this VM's work in progress on each server.
-func (c *Core) OwnLoads() map[loads.Key]loads.Load {
+func (c *Core) OwnLoads(now time.Duration) map[loads.Key]loads.Load {
 	out := map[loads.Key]loads.Load{}
+	if rate := c.pipe.rate(now); rate > 0 {
+		out[pipeKey] = loads.Load{TokenLayers: rate}
+	}
 	for _, id := range c.Fleet.IDs() {
 		if s := c.Fleet.Get(id); s.Streams > 0 {
 			out[LoadKey(s.Instance())] = loads.Load{Streams: float64(s.Streams), TokenLayers: s.TokenLayers}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,9 @@
 	TokenBytes float64
 	// ActivationBytes cross a link for each token.
 	ActivationBytes float64
+	// PipeBits is what the pipe between failure domains carries in a second; 0 for
+	// no bound.
+	PipeBits float64
 	// Stride is the number of token steps in one pass with writers.
 	Stride int
 	// Step, PerStream and PerContext make up one token step of all layers on the
@@ -88,6 +91,15 @@
 	return time.Duration(s.Share(n) * float64(s.Load))
 }
 
+// PipeTokens is the number of tokens that may cross between failure domains in a
+// second; 0 for no bound.
+func (s *Spec) PipeTokens() float64 {
+	if s.PipeBits <= 0 || s.ActivationBytes <= 0 {
+		return 0
+	}
+	return s.PipeBits / 8 / s.ActivationBytes
+}
+
 // Delay returns the extra one-way delay between two failure domains.
 func (s *Spec) Delay(from, to string) time.Duration {
 	if from == to {
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -51,6 +51,9 @@
 	// Domain is where the request comes from: the VM for a whole path, the part
 	// before Layers otherwise. NextDomain is where it goes on; "" for nowhere.
 	Domain, NextDomain string
+	// PipeUse is the part of the pipe between failure domains that is in use. From 1
+	// on no path may cross.
+	PipeUse float64
 	// FullShare is the part of a holder's KV cache that may be planned for.
 	FullShare float64
 	// First, where not empty, holds the only servers that may come first.
@@ -66,13 +69,14 @@
 	// pipe and its price. Default 600 ms.
 	CrossingCost time.Duration
 	// AwayCost is added when the first part stands in another failure domain than
-	// the VM: every event of the answer crosses. Default 1 s.
+	// the VM: every event of the answer crosses, a few kilobytes against tens of
+	// megabytes of activations. Default 300 ms.
 	AwayCost time.Duration
 }
 
 // DefaultConfig returns the defaults that Config names.
 func DefaultConfig() Config {
-	return Config{PartCost: 4 * time.Millisecond, CrossingCost: 600 * time.Millisecond, AwayCost: time.Second}
+	return Config{PartCost: 4 * time.Millisecond, CrossingCost: 600 * time.Millisecond, AwayCost: 300 * time.Millisecond}
 }
 
 // Path is the result of a search.
@@ -220,7 +224,7 @@
 		cost, first := s.cost, s.first
 		if from := holders[s.holder].Domain; from != h.Domain {
 			delay := float64(spec.Delay(from, h.Domain))
-			cost += float64(cfg.CrossingCost) + delay*r.AnswerTokens
+			cost += crossing(cfg, r) + delay*r.AnswerTokens
 			first += delay
 		}
 		if cost < out.cost {
@@ -241,11 +245,20 @@
 	case at0(r):
 		s.cost = float64(cfg.AwayCost)
 	default:
-		s.cost = float64(cfg.CrossingCost) + float64(spec.Delay(r.Domain, h.Domain))*r.AnswerTokens
+		s.cost = crossing(cfg, r) + float64(spec.Delay(r.Domain, h.Domain))*r.AnswerTokens
 	}
 	return s, true
 }
 
+// crossing is the cost of a change of the failure domain: it rises as the pipe
+// fills, as the wait in a queue does.
+func crossing(cfg Config, r Request) float64 {
+	if r.PipeUse >= 1 {
+		return math.Inf(1)
+	}
+	return float64(cfg.CrossingCost) / (1 - r.PipeUse)
+}
+
 func at0(r Request) bool { return r.Layers.From == 0 }
 
 // partCost predicts the time of a request in n layers of h, and the part of it
@@ -263,7 +276,7 @@
 	for s := range nd {
 		c := best[last*nd+s].cost
 		if !math.IsInf(c, 1) && r.NextDomain != "" && holders[best[last*nd+s].holder].Domain != r.NextDomain {
-			c += float64(cfg.CrossingCost)
+			c += crossing(cfg, r)
 		}
 		if c < end {
 			end, slot = c, s
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -39,9 +39,24 @@
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Duration) { b.piece(now).requests++ }
 
+// Need says what a repeat is for.
+type Need uint8
+
+// The needs.
+const (
+	// Again sends a request that did not run: its caller may as well come back.
+	Again Need = iota
+	// Resume goes on with an answer that the caller has begun to read.
+	Resume
+)
+
+// againShare is the part of the budget that Again may use up: what is left is for
+// answers under way, of which a refusal would lose the work that was done.
+const againShare = 0.5
+
 // Repeat counts a further send and reports whether it is allowed, with vms the
 // number of VMs that share the slack.
-func (b *Budget) Repeat(now time.Duration, vms int) bool {
+func (b *Budget) Repeat(now time.Duration, need Need, vms int) bool {
 	at := b.piece(now)
 	var requests, repeats float64
 	oldest := at.span - slots + 1
@@ -52,6 +67,9 @@
 		}
 	}
 	allowed := b.cfg.Margin * (b.cfg.Ratio*requests + b.cfg.Slack/float64(max(1, vms)))
+	if need == Again {
+		allowed *= againShare
+	}
 	if repeats+1 > allowed {
 		return false
 	}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -97,7 +97,7 @@
 		r.mu.Unlock()
 		r.awaitNews(ctx, wait)
 		r.mu.Lock()
-		sends := r.core.Loads.Tick(r.clock.now(), r.core.OwnLoads())
+		sends := r.core.Loads.Tick(r.clock.now(), r.core.OwnLoads(r.clock.now()))
 		r.mu.Unlock()
 		for _, s := range sends {
 			r.tell(s)
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -28,6 +28,8 @@
 		if fault := st.x.r.stalledAt(first, st.x.req.ID); fault != "" {
 			st.x.r.lost(fault)
 			st.leave(fault)
+		} else {
+			limit *= 2 // slow, not stalled: a question is priced
 		}
 		st.stall.Reset(limit)
 	})
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -170,6 +170,7 @@
 				st.lastID = e.ID
 			}
 			st.passed++
+			st.x.req.Begun = true
 		}
 		if len(events) > 0 {
 			st.pace(time.Now())
