Placement: servers that a failure domain can spare strengthen the layers with least room

Change: strengthen moves spare servers there (at most 4 a plan, only where what they leave keeps 1.3 times the room); HardFull follows the age of loads; pipe planned to 0.85; RoomShare 1.4 -> 1.6.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -33,12 +34,16 @@
 	Paths  paths.Config
 	Fleet  fleet.Config
 	Retry  retry.Config
-	// SoftFull and HardFull are parts of a server's KV cache. Each request draws its
-	// own bound between them, and only where that leaves no path is HardFull taken:
-	// VMs that see the same load some hundred milliseconds late do not all turn to
-	// the fastest servers until these overflow. Defaults 0.6 and 0.85.
-	// The rest is what the estimates lag behind.
-	SoftFull, HardFull float64
+	// SoftFull is the part of a server's KV cache up to which every request may
+	// plan; each draws its own bound between it and the most that is planned for, and
+	// only where that leaves no path is the most taken. VMs that see the same load
+	// some hundred milliseconds late so do not all turn to the fastest servers until
+	// these overflow. Default 0.6.
+	SoftFull float64
+	// Blind is the part of a KV cache that is left free for each second by which
+	// other VMs' loads are old: half of what turns over, at streams of three seconds.
+	// Default 0.15.
+	Blind float64
 	// LostFor is how long a server that an engine waits for in vain is avoided at
 	// least: it is dead, or cut off for longer than a hiccup. Default 2 s.
 	LostFor time.Duration
@@ -51,7 +56,7 @@
 // budget of repeats are the caller's to set.
 func DefaultConfig() Config {
 	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Fleet: fleet.DefaultConfig(),
-		SoftFull: 0.6, HardFull: 0.85, LostFor: 2 * time.Second, ComeBack: 1200 * time.Millisecond}
+		SoftFull: 0.6, Blind: 0.15, LostFor: 2 * time.Second, ComeBack: 1200 * time.Millisecond}
 }
 
 // Core is the state of one VM.
@@ -132,28 +137,33 @@
 // Choose picks the backend servers for the next send of r, and counts its load
 // there. A first send is always allowed; a further one draws on the budget.
 func (c *Core) Choose(now time.Duration, r *Request) (*Choice, *verdict.Refusal) {
-	ch, cause := c.find(now, r)
-	if ch == nil {
-		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: c.cfg.ComeBack,
-			Detail: "no backend server of " + r.Service.Name + " can take the request now"}
+	ch, refusal := c.find(now, r)
+	if refusal != nil {
+		return nil, refusal
 	}
 	need := retry.Again
 	if r.Begun {
 		need = retry.Resume
 	}
 	if r.Sends > 0 && !c.budget(r.Service.Name).Repeat(now, need, c.vms) {
-		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseRetryBudget, RetryAfter: c.cfg.ComeBack,
-			Detail: "the budget for repeats is used up"}
+		return nil, c.notRun(verdict.CauseRetryBudget, "the budget for repeats is used up")
 	}
 	c.hold(now, ch)
 	return ch, nil
 }
 
+func (c *Core) notRun(cause verdict.Cause, detail string) *verdict.Refusal {
+	return &verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: c.cfg.ComeBack, Detail: detail}
+}
+
 // find returns a choice, or why there is none.
-func (c *Core) find(now time.Duration, r *Request) (*Choice, verdict.Cause) {
+func (c *Core) find(now time.Duration, r *Request) (*Choice, *verdict.Refusal) {
 	c.Fleet.Expire(now)
 	if r.Service.Engine == nil {
-		return c.plain(now, r), verdict.CauseNoBackend
+		if ch := c.plain(now, r); ch != nil {
+			return ch, nil
+		}
+		return nil, c.notRun(verdict.CauseNoBackend, "no ready replica of "+r.Service.Name+" is left to try")
 	}
 	holders := c.holders(now, r)
 	q := paths.Request{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Domain: c.cfg.Domain}
@@ -161,22 +171,30 @@
 		q.First = r.SentTo
 	}
 	q.PipeUse = c.pipeUse(now, r)
-	q.FullShare = c.cfg.SoftFull + (c.cfg.HardFull-c.cfg.SoftFull)*chance(r.ID, r.Sends)
+	q.FullShare = c.cfg.SoftFull + (c.mostFull()-c.cfg.SoftFull)*chance(r.ID, r.Sends)
 	p, ok := paths.Find(c.cfg.Paths, r.Service.Engine, holders, q)
 	if !ok {
-		q.FullShare = c.cfg.HardFull
+		q.FullShare = c.mostFull()
 		p, ok = paths.Find(c.cfg.Paths, r.Service.Engine, holders, q)
 	}
 	switch {
 	case ok:
-		return &Choice{Parts: p.Parts, First: p.First, tokens: r.PromptTokens + r.AnswerTokens}, ""
+		return &Choice{Parts: p.Parts, First: p.First, tokens: r.PromptTokens + r.AnswerTokens}, nil
 	case paths.Covered(r.Service.Engine, holders):
-		return nil, verdict.CauseNoRoom
+		lack := paths.Lacking(r.Service.Engine, holders, q)
+		return nil, c.notRun(verdict.CauseNoRoom, fmt.Sprintf("%.0f tokens fit nowhere in layers %d to %d; the pipe is at %.2f of its share",
+			r.PromptTokens+r.AnswerTokens, lack.From, lack.To, q.PipeUse))
 	default:
-		return nil, verdict.CauseNoCover
+		return nil, c.notRun(verdict.CauseNoCover, "some layers of "+r.Service.Name+" are held by no server")
 	}
 }
 
+// mostFull is the part of a KV cache that is planned for: a load is up to two
+// intervals old, one to the head of its failure domain and one from there.
+func (c *Core) mostFull() float64 {
+	return max(c.cfg.SoftFull, 1-c.cfg.Blind*2*c.Loads.Interval().Seconds())
+}
+
 // chance is a number from 0 to 1 that is the request's own for each send.
 func chance(id string, sends int) float64 {
 	d := xxhash.NewWithSeed(uint64(sends))
@@ -250,7 +268,7 @@
 		return nil
 	}
 	q := paths.Request{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Layers: ch.Parts[at].Layers,
-		Domain: c.domainOf(ch.Parts[at-1]), FullShare: c.cfg.HardFull, PipeUse: c.pipeUse(now, r)}
+		Domain: c.domainOf(ch.Parts[at-1]), FullShare: c.mostFull(), PipeUse: c.pipeUse(now, r)}
 	if at+1 < len(ch.Parts) {
 		q.NextDomain = c.domainOf(ch.Parts[at+1])
 	}
--- a/internal/dispatch/pipe.go
+++ b/internal/dispatch/pipe.go
@@ -9,7 +9,7 @@
 	pipePieces = 10
 	// pipeFull is the part of the shared pipe that may be planned for. Transfers go
 	// one after another: near saturation every path that crosses stalls.
-	pipeFull = 0.6
+	pipeFull = 0.85
 )
 
 // pipeMeter counts the tokens that this VM's requests send over the pipe between
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -121,6 +121,27 @@
 	return Path{}, false
 }
 
+// Lacking returns the first range of layers of which no holder has room for the
+// request: what a refusal is for. It is empty where only the pipe between failure
+// domains is in the way.
+func Lacking(spec *engine.Spec, holders []Holder, r Request) fleet.Layers {
+	held := make([]bool, spec.Layers+1)
+	for _, h := range withRoom(spec, holders, r) {
+		for l := max(0, h.Held.From); l < min(h.Held.To, spec.Layers); l++ {
+			held[l] = true
+		}
+	}
+	from := 0
+	for from < spec.Layers && held[from] {
+		from++
+	}
+	to := from
+	for to < spec.Layers && !held[to] {
+		to++
+	}
+	return fleet.Layers{From: from, To: to}
+}
+
 // Covered reports whether the holders hold every layer of the model, with room or
 // without.
 func Covered(spec *engine.Spec, holders []Holder) bool {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,12 +42,18 @@
 type Config struct {
 	// RoomShare of the engine's planned tokens is kept free on each server beside
 	// the weights: what a cover has in flight at the peak, and half as much more for a
-	// failure domain that lost a large server. Default 1.4.
+	// failure domain that lost a large server. Default 1.6.
 	RoomShare float64
+	// Weak is the part of the mean room below which layers are given more servers,
+	// also from other failure domains: every path passes them. Default 0.6.
+	Weak float64
+	// Gain is how much more room the layers that a server leaves must keep than
+	// those that it is moved to have, as a factor. Default 1.3.
+	Gain float64
 }
 
 // DefaultConfig returns the defaults that Config names.
-func DefaultConfig() Config { return Config{RoomShare: 1.4} }
+func DefaultConfig() Config { return Config{RoomShare: 1.6, Weak: 0.6, Gain: 1.3} }
 
 type plan struct {
 	cfg     Config
@@ -65,6 +71,7 @@
 		p.fill(d, 1, true)
 	}
 	p.fillAnywhere()
+	p.strengthen()
 	for level := 2; p.idle() && level <= len(p.holders); level++ {
 		for _, d := range domains {
 			p.fill(d, level, false)
