--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -70,13 +70,13 @@
 	CrossingCost time.Duration
 	// AwayCost is added when the first part stands in another failure domain than
 	// the VM: every event of the answer crosses, a few kilobytes against tens of
-	// megabytes of activations. Default 300 ms.
+	// megabytes of activations. Default 700 ms.
 	AwayCost time.Duration
 }
 
 // DefaultConfig returns the defaults that Config names.
 func DefaultConfig() Config {
-	return Config{PartCost: 4 * time.Millisecond, CrossingCost: 600 * time.Millisecond, AwayCost: 300 * time.Millisecond}
+	return Config{PartCost: 4 * time.Millisecond, CrossingCost: 600 * time.Millisecond, AwayCost: 700 * time.Millisecond}
 }
 
 // Path is the result of a search.
--- a/internal/router/conn.go
+++ b/internal/router/conn.go
@@ -38,6 +38,14 @@
 	return c.Conn.Read(b)
 }
 
+// Write bounds each write by itself.
+func (c *callerConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
 // watch calls gone when the caller closes or resets the connection before
 // unwatch.
 func (c *callerConn) watch(gone func()) {
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -23,7 +23,8 @@
 	// callerIdle closes connections that no caller comes back to. The
 	// configuration's bound is far lower; connections that live longer do no harm.
 	callerIdle = 2 * time.Minute
-	// writeTimeout ends a caller that reads nothing.
+	// writeTimeout ends a caller that reads nothing. It bounds each write: an answer
+	// as a whole may take as long as its events come.
 	writeTimeout = 10 * time.Second
 	// notYet is told to callers of a process without configuration.
 	notYet = 500 * time.Millisecond
@@ -38,7 +39,7 @@
 	s := &fasthttp.Server{
 		Handler: r.handle, NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, IdleTimeout: callerIdle,
-		WriteTimeout: writeTimeout, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
+		CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 	}
 	go func() {
 		if err := s.Serve(callerListener{l}); err != nil {
