Store: a leaving VM answers no questions for changes, and these fit a slow link

Change: a stopping VM follows the store to its end and answers no questions; of each key only the latest change goes out, compressed.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,6 +48,7 @@
 
 // Entry is a change of one key.
 type Entry[T any] struct {
+	Key      string
 	Revision uint64
 	Bytes    int
 	Item     T
@@ -87,14 +88,18 @@
 	l.asOf = max(l.asOf, asOf)
 }
 
-// Since returns what came after a revision and the revision up to which that is
-// complete; ok is false where the log does not reach back so far.
+// Since returns what came after a revision, of each key only its latest change, and
+// the revision up to which that is complete; ok is false where the log does not reach back so far.
 func (l *Log[T]) Since(revision uint64) (items []T, asOf uint64, ok bool) {
 	if revision == 0 || revision < l.base || l.asOf == 0 {
 		return nil, 0, false
 	}
+	last := make(map[string]uint64, len(l.entries))
 	for _, e := range l.entries {
-		if e.Revision > revision {
+		last[e.Key] = max(last[e.Key], e.Revision)
+	}
+	for _, e := range l.entries {
+		if e.Revision > revision && e.Revision == last[e.Key] {
 			items = append(items, e.Item)
 		}
 	}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -44,7 +44,9 @@
 	if err != nil {
 		return err
 	}
-	s := &fasthttp.Server{Handler: r.handleChanges, NoDefaultServerHeader: true}
+	// A configuration of a hundred kilobytes goes to a dozen VMs over a slow link.
+	handler := fasthttp.CompressHandlerLevel(r.handleChanges, fasthttp.CompressBestSpeed)
+	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
 	go func() {
 		if err := s.Serve(l); err != nil {
 			r.log.Error().Err(err).Msg("other VMs' server ended")
@@ -64,6 +66,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
+	ctx.SetContentType("application/cbor")
 	ctx.SetBody(body)
 }
 
@@ -74,9 +77,10 @@
 	for {
 		r.mu.Lock()
 		items, asOf, ok := r.changed.Since(since)
+		// One that is leaving is soon gone, and those that follow it would not hear so.
 		// Two VMs that see different members may ask each other: only one that
 		// watches the store itself knows that it is not behind.
-		behind := !ok || r.away || r.reader(r.clock.now()) != ""
+		behind := !ok || r.away || r.stopping.Load() || r.reader(r.clock.now()) != ""
 		more := r.moreChanges
 		r.mu.Unlock()
 		if behind || len(items) > 0 {
@@ -94,7 +98,7 @@
 func (r *Router) logChanges(items []platform.Item, asOf uint64) {
 	entries := make([]follow.Entry[platform.Item], 0, len(items))
 	for _, it := range items {
-		entries = append(entries, follow.Entry[platform.Item]{Revision: it.Revision, Bytes: len(it.Key) + len(it.Value), Item: it})
+		entries = append(entries, follow.Entry[platform.Item]{Key: it.Key, Revision: it.Revision, Bytes: len(it.Key) + len(it.Value), Item: it})
 	}
 	r.changed.Append(entries, asOf)
 	r.wakeAskers()
@@ -155,6 +159,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + addr + followURI)
+	req.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
 	req.SetBodyRaw(body)
 	if err := r.calls.Do(addr, req, resp, httpcall.Within(followTimeout)); err != nil {
 		return changes{}, err
@@ -162,8 +167,12 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return changes{}, httpcall.StatusError(addr, req, resp, httpcall.MayHaveArrived)
 	}
+	plain, err := resp.BodyUncompressed()
+	if err != nil {
+		return changes{}, errors.Wrap(err, "answer of a reader")
+	}
 	var got changes
-	if err := cbor.Unmarshal(resp.Body(), &got); err != nil {
+	if err := cbor.Unmarshal(plain, &got); err != nil {
 		return changes{}, errors.Wrap(err, "answer of a reader")
 	}
 	if got.Missing {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -100,8 +100,12 @@
 
 // Run serves until ctx ends, then stops as planned: no request is cut short.
 func (r *Router) Run(ctx context.Context) error {
+	// What the VM is told goes on until its last request has ended; what it does for
+	// others ends as soon as it leaves.
 	work, end := context.WithCancel(context.Background())
 	defer end()
+	holding, letGo := context.WithCancel(work)
+	defer letGo()
 	r.log.Info().Str("domain", r.set.Domain).Str("callers", r.set.Listen.Callers).Str("version", obs.Version()).Msg("start")
 	callers, err := r.serveCallers()
 	if err != nil {
@@ -116,24 +120,28 @@
 	if err := r.listenPeers(); err != nil {
 		return errors.Wrap(err, "socket for other VMs")
 	}
-	var duties sync.WaitGroup
-	for _, d := range []func(context.Context){r.followStore, r.keepPresence, r.giveOrders, r.hearLoads, r.tellLoads} {
-		duties.Add(1)
-		go func() { defer duties.Done(); d(work) }()
+	var duties, held sync.WaitGroup
+	for _, d := range []func(context.Context){r.followStore, r.hearLoads, r.tellLoads} {
+		duties.Go(func() { d(work) })
+	}
+	for _, d := range []func(context.Context){r.keepPresence, r.giveOrders} {
+		held.Go(func() { d(holding) })
 	}
 	<-ctx.Done()
-	r.stop(callers, end)
+	r.stopping.Store(true)
+	letGo()
+	held.Wait() // no lease is taken after the one that is ended next
+	r.stop(callers)
+	end()
 	duties.Wait()
 	return nil
 }
 
 // stop is the planned stop. The VM leaves the directory at once, serves on while
 // callers may hold its address, and ends when its last request has.
-func (r *Router) stop(callers *fasthttp.Server, endDuties func()) {
+func (r *Router) stop(callers *fasthttp.Server) {
 	began := time.Now()
-	r.stopping.Store(true)
 	r.log.Info().Int64("requests", r.open.Load()).Msg("stop: leaving the directory")
-	endDuties()
 	r.leaveStore()
 	last := began.Add(r.set.Bounds.Grace - r.cfg.StopMargin)
 	time.Sleep(time.Until(began.Add(r.cfg.ListenAfterStop)))
