--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,229 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/fleet"
+	"github.com/catkinstair/catkinstair/internal/loads"
+	"github.com/catkinstair/catkinstair/internal/placement"
+	"github.com/catkinstair/catkinstair/internal/retry"
+	"github.com/catkinstair/catkinstair/internal/routes"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+	"github.com/catkinstair/catkinstair/platform"
+)
+
+const (
+	model = "huvo11a"
+	plain = "wuno96b"
+)
+
+func config(t testing.TB) *routes.Config {
+	t.Helper()
+	text, err := os.ReadFile("../../platform/testdata/config.json")
+	require.NoError(t, err)
+	cfg, err := platform.DecodeConfig(text)
+	require.NoError(t, err)
+	return cfg
+}
+
+// core is a VM in failure domain a with placed engines in a and b and three plain
+// replicas.
+func core(t testing.TB) *dispatch.Core {
+	t.Helper()
+	cfg := dispatch.DefaultConfig()
+	cfg.VM, cfg.Domain = "a1", "a"
+	cfg.Retry = retry.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 196, Margin: retry.DefaultMargin}
+	c := dispatch.New(cfg)
+	c.Apply(routes.NewTable(config(t)))
+	c.Loads.SetMembers([]loads.Member{{VM: "a1", Domain: "a"}})
+	spec := c.Spec(model)
+	var holders []placement.Holder
+	records := map[fleet.ID]fleet.Record{}
+	for _, d := range []string{"a", "b"} {
+		for i := range 18 {
+			card := []string{"a100", "v100", "l4"}[min(2, (i+8)/9)]
+			id := fleet.ID(fmt.Sprintf("%s%02d", d, i))
+			records[id] = fleet.Record{ID: id, Service: model, Addr: string(id), Domain: d, Card: card, Slots: 192, Life: fleet.Ready, Born: 1}
+			holders = append(holders, placement.Holder{Instance: records[id].Instance(), Domain: d, Card: spec.Cards[card]})
+		}
+	}
+	for _, o := range placement.Plan(placement.DefaultConfig(), spec, holders) {
+		r := records[o.Instance.ID]
+		r.Held = o.Layers
+		c.Fleet.Put(r)
+	}
+	for i, d := range []string{"a", "b", "c"} {
+		id := fleet.ID(fmt.Sprintf("app%d", i))
+		c.Fleet.Put(fleet.Record{ID: id, Service: plain, Addr: string(id), Domain: d, Slots: 6, Life: fleet.Ready, Born: 1})
+	}
+	return c
+}
+
+func streamRequest(c *dispatch.Core, id string) *dispatch.Request {
+	cfg := c.Table().Config()
+	return &dispatch.Request{ID: id, Route: &cfg.Routes[0], Service: cfg.Services[model], PromptTokens: 760, AnswerTokens: 200,
+		SentTo: map[fleet.ID]bool{}, Avoid: map[fleet.ID]bool{}}
+}
+
+func plainRequest(c *dispatch.Core, attempts int) *dispatch.Request {
+	route := &routes.Route{Kind: routes.Idempotent, Attempts: attempts}
+	return &dispatch.Request{ID: "p", Route: route, Service: c.Table().Config().Services[plain],
+		SentTo: map[fleet.ID]bool{}, Avoid: map[fleet.ID]bool{}}
+}
+
+func TestLostPartIsGivenToOthersAndTheRestStays(t *testing.T) {
+	c := core(t)
+	r := streamRequest(c, "r")
+	ch, refusal := c.Choose(0, r)
+	require.Nil(t, refusal)
+	require.Greater(t, len(ch.Parts), 2)
+	lost := ch.Parts[1]
+	require.True(t, c.Lost(0, lost.Instance))
+	next := c.Replace(0, r, ch, lost.Addr)
+	require.NotNil(t, next)
+	require.Equal(t, ch.Parts[0], next.Parts[0], "the first part has to stay as it is")
+	at := 0
+	for _, p := range next.Parts {
+		require.NotEqual(t, lost.Addr, p.Addr)
+		require.Equal(t, at, p.Layers.From)
+		at = p.Layers.To
+	}
+	require.Equal(t, 80, at)
+	require.Nil(t, c.Replace(0, r, ch, ch.Parts[0].Addr), "without its first server a run is over")
+}
+
+func TestOtherVMsLeaveALostServer(t *testing.T) {
+	c := core(t)
+	r := streamRequest(c, "r")
+	ch, _ := c.Choose(0, r)
+	lost := ch.Parts[0]
+	news := c.Heard(0, loads.Message{From: "a0", Domain: "a", Seq: 1, Lost: map[loads.Key]time.Duration{dispatch.LoadKey(lost.Instance): 0}})
+	require.Len(t, news, 1)
+	again, refusal := c.Choose(time.Second, streamRequest(c, "r2"))
+	require.Nil(t, refusal)
+	for _, p := range again.Parts {
+		require.NotEqual(t, lost.Addr, p.Addr)
+	}
+	c.Fleet.Worked(lost.Instance)
+	require.False(t, c.Fleet.Get(lost.Instance.ID).Suspect(time.Second))
+}
+
+func TestRouteBoundsTheServersNotTheSends(t *testing.T) {
+	c := core(t)
+	r := plainRequest(c, 1)
+	ch, _ := c.Choose(0, r)
+	first := ch.Target().Instance.ID
+	require.Equal(t, fleet.ID("app0"), first, "the own failure domain's first")
+	r.Sends, r.SentTo[first] = 1, true
+	ch, refusal := c.Choose(0, r)
+	require.Nil(t, refusal)
+	require.Equal(t, first, ch.Target().Instance.ID)
+	r.Avoid[first] = true
+	_, refusal = c.Choose(0, r)
+	require.Equal(t, verdict.CauseNoBackend, refusal.Cause)
+	require.Equal(t, verdict.NotRun, refusal.Verdict)
+}
+
+func TestDrainingServersGetNothingNew(t *testing.T) {
+	c := core(t)
+	for i := range 3 {
+		s := c.Fleet.Get(fleet.ID(fmt.Sprintf("app%d", i))).Record
+		s.Life = fleet.Draining
+		c.Fleet.Put(s)
+	}
+	_, refusal := c.Choose(0, plainRequest(c, 2))
+	require.Equal(t, verdict.CauseNoBackend, refusal.Cause)
+}
+
+func TestOlderConfigurationNeverComesBack(t *testing.T) {
+	c := core(t)
+	old := config(t)
+	old.Version--
+	require.False(t, c.Apply(routes.NewTable(old)))
+	require.EqualValues(t, 7, c.Table().Config().Version)
+}
+
+// served plays a load: streams arrive in steps of 10 ms, hold their room for three
+// seconds, and refused ones are lost. It returns the served part.
+func served(t *testing.T, c *dispatch.Core, perSecond int) (part float64, refusals map[verdict.Cause]int) {
+	t.Helper()
+	type running struct {
+		ch  *dispatch.Choice
+		end time.Duration
+	}
+	var open []running
+	refusals = map[verdict.Cause]int{}
+	ok, all, due := 0, 0, 0.0
+	for now := time.Duration(0); now < 12*time.Second; now += 10 * time.Millisecond {
+		for len(open) > 0 && open[0].end <= now {
+			c.Release(open[0].ch)
+			open = open[1:]
+		}
+		for due += float64(perSecond) / 100; due >= 1; due-- {
+			all++
+			ch, refusal := c.Choose(now, streamRequest(c, fmt.Sprint("r", all)))
+			if refusal != nil {
+				refusals[refusal.Cause]++
+				continue
+			}
+			ok++
+			open = append(open, running{ch, now + 3*time.Second})
+		}
+	}
+	for _, r := range open {
+		c.Release(r.ch)
+	}
+	return float64(ok) / float64(all), refusals
+}
+
+// Load: two failure domains, 80 streams a second of 960 tokens for 3 s, which fill
+// the own domain's covers; the other domain's take the rest.
+func TestPlayedLoadIsServedByBothDomainsAndRoomComesBack(t *testing.T) {
+	c := core(t)
+	part, refusals := served(t, c, 80)
+	require.InDelta(t, 1, part, 0.001, refusals)
+	for _, id := range c.Fleet.IDs() {
+		s := c.Fleet.Get(id)
+		require.Zero(t, s.Streams, id)
+		require.InDelta(t, 0, s.TokenLayers, 1e-6, id)
+	}
+}
+
+// Load: four times what fits. What is admitted stays within the room, and every
+// refusal says that the request did not run and when to come back.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	c := core(t)
+	part, refusals := served(t, c, 400)
+	require.Less(t, part, 0.7)
+	require.Greater(t, part, 0.1)
+	require.Positive(t, refusals[verdict.CauseNoRoom])
+	require.Len(t, refusals, 1)
+}
+
+func TestLoadIsTakenOffAfterEveryOutcome(t *testing.T) {
+	c := core(t)
+	r := streamRequest(c, "r")
+	ch, _ := c.Choose(0, r)
+	next := c.Replace(0, r, ch, ch.Parts[1].Addr)
+	c.Release(ch)
+	if next != nil {
+		c.Release(next)
+	}
+	require.Empty(t, ownStreams(c))
+}
+
+func ownStreams(c *dispatch.Core) []fleet.ID {
+	var out []fleet.ID
+	for _, id := range c.Fleet.IDs() {
+		if c.Fleet.Get(id).Streams > 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,99 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("vm-%02d", i)
+	}
+	return out
+}
+
+func TestSmallDomainsReadTheStoreThemselves(t *testing.T) {
+	require.Nil(t, Sources(DefaultConfig(), "vm-02", names(4)))
+}
+
+func TestReadersAskNobodyAndOthersAskReadersOnly(t *testing.T) {
+	cfg, vms := DefaultConfig(), names(26)
+	for i, vm := range vms {
+		got := Sources(cfg, vm, vms)
+		if i < cfg.Readers {
+			require.Nil(t, got, vm)
+			continue
+		}
+		require.ElementsMatch(t, vms[:cfg.Readers], got, vm)
+	}
+}
+
+func log(max int) *Log[string] {
+	cfg := DefaultConfig()
+	cfg.MaxItems = max
+	return NewLog[string](cfg)
+}
+
+func entry(key string, revision uint64) Entry[string] {
+	return Entry[string]{Key: key, Revision: revision, Bytes: 10, Item: fmt.Sprintf("%s@%d", key, revision)}
+}
+
+func TestLogTellsOnlyTheLatestChangeOfAKey(t *testing.T) {
+	l := log(10)
+	l.Reset(5)
+	l.Append([]Entry[string]{entry("config", 6), entry("a", 7), entry("config", 8)}, 9)
+	items, asOf, ok := l.Since(5)
+	require.True(t, ok)
+	require.Equal(t, []string{"a@7", "config@8"}, items)
+	require.EqualValues(t, 9, asOf)
+}
+
+func TestLogThatDoesNotReachBackSaysSo(t *testing.T) {
+	l := log(2)
+	_, _, ok := l.Since(3)
+	require.False(t, ok, "it knows nothing yet")
+	l.Reset(5)
+	_, _, ok = l.Since(4)
+	require.False(t, ok)
+	l.Append([]Entry[string]{entry("a", 6), entry("b", 7), entry("c", 8)}, 8)
+	_, _, ok = l.Since(5)
+	require.False(t, ok, "the change at 6 was dropped")
+	_, _, ok = l.Since(6)
+	require.True(t, ok)
+}
+
+// A follower that asks at any times ends with the state that the reader has.
+func TestFollowerReachesTheReadersState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := log(rapid.IntRange(1, 8).Draw(t, "max"))
+		l.Reset(1)
+		want, got := map[string]string{}, map[string]string{}
+		revision, known := uint64(1), uint64(1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "write") {
+				revision++
+				e := entry(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), revision)
+				want[e.Key] = e.Item
+				l.Append([]Entry[string]{e}, revision)
+				continue
+			}
+			items, asOf, ok := l.Since(known)
+			if !ok { // the follower reads everything from the store
+				got, known = map[string]string{}, revision
+				for k, v := range want {
+					got[k] = v
+				}
+				continue
+			}
+			for _, it := range items {
+				got[it[:1]] = it
+			}
+			known = asOf
+			require.Equal(t, want, got)
+		}
+	})
+}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -66,7 +66,7 @@
 	// work that a further part makes. Default 4 ms.
 	PartCost time.Duration
 	// CrossingCost is added for each change of the failure domain, for the shared
-	// pipe and its price. Default 600 ms.
+	// pipe and its price. Default 1 s.
 	CrossingCost time.Duration
 	// AwayCost is added when the first part stands in another failure domain than
 	// the VM: every event of the answer crosses, a few kilobytes against tens of
@@ -76,7 +76,7 @@
 
 // DefaultConfig returns the defaults that Config names.
 func DefaultConfig() Config {
-	return Config{PartCost: 4 * time.Millisecond, CrossingCost: 600 * time.Millisecond, AwayCost: 700 * time.Millisecond}
+	return Config{PartCost: 4 * time.Millisecond, CrossingCost: time.Second, AwayCost: 700 * time.Millisecond}
 }
 
 // Path is the result of a search.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,7 +42,7 @@
 type Config struct {
 	// RoomShare of the engine's planned tokens is kept free on each server beside
 	// the weights: what a cover has in flight at the peak, and half as much more for a
-	// failure domain that lost a large server. Default 1.4.
+	// failure domain that lost a large server. Default 1.7.
 	RoomShare float64
 	// Weak is the part of the mean room below which layers are given more servers,
 	// also from other failure domains: every path passes them. Default 0.6.
@@ -53,7 +53,7 @@
 }
 
 // DefaultConfig returns the defaults that Config names.
-func DefaultConfig() Config { return Config{RoomShare: 1.4, Weak: 0.6, Gain: 1.3} }
+func DefaultConfig() Config { return Config{RoomShare: 1.7, Weak: 0.6, Gain: 1.3} }
 
 type plan struct {
 	cfg     Config
