--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 fmt:
-	@out=$$(gofmt -l cmd internal); if [ -n "$$out" ]; then echo "gofmt wants changes in:"; echo "$$out"; exit 1; fi
+	@out=$$(gofmt -l cmd internal platform); if [ -n "$$out" ]; then echo "gofmt wants changes in:"; echo "$$out"; exit 1; fi
 
 lint: fmt
 	$(GO) vet ./...
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -1,7 +1,5 @@
 package fleet
 
-import "time"
-
 // ID names one backend server. A restart may keep it; Born tells the lives
 // apart.
 type ID string
@@ -50,6 +48,3 @@
 
 // Instance returns the life that the record speaks of.
 func (r Record) Instance() Instance { return Instance{ID: r.ID, Born: r.Born} }
-
-// Age of a belief is given in log lines as time since it was formed.
-type Age = time.Duration
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -91,7 +91,6 @@
 type state struct {
 	cost   float64
 	first  float64
-	parts  int
 	from   int // index of the state before, -1 at the start
 	holder int
 	at     int // boundary
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -47,6 +47,7 @@
 	// A configuration of a hundred kilobytes goes to a dozen VMs over a slow link.
 	handler := fasthttp.CompressHandlerLevel(r.handleChanges, fasthttp.CompressBestSpeed)
 	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
+	r.small = append(r.small, s)
 	go func() {
 		if err := s.Serve(l); err != nil {
 			r.log.Error().Err(err).Msg("other VMs' server ended")
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
@@ -22,6 +23,8 @@
 	orderRetry = 500 * time.Millisecond
 )
 
+var errDutyLost = errors.New("this VM holds the duty no more")
+
 // giveOrders plans while this VM holds the duty.
 func (r *Router) giveOrders(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,6 +36,7 @@
 	calls    *httpcall.Client // short calls to the store and orders
 	store    *platform.Store
 	peers    *net.UDPConn
+	small    []*fasthttp.Server // readiness, directory, metrics, other VMs
 	pool     *ants.Pool
 
 	// mu guards the cores. Nothing blocks while it is held, and a choice takes well
@@ -134,6 +135,11 @@
 	r.stop(callers)
 	end()
 	duties.Wait()
+	for _, s := range r.small {
+		if err := s.Shutdown(); err != nil {
+			r.log.Warn().Err(err).Msg("stop: server")
+		}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,380 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinstair/catkinstair/platform"
+	"github.com/catkinstair/catkinstair/platform/standin"
+)
+
+const patience = 10 * time.Second
+
+// site is the stand-ins of one trial and the routers before them.
+type site struct {
+	t     *testing.T
+	store *standin.Store
+	fleet *standin.Fleet
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	store, err := standin.NewStore()
+	require.NoError(t, err)
+	t.Cleanup(store.Close)
+	return &site{t: t, store: store, fleet: standin.NewFleet(store)}
+}
+
+// configure writes the configuration of the published example, with routes to the
+// plain service beside those to the model.
+func (s *site) configure(version int) {
+	s.t.Helper()
+	text, err := os.ReadFile("../../platform/testdata/config.json")
+	require.NoError(s.t, err)
+	var doc map[string]any
+	require.NoError(s.t, json.Unmarshal(text, &doc))
+	routes := doc["routes"].([]any)
+	for _, kind := range []string{"idempotent", "non_idempotent"} {
+		routes = append(routes, map[string]any{"name": kind, "host": "ficu95.example", "prefix": "/" + kind + "/", "kind": kind,
+			"timeoutMs": 3000, "service": "wuno96b", "attempts": 2})
+	}
+	doc["routes"], doc["version"] = routes, version
+	text, err = json.Marshal(doc)
+	require.NoError(s.t, err)
+	s.store.Put(platform.ConfigKey, text)
+}
+
+func (s *site) server(cfg standin.ServerConfig) *standin.Server {
+	s.t.Helper()
+	out, err := s.fleet.Start(cfg)
+	require.NoError(s.t, err)
+	s.t.Cleanup(out.Close)
+	return out
+}
+
+// engines starts two covers of fast cards and waits until v knows that they are
+// placed.
+func (s *site) engines(v *vm, events int, every time.Duration) []*standin.Server {
+	var out []*standin.Server
+	for i := range 8 {
+		out = append(out, s.server(standin.ServerConfig{ID: fmt.Sprintf("engine-%d", i), Service: "huvo11a", Domain: "bergen-a",
+			Card: "a100", Events: events, EventEvery: every}))
+	}
+	require.Eventually(s.t, func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		for _, e := range out {
+			if known := v.core.Fleet.At(e.Addr); known == nil || known.Held.Len() == 0 {
+				return false
+			}
+		}
+		return true
+	}, patience, 5*time.Millisecond, "layers were not placed")
+	return out
+}
+
+var hosts atomic.Int32
+
+// vm is a running router with an address of its own on loopback, so that trials
+// side by side never meet.
+type vm struct {
+	*Router
+	host string
+	stop context.CancelFunc
+	done chan error
+}
+
+func (s *site) vm(name string) *vm {
+	s.t.Helper()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, 2+hosts.Add(1))
+	text := fmt.Sprintf(`nodeName = %q
+ip = %q
+zone = "bergen-a"
+region = "vestland"
+internalPorts = [17340,17355]
+heartbeatMs = 1200
+listen = { front = "%[2]s:18227", ready = "%[2]s:18220", directory = "%[2]s:18224" }
+bounds = { drainMs = 2000, graceS = 8, configMs = 2000, retryBudgetRatio = 0.2, budgetWindowS = 10, budgetSlack = 196, stall_ms = 3000, ttl_max_s = 5 }
+platform = { address = %q }
+`, name, host, s.store.Addr)
+	set, err := platform.ParseSettings(text)
+	require.NoError(s.t, err)
+	cfg := DefaultConfig()
+	cfg.Settle, cfg.PlanEvery, cfg.WatchPause = 100*time.Millisecond, 20*time.Millisecond, 10*time.Millisecond
+	cfg.ListenAfterStop, cfg.LogLevel = 300*time.Millisecond, "error"
+	r, err := New(cfg, set)
+	require.NoError(s.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	v := &vm{Router: r, host: host, stop: stop, done: make(chan error, 1)}
+	go func() { v.done <- r.Run(ctx) }()
+	s.t.Cleanup(func() { stop(); <-v.done; v.done <- nil })
+	return v
+}
+
+func (v *vm) awaitReady(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool { ok, _ := v.ready(); return ok }, patience, 5*time.Millisecond)
+}
+
+const key = "n2ctnfzs989anu6wsjnb"
+
+func (v *vm) call(t *testing.T, method, uri, id string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+v.host+":18227"+uri, nil)
+	require.NoError(t, err)
+	req.Host = "ficu95.example"
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", "20000")
+	req.Header.Set("Authorization", "Bearer "+key)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// requireWhole reads events 1 to n, each once and in order, to an explicit end.
+func requireWhole(t *testing.T, body io.Reader, n int) {
+	t.Helper()
+	lines, next := bufio.NewScanner(body), 1
+	for lines.Scan() {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			require.Equal(t, fmt.Sprint(next), id)
+			next++
+		}
+	}
+	require.NoError(t, lines.Err())
+	require.Equal(t, n, next-1, "the answer is not whole")
+}
+
+const streamURI = "/pufi791/2f"
+
+func TestStreamOverSeveralServers(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	s.engines(v, 20, time.Millisecond)
+	v.awaitReady(t)
+	resp := v.call(t, "POST", streamURI, "whole")
+	require.Equal(t, 200, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get(platform.HeaderSignature))
+	requireWhole(t, resp.Body, 20)
+	require.Equal(t, 1, s.fleet.Runs("whole"))
+}
+
+func TestServerOfThePathDiesAndTheStreamGoesOn(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, 60, 10*time.Millisecond)
+	v.awaitReady(t)
+	resp := v.call(t, "POST", streamURI, "moved")
+	require.Equal(t, 200, resp.StatusCode)
+	path := v.pathOf("moved")
+	require.Greater(t, len(path), 2)
+	for _, e := range engines {
+		if e.Addr == path[1].Addr {
+			e.Die()
+		}
+	}
+	requireWhole(t, resp.Body, 60)
+	require.Equal(t, 1, s.fleet.Runs("moved"), "the path was to change under the run")
+}
+
+func TestFirstServerDiesAndTheStreamIsResumed(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, 60, 10*time.Millisecond)
+	v.awaitReady(t)
+	resp := v.call(t, "POST", streamURI, "resumed")
+	path := v.pathOf("resumed")
+	for _, e := range engines {
+		if e.Addr == path[0].Addr {
+			e.Die() // its report names itself: nobody else can take over the run
+		}
+	}
+	requireWhole(t, resp.Body, 60)
+	require.Equal(t, 2, s.fleet.Runs("resumed"))
+}
+
+func TestPlainCalls(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	app := s.server(standin.ServerConfig{ID: "app", Service: "wuno96b", Domain: "bergen-a"})
+	v.awaitReady(t)
+	require.Eventually(t, func() bool { return v.call(t, "GET", "/idempotent/x", "probe").StatusCode == 200 }, patience, 5*time.Millisecond)
+	require.Equal(t, 200, v.call(t, "POST", "/non_idempotent/x", "once").StatusCode)
+	require.Equal(t, 1, s.fleet.Runs("once"))
+
+	app.Refuse = true
+	resp := v.call(t, "POST", "/non_idempotent/x", "refused")
+	require.Equal(t, 503, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Zero(t, s.fleet.Runs("refused"), "503 promises that it did not run")
+
+	app.Refuse, app.Fail = false, true
+	resp = v.call(t, "POST", "/non_idempotent/x", "failed")
+	require.Equal(t, 500, resp.StatusCode)
+	require.Equal(t, "sig-app", resp.Header.Get(platform.HeaderSignature))
+	require.Equal(t, 1, s.fleet.Runs("failed"))
+}
+
+func TestWithoutConfigurationNothingIsReady(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", v.host+":18227")
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	}, patience, time.Millisecond)
+	resp := v.call(t, "GET", "/idempotent/x", "early")
+	require.Equal(t, 503, resp.StatusCode, "neither 401 nor 404: the configuration is not known")
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	ready, err := http.Get("http://" + v.host + ":18220" + platform.ReadyURI)
+	require.NoError(t, err)
+	require.Equal(t, 503, ready.StatusCode)
+	require.NoError(t, ready.Body.Close())
+}
+
+func TestUnknownKeysAndRoutesAreRefused(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	v.awaitReady(t)
+	require.Equal(t, 404, v.call(t, "GET", "/nowhere/x", "r").StatusCode)
+	req, err := http.NewRequest("GET", "http://"+v.host+":18227/idempotent/x", nil)
+	require.NoError(t, err)
+	req.Host = "ficu95.example"
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.Equal(t, 401, resp.StatusCode)
+	require.NoError(t, resp.Body.Close())
+}
+
+func TestUnreadableConfigurationChangesNothing(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	v.awaitReady(t)
+	s.store.Put(platform.ConfigKey, []byte(`{"version":`))
+	s.configure(6)
+	s.configure(9)
+	require.Eventually(t, func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.core.Table().Config().Version == 9
+	}, patience, time.Millisecond)
+}
+
+func TestOutageOfTheStoreChangesNothingServed(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	s.engines(v, 5, time.Millisecond)
+	v.awaitReady(t)
+	s.store.Fail(standin.StoreFaults{Busy: true})
+	for i := range 20 {
+		resp := v.call(t, "POST", streamURI, fmt.Sprint("outage-", i))
+		require.Equal(t, 200, resp.StatusCode)
+		requireWhole(t, resp.Body, 5)
+	}
+	s.store.Fail(standin.StoreFaults{})
+	s.store.ForgetHistory()
+	s.configure(8)
+	require.Eventually(t, func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.core.Table().Config().Version == 8
+	}, patience, time.Millisecond, "the store's return was not noticed")
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := newSite(t)
+	v, other := s.vm("a1"), s.vm("a2")
+	s.configure(7)
+	s.engines(v, 100, 10*time.Millisecond)
+	v.awaitReady(t)
+	other.awaitReady(t)
+	resp := v.call(t, "POST", streamURI, "last")
+	require.Equal(t, 200, resp.StatusCode)
+	v.stop()
+	require.Eventually(t, func() bool { return len(other.addresses("bergen-a")) == 1 }, patience, time.Millisecond)
+	ok, _ := v.ready()
+	require.False(t, ok)
+	requireWhole(t, resp.Body, 100)
+	require.NoError(t, <-v.done)
+	v.done <- nil
+}
+
+func TestOrdersGoOnWhenTheirGiverIsGone(t *testing.T) {
+	s := newSite(t)
+	v, other := s.vm("a1"), s.vm("a2")
+	s.configure(7)
+	engines := s.engines(v, 5, time.Millisecond)
+	giver, next := v, other
+	if other.duty.MayAct(other.clock.now()) {
+		giver, next = other, v
+	}
+	giver.stop()
+	require.NoError(t, <-giver.done)
+	giver.done <- nil
+	for _, e := range engines[:2] {
+		s.store.Put(platform.ServersPrefix+e.ID, nil)
+	}
+	fresh := s.server(standin.ServerConfig{ID: "fresh", Service: "huvo11a", Domain: "bergen-a", Card: "a100"})
+	require.Eventually(t, func() bool { return fresh.Held().Len() > 0 }, patience, 5*time.Millisecond, "nobody gave orders")
+	next.awaitReady(t)
+}
+
+// On drawn days two VMs that saw different members asked each other, and one that
+// was leaving answered on: both told of no newer version for seconds (CONFIG).
+func TestOnlyAVMThatWatchesTheStoreTellsOfChanges(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	v.awaitReady(t)
+	s.configure(8)
+	var known uint64
+	require.Eventually(t, func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		_, asOf, ok := v.changed.Since(1 << 40)
+		known = asOf
+		return ok && v.core.Table().Config().Version == 8
+	}, patience, time.Millisecond)
+	require.False(t, v.changesSince(known).Missing)
+	v.mu.Lock()
+	for i := range 9 { // lower names: this VM is no reader any more
+		name := fmt.Sprint("a0-", i)
+		v.members[name] = member{VM: name, Domain: "bergen-a", Peers: "127.0.0.1:1"}
+	}
+	v.directUntil = 0
+	v.mu.Unlock()
+	require.True(t, v.changesSince(known).Missing)
+}
+
+func TestALeavingVMTellsOfNoChanges(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	v.awaitReady(t)
+	v.stopping.Store(true)
+	require.True(t, v.changesSince(1<<40).Missing)
+	v.stopping.Store(false)
+}
--- a/internal/router/small.go
+++ b/internal/router/small.go
@@ -12,8 +12,6 @@
 	"github.com/catkinstair/catkinstair/platform"
 )
 
-var errDutyLost = errors.New("this VM holds the duty no more")
-
 // counters are the metrics of the process.
 type counters struct {
 	storeErrors, gossipErrors, readerErrors, orders, reports, refused, resumed, repathed, repeated, failed *metrics.Counter
@@ -55,6 +53,7 @@
 			return err
 		}
 		s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
+		r.small = append(r.small, s)
 		go func() {
 			if err := s.Serve(l); err != nil {
 				r.log.Error().Err(err).Str("addr", l.Addr().String()).Msg("server ended")
