Logs: the request's id on refusals before a configuration, broken connections as JSON lines

Found while tracing three failed requests by their ids: 'no-configuration' refusals had no id, and the HTTP library wrote plain text on standard error. No decision changes.

--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -46,7 +46,7 @@
 	}
 	// A configuration of a hundred kilobytes goes to a dozen VMs over a slow link.
 	handler := fasthttp.CompressHandlerLevel(r.handleChanges, fasthttp.CompressBestSpeed)
-	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
+	s := &fasthttp.Server{Logger: serverLog{r.log}, Handler: handler, NoDefaultServerHeader: true}
 	r.small = append(r.small, s)
 	go func() {
 		if err := s.Serve(l); err != nil {
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/dispatch"
@@ -37,7 +39,7 @@
 		return nil, err
 	}
 	s := &fasthttp.Server{
-		Handler: r.handle, NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
+		Logger: serverLog{r.log}, Handler: r.handle, NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, IdleTimeout: callerIdle,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 	}
@@ -49,6 +51,13 @@
 	return s, nil
 }
 
+// serverLog writes what the HTTP servers say of broken connections as JSON lines.
+type serverLog struct{ log zerolog.Logger }
+
+func (l serverLog) Printf(format string, args ...any) {
+	l.log.Info().Str("detail", fmt.Sprintf(format, args...)).Msg("connection ended")
+}
+
 // exchange is one caller's request and all that is done for it.
 type exchange struct {
 	r      *Router
@@ -78,7 +87,8 @@
 		return
 	}
 	if x == nil {
-		r.refuse(ctx, "", verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoConfig, RetryAfter: notYet})
+		id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
+		r.refuse(ctx, id, verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoConfig, RetryAfter: notYet})
 		return
 	}
 	r.open.Add(1)
--- a/internal/router/small.go
+++ b/internal/router/small.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			return err
 		}
-		s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
+		s := &fasthttp.Server{Logger: serverLog{r.log}, Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
 		r.small = append(r.small, s)
 		go func() {
 			if err := s.Serve(l); err != nil {
