--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/platform"
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
@@ -210,6 +211,34 @@
 	require.Equal(t, 2, s.fleet.Runs("resumed"))
 }
 
+// A reset answer is no end of its server: on hunted days streams were resumed on a
+// third server of two that their route allows (BUDGET).
+func TestAStreamRunsOnNoMoreServersThanItsRouteAllows(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, 200, 10*time.Millisecond)
+	v.awaitReady(t)
+	resp := v.call(t, "POST", streamURI, "twice")
+	dead := ""
+	for range 2 {
+		var path []paths.Part
+		require.Eventually(t, func() bool {
+			path = v.pathOf("twice")
+			return len(path) > 0 && path[0].Addr != dead
+		}, patience, time.Millisecond)
+		dead = path[0].Addr
+		for _, e := range engines {
+			if e.Addr == dead {
+				e.Die()
+			}
+		}
+	}
+	_, err := io.ReadAll(resp.Body)
+	require.Error(t, err, "a cut answer must not look whole")
+	require.Equal(t, 2, s.fleet.Runs("twice"))
+}
+
 func TestPlainCalls(t *testing.T) {
 	s := newSite(t)
 	v := s.vm("a1")
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -115,9 +115,7 @@
 		return *unsent < maxUnsent
 	}
 	x.req.Sends++
-	if target := s.choice.Target(); s.fault != target.Addr {
-		x.req.SentTo[target.Instance.ID] = true // one that was lost does not count
-	}
+	x.req.SentTo[s.choice.Target().Instance.ID] = true
 	return x.req.Sends < maxSends
 }
 
