Streams: a late timer knows its own run; old traces name packages as they were

(1) The race detector: the stall watch of an ended run set the timer of the next one. (2) Kinds in recorded traces are package.Type, and internal/platform became internal/store. (3) New property tests had no fixed seed. Change: runs are counted, a timer sets itself again only within its run; movedPackages; proptest imported.

--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/catkinstair/catkinstair/internal/proptest" // fixes the seed
+
 	"github.com/catkinstair/catkinstair/internal/engine"
 	"github.com/catkinstair/catkinstair/internal/fleet"
 	"github.com/catkinstair/catkinstair/internal/paths"
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/catkinstair/catkinstair/internal/proptest" // fixes the seed
 )
 
 func config() Config {
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -17,12 +17,15 @@
 	limit := st.x.r.cfg.Stalled + ch.First
 	first := ch.Target().Addr
 	st.touch()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	run := st.runs
 	st.stall = time.AfterFunc(limit, func() {
 		st.mu.Lock()
 		silent := time.Since(st.heard)
 		st.mu.Unlock()
 		if silent < limit {
-			st.stall.Reset(limit - silent)
+			st.watchAgain(run, limit-silent)
 			return
 		}
 		if fault := st.x.r.stalledAt(first, st.x.req.ID); fault != "" {
@@ -31,10 +34,20 @@
 		} else {
 			limit *= 2 // slow, not stalled: a question is priced
 		}
-		st.stall.Reset(limit)
+		st.watchAgain(run, limit)
 	})
 }
 
+// watchAgain sets the watch of a run anew, unless that run is over: the timer may
+// by then be another run's.
+func (st *stream) watchAgain(run int, after time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !st.ended && st.runs == run {
+		st.stall.Reset(after)
+	}
+}
+
 // leave takes the stream off a lost server: its part of the path is given to
 // others while the run goes on; where that fails the run is ended, and resumed
 // elsewhere.
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -34,6 +34,7 @@
 	mu      sync.Mutex // guards heard, ended and send.choice, which a change of path replaces
 	heard   time.Time
 	moving  bool // an order to change the path is under way
+	runs    int  // counts runs, so that a late timer knows its own
 	ended   bool // the run is over; its choice is no longer replaced
 	closing bool
 
@@ -130,6 +131,7 @@
 	defer st.mu.Unlock()
 	st.runCtx, st.run = context.WithCancelCause(st.x.callerCtx)
 	st.send, st.ended = sent{choice: ch}, false
+	st.runs++
 }
 
 // setSend takes in what came of a send. The choice stays: the path may have been
@@ -274,8 +276,8 @@
 
 // endRun ends what watches a run. Its connection is left to the exchange.
 func (st *stream) endRun() {
-	st.stall.Stop()
 	st.mu.Lock()
+	st.stall.Stop()
 	st.ended = true
 	st.mu.Unlock()
 	if !st.done {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"io"
 	"reflect"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,6 +59,39 @@
 	Body json.RawMessage `json:"body"`
 }
 
+// movedPackages are packages that were renamed since traces were recorded: the
+// kinds in old traces name them as they were.
+var movedPackages = map[string]string{"platform": "store"}
+
+// currentKind is the present name of a recorded kind.
+func currentKind(kind string) string {
+	pkg, name, ok := strings.Cut(kind, ".")
+	if now, moved := movedPackages[pkg]; ok && moved {
+		return now + "." + name
+	}
+	return kind
+}
+
+// UnmarshalJSON reads an item with the present name of its kind.
+func (i *Item) UnmarshalJSON(text []byte) error {
+	type plain Item
+	if err := json.Unmarshal(text, (*plain)(i)); err != nil {
+		return err
+	}
+	i.Kind = currentKind(i.Kind)
+	return nil
+}
+
+// UnmarshalJSON reads an outcome with the present name of its kind.
+func (o *Outcome) UnmarshalJSON(text []byte) error {
+	type plain Outcome
+	if err := json.Unmarshal(text, (*plain)(o)); err != nil {
+		return err
+	}
+	o.Kind = currentKind(o.Kind)
+	return nil
+}
+
 // ErrUnknownKind is returned for a kind that the registry does not hold.
 var ErrUnknownKind = errors.New("unknown kind")
 
