Backend servers: a record that vanishes after an outage is a server that leaves

For 2.5 s after the store's return every removal was taken for a lapsed record, also those seen live; a leaving server got work 2.26 s after its word. Change: only what is read while the store still counts as away may have lapsed.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,7 +48,6 @@
 	lastNew  time.Duration // when the last new backend server came
 	everHeld bool          // a backend server was seen holding layers
 	away     bool          // the store could not be read
-	backAt   time.Duration // when it could be read again
 	moving   map[fleet.Instance]movement
 
 	changed     *follow.Log[platform.Item] // for VMs that ask this one
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -333,6 +333,35 @@
 	}, patience, time.Millisecond, "the store's return was not noticed")
 }
 
+// A record that vanishes soon after an outage is a server that leaves; taken for a
+// lapsed one it got work for 2.3 s on a hunted day (DRAIN).
+func TestAServerThatLeavesAfterAnOutageGetsNoWork(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	v.awaitReady(t)
+	app := s.server(standin.ServerConfig{ID: "app", Service: "wuno96b", Domain: "bergen-a"})
+	known := func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.core.Fleet.Get("app") != nil
+	}
+	store := func(away bool) func() bool {
+		return func() bool {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			return v.away == away
+		}
+	}
+	require.Eventually(t, known, patience, time.Millisecond)
+	s.store.Fail(standin.StoreFaults{Busy: true})
+	require.Eventually(t, store(true), patience, time.Millisecond)
+	s.store.Fail(standin.StoreFaults{})
+	require.Eventually(t, store(false), patience, time.Millisecond)
+	s.store.Put(platform.ServersPrefix+app.ID, nil)
+	require.Eventually(t, func() bool { return !known() }, time.Second, time.Millisecond)
+}
+
 func TestPlannedStopCutsNothing(t *testing.T) {
 	s := newSite(t)
 	v, other := s.vm("a1"), s.vm("a2")
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -158,11 +158,12 @@
 func (r *Router) takeServer(now time.Duration, it platform.Item) {
 	id := fleet.ID(strings.TrimPrefix(it.Key, platform.ServersPrefix))
 	if it.Removed {
-		away := r.away || (r.backAt > 0 && now < r.backAt+r.cfg.Dispatch.Fleet.ReturnGrace)
+		// What vanished during an outage is read with away still set, and may have
+		// lapsed only. What vanishes while the store is followed is leaving.
 		if r.core.Fleet.Get(id) != nil {
-			r.log.Info().Str("server", string(id)).Bool("storeWasAway", away).Msg("backend server's record is gone")
+			r.log.Info().Str("server", string(id)).Bool("storeWasAway", r.away).Msg("backend server's record is gone")
 		}
-		r.core.Fleet.Remove(now, id, away)
+		r.core.Fleet.Remove(now, id, r.away)
 		return
 	}
 	rec, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
@@ -252,6 +253,6 @@
 	defer r.mu.Unlock()
 	if r.away {
 		r.log.Info().Int("servers", r.core.Fleet.Len()).Int("vms", len(r.members)).Msg("store regained")
-		r.away, r.backAt = false, r.clock.now()
+		r.away = false
 	}
 }
