Placement: a server takes the range that closes most of the gaps

Change: window() picks the range that closes most gaps, then the slowest layers; extend() lets neighbours of a gap take it with tight room when no server is left. Both tests seen failing on the code before.

--- /dev/null
+++ b/internal/placement/gap_test.go
@@ -0,0 +1,50 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinstair/catkinstair/internal/fleet"
+	"github.com/catkinstair/catkinstair/internal/placement"
+)
+
+// From an incident: a large server left, small ones took some of its layers, and the
+// large one that came for it was given what was left of the first gap only.
+func TestLargeServerTakesTheWholeGapOfItsPredecessor(t *testing.T) {
+	s := spec(t)
+	holders, _ := settle(t, s, site(s, 1, 8, 6))
+	var rest []placement.Holder
+	for _, h := range holders {
+		if h.Domain != "a" || h.Held.From >= 23 {
+			rest = append(rest, h)
+		}
+	}
+	slow := placement.Holder{Instance: fleet.Instance{ID: "slow"}, Domain: "a", Card: s.Cards["l4"], Held: fleet.Layers{From: 11, To: 18}}
+	large := placement.Holder{Instance: fleet.Instance{ID: "large"}, Domain: "a", Card: s.Cards["a100"]}
+	orders := placement.Plan(placement.DefaultConfig(), s, append(rest, slow, large))
+	require.Equal(t, fleet.Instance{ID: "large"}, orders[0].Instance)
+	require.Equal(t, fleet.Layers{From: 0, To: 23}, orders[0].Layers)
+}
+
+// A failure domain without a server to spare stays whole: the servers beside a small
+// gap take its layers, with as little room as the operators plan for.
+func TestNeighboursCloseAGapThatNoServerIsLeftFor(t *testing.T) {
+	s := spec(t)
+	var holders []placement.Holder
+	add := func(id, domain, card string, from, to int) {
+		holders = append(holders, placement.Holder{Instance: fleet.Instance{ID: fleet.ID(id)}, Domain: domain,
+			Card: s.Cards[card], Held: fleet.Layers{From: from, To: to}})
+	}
+	add("fast", "a", "a100", 0, 23)
+	for i, from := 0, 25; from < 80; i, from = i+1, from+7 {
+		add(string(rune('p'+i)), "a", "l4", from, min(80, from+7))
+	}
+	add("other", "b", "a100", 0, 23)
+	orders := placement.Plan(placement.DefaultConfig(), s, holders)
+	require.Len(t, orders, 1)
+	require.Equal(t, fleet.Layers{From: 0, To: 25}, orders[0].Layers)
+	after := carryOut(holders, orders)
+	require.True(t, covered(s, after, "a"))
+	require.Empty(t, placement.Plan(placement.DefaultConfig(), s, after))
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -44,6 +44,10 @@
 	// the weights: what a cover has in flight at the peak, and half as much more for a
 	// failure domain that lost a large server. Default 1.7.
 	RoomShare float64
+	// TightShare takes the place of RoomShare where that keeps a failure domain
+	// whole: a gap there sends all its requests through the pipe between domains.
+	// Default 1, the operators' own figure.
+	TightShare float64
 	// Weak is the part of the mean room below which layers are given more servers,
 	// also from other failure domains: every path passes them. Default 0.6.
 	Weak float64
@@ -53,7 +57,7 @@
 }
 
 // DefaultConfig returns the defaults that Config names.
-func DefaultConfig() Config { return Config{RoomShare: 1.7, Weak: 0.6, Gain: 1.3} }
+func DefaultConfig() Config { return Config{RoomShare: 1.7, TightShare: 1, Weak: 0.6, Gain: 1.3} }
 
 type plan struct {
 	cfg     Config
@@ -69,8 +73,9 @@
 	domains := p.domains()
 	for _, d := range domains {
 		p.fill(d, 1, true)
+		p.extend(d)
 	}
-	p.fillAnywhere()
+	p.fill("", 1, true) // a domain without spare servers may lean on another's
 	p.strengthen()
 	for level := 2; p.idle() && level <= len(p.holders); level++ {
 		for _, d := range domains {
@@ -114,8 +119,10 @@
 	return h.Held.Len() == 0 && !h.Moving && !h.Suspect && p.fitting(h) > 0
 }
 
-func (p *plan) fitting(h *Holder) int {
-	return p.spec.Fitting(h.Card, p.cfg.RoomShare*float64(p.spec.RoomTokens))
+func (p *plan) fitting(h *Holder) int { return p.fittingWith(h, p.cfg.RoomShare) }
+
+func (p *plan) fittingWith(h *Holder, share float64) int {
+	return p.spec.Fitting(h.Card, share*float64(p.spec.RoomTokens))
 }
 
 // covers counts for each layer the servers that hold it in domain, or in all
@@ -134,36 +141,82 @@
 	return n
 }
 
-// firstGap returns the first run of layers held fewer than level times, from
-// layer start on.
-func firstGap(covers []int, level, start int) fleet.Layers {
-	from := start
-	for from < len(covers) && covers[from] >= level {
-		from++
-	}
-	to := from
-	for to < len(covers) && covers[to] < level {
-		to++
-	}
-	return fleet.Layers{From: from, To: to}
-}
-
 // fill closes the gaps of a domain at a level, from idle servers and, where move
 // is set, from servers whose layers are held by others too.
 func (p *plan) fill(domain string, level int, move bool) {
-	for start := 0; start < p.spec.Layers; {
+	for {
 		covers := p.covers(domain)
-		gap := firstGap(covers, level, start)
-		if gap.Len() == 0 {
+		if lacking(covers, level) == 0 {
 			return
 		}
 		h := p.candidate(domain, covers, move)
 		if h == nil {
 			return
 		}
-		p.order(h, gap)
-		start = h.Held.To
+		p.order(h, p.window(domain, covers, level, p.fitting(h)))
+	}
+}
+
+// lacking counts the layers that are held fewer than level times.
+func lacking(covers []int, level int) int {
+	n := 0
+	for _, c := range covers {
+		if c < level {
+			n++
+		}
+	}
+	return n
+}
+
+// window returns the n layers that close most of the gaps of a level; among equals
+// those whose present holders are slowest and fewest. A large server that comes
+// when small ones have filled a part of the gap so takes all that it can, and sets
+// the small ones free for other layers.
+func (p *plan) window(domain string, covers []int, level, n int) fleet.Layers {
+	lack := p.lack(domain)
+	gaps, sum := 0, 0.0
+	best := fleet.Layers{To: n}
+	mostGaps, most := -1, 0.0
+	for l := range covers {
+		if covers[l] < level {
+			gaps++
+		}
+		sum += lack[l]
+		if l >= n {
+			sum -= lack[l-n]
+			if covers[l-n] < level {
+				gaps--
+			}
+		}
+		if l >= n-1 && (gaps > mostGaps || (gaps == mostGaps && sum > most+rounding)) {
+			best, mostGaps, most = fleet.Layers{From: l + 1 - n, To: l + 1}, gaps, sum
+		}
+	}
+	return best
+}
+
+// rounding is what sums of lack may differ by for their order of adding.
+const rounding = 1e-9
+
+// lack is, for each layer, the time of a step there if all its holders share the
+// requests, as a multiple of the reference card's; 0 where nobody holds it.
+func (p *plan) lack(domain string) []float64 {
+	speed := make([]float64, p.spec.Layers)
+	for i := range p.holders {
+		h := &p.holders[i]
+		if h.Suspect || (domain != "" && h.Domain != domain) || h.Card.StepX <= 0 {
+			continue
+		}
+		for l := max(0, h.Held.From); l < min(h.Held.To, p.spec.Layers); l++ {
+			speed[l] += 1 / h.Card.StepX
+		}
+	}
+	for l, s := range speed {
+		if s > 0 {
+			speed[l] = 1 / s
+		}
 	}
+	return speed
 }
 
 // candidate is the fastest idle server, or the slowest whose layers are all held
@@ -199,26 +252,8 @@
 	return true
 }
 
-func (p *plan) order(h *Holder, gap fleet.Layers) {
-	h.Held = fleet.Layers{From: gap.From, To: gap.From + min(gap.Len(), p.fitting(h))}
+func (p *plan) order(h *Holder, layers fleet.Layers) {
+	h.Held = layers
 	h.Moving = true
 	p.orders = append(p.orders, Order{Instance: h.Instance, Layers: h.Held})
 }
-
-// fillAnywhere closes gaps that no failure domain covers, from any of them: a
-// domain without spare servers may then lean on another's.
-func (p *plan) fillAnywhere() {
-	for start := 0; start < p.spec.Layers; {
-		covers := p.covers("")
-		gap := firstGap(covers, 1, start)
-		if gap.Len() == 0 {
-			return
-		}
-		h := p.candidate("", covers, true)
-		if h == nil {
-			return
-		}
-		p.order(h, gap)
-		start = h.Held.To
-	}
-}
--- a/internal/placement/strengthen.go
+++ b/internal/placement/strengthen.go
@@ -20,10 +20,22 @@
 		if h == nil {
 			return
 		}
-		p.order(h, weak)
+		p.order(h, p.around(weak, p.fitting(h)))
 	}
 }
 
+// around returns the n layers that hold all of weak, or as much of it as fits, and
+// beside it those whose holders are slowest and fewest.
+func (p *plan) around(weak fleet.Layers, n int) fleet.Layers {
+	covers := make([]int, p.spec.Layers)
+	for l := range covers {
+		if l < weak.From || l >= weak.To {
+			covers[l] = 1
+		}
+	}
+	return p.window("", covers, 1, n)
+}
+
 // room is the number of tokens that fit in each layer, over all servers.
 func (p *plan) room() []float64 {
 	out := make([]float64, p.spec.Layers)
