Slow backend servers: asked for their pace when a stream is late, told to all VMs

SlowX existed in the cost of a path and was never set.

Change: the watch of a silent stream, when the first server waits for nobody, asks the servers of its path for their pace, each at most every 2 s; a pace other than 1 is told with the loads and counts for 4 s.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -218,7 +218,7 @@
 		own := loadOf(s.Own)
 		others := c.Loads.Others(now, LoadKey(s.Instance()), own)
 		out = append(out, paths.Holder{Instance: s.Instance(), Addr: s.Addr, Domain: s.Domain, Card: card, Held: s.Held,
-			Streams: own.Streams + others.Streams, TokenLayers: own.TokenLayers + others.TokenLayers, SlowX: s.SlowX,
+			Streams: own.Streams + others.Streams, TokenLayers: own.TokenLayers + others.TokenLayers, SlowX: s.SlowX(now),
 			Slots: float64(spec.Slots), Firsts: c.firsts(now, s, others)})
 	}
 	return out
@@ -375,16 +375,21 @@
 // calls dead.
 func (c *Core) Heard(now time.Duration, m loads.Message) []*fleet.Server {
 	news := c.Loads.Take(now, m)
-	if len(news) == 0 {
+	if len(news.Lost) == 0 && len(news.Slow) == 0 {
 		return nil
 	}
-	called := make(map[loads.Key]bool, len(news))
-	for _, k := range news {
-		called[k] = true
+	dead := make(map[loads.Key]bool, len(news.Lost))
+	for _, k := range news.Lost {
+		dead[k] = true
 	}
 	var out []*fleet.Server
 	for _, id := range c.Fleet.IDs() {
-		if s := c.Fleet.Get(id); called[LoadKey(s.Instance())] {
+		s := c.Fleet.Get(id)
+		key := LoadKey(s.Instance())
+		if x, ok := news.Slow[key]; ok {
+			c.Fleet.Paced(now, s.Instance(), x)
+		}
+		if dead[key] {
 			c.Fleet.Failed(now, s.Instance(), c.cfg.LostFor)
 			out = append(out, s)
 		}
@@ -392,6 +397,16 @@
 	return out
 }
 
+// Paced takes in a server's own word of its pace, and reports whether that is news;
+// the other VMs are told.
+func (c *Core) Paced(now time.Duration, in fleet.Instance, slowX float64) bool {
+	if !c.Fleet.Paced(now, in, slowX) {
+		return false
+	}
+	c.Loads.FoundSlow(now, LoadKey(in), slowX)
+	return true
+}
+
 // OwnLoads is this VM's work in progress on each server.
 func (c *Core) OwnLoads(now time.Duration) map[loads.Key]loads.Load {
 	out := map[loads.Key]loads.Load{}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,11 +16,18 @@
 	Suspicion time.Duration
 	// MaxSuspicion bounds it. Default 5 s.
 	MaxSuspicion time.Duration
+	// SlowFor is how long a server's word that it is slow counts; then requests go
+	// there again and find out. Default 4 s.
+	SlowFor time.Duration
+	// AskPause is the least time between two priced questions to one server for its
+	// pace. Default 2 s.
+	AskPause time.Duration
 }
 
 // DefaultConfig returns the defaults that Config names.
 func DefaultConfig() Config {
-	return Config{ReturnGrace: 2500 * time.Millisecond, Suspicion: 300 * time.Millisecond, MaxSuspicion: 5 * time.Second}
+	return Config{ReturnGrace: 2500 * time.Millisecond, Suspicion: 300 * time.Millisecond, MaxSuspicion: 5 * time.Second,
+		SlowFor: 4 * time.Second, AskPause: 2 * time.Second}
 }
 
 // Server is what is believed of one backend server.
@@ -32,11 +39,12 @@
 	Own Work
 	// LastTold is what the server last said of its load.
 	LastTold Told
-	// SlowX is over 1 for a server that was seen to be slower than its card.
-	SlowX float64
 
 	strikes      int
 	suspectUntil time.Duration
+	slowX        float64
+	slowUntil    time.Duration
+	askAgain     time.Duration // its own word of its pace is not asked for before
 	// goneAt is when a record that vanished during an outage stops counting.
 	goneAt time.Duration
 }
@@ -44,6 +52,14 @@
 // Suspect reports whether s is avoided at now.
 func (s *Server) Suspect(now time.Duration) bool { return now < s.suspectUntil }
 
+// SlowX is over 1 for a server that was found slower than its card.
+func (s *Server) SlowX(now time.Duration) float64 {
+	if now >= s.slowUntil {
+		return 1
+	}
+	return s.slowX
+}
+
 // Told is a server's own word of its load.
 type Told struct {
 	At time.Duration
@@ -100,7 +116,7 @@
 		if s != nil {
 			f.forgetAddr(s)
 		}
-		f.servers[r.ID] = &Server{Record: r, SlowX: 1}
+		f.servers[r.ID] = &Server{Record: r}
 		f.byAddr[r.Addr] = r.ID
 		return true
 	}
@@ -180,6 +196,30 @@
 	}
 }
 
+// MayAsk reports whether one life of a server may be asked for its pace now, and
+// counts that as done.
+func (f *Fleet) MayAsk(now time.Duration, in Instance) bool {
+	s := f.current(in)
+	if s == nil || now < s.askAgain {
+		return false
+	}
+	s.askAgain = now + f.cfg.AskPause
+	return true
+}
+
+// Paced takes in a server's pace: over 1 where it is slower than its card. It
+// reports whether that is news.
+func (f *Fleet) Paced(now time.Duration, in Instance, slowX float64) bool {
+	s := f.current(in)
+	if s == nil {
+		return false
+	}
+	s.askAgain = max(s.askAgain, now+f.cfg.AskPause)
+	was := s.SlowX(now)
+	s.slowX, s.slowUntil = max(1, slowX), now+f.cfg.SlowFor
+	return s.slowX != was
+}
+
 // Told takes in what one life of a server says of its load.
 func (f *Fleet) Told(now time.Duration, in Instance, requests float64) {
 	if s := f.current(in); s != nil {
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -70,6 +70,27 @@
 	Loads  map[Key]Packed `cbor:"5,keyasint"`
 	// Lost holds servers that were found dead, with the age of the finding.
 	Lost map[Key]time.Duration `cbor:"6,keyasint,omitempty"`
+	// Slow holds servers that said lately that they are slow, or no longer are.
+	Slow map[Key]Slow `cbor:"7,keyasint,omitempty"`
+}
+
+// Slow is a server's word of its pace.
+type Slow struct {
+	_       struct{} `cbor:",toarray"`
+	Percent uint16   // of the time that its card needs
+	Age     time.Duration
+}
+
+type slowAt struct {
+	percent uint16
+	at      time.Duration
+}
+
+// News is what a message newly says of servers.
+type News struct {
+	Lost []Key
+	// Slow is how many times longer than its card a server takes.
+	Slow map[Key]float64
 }
 
 // Packed is a Load in a message: streams, firsts and thousands of tokens x layers,
@@ -139,12 +160,13 @@
 	told    map[Key]Load     // own work, as told last
 	inTotal map[Key]Load     // own work, as the total holds it
 	lost    map[Key]time.Duration
+	slow    map[Key]slowAt
 }
 
 // New returns the Core of the VM self; start makes the numbers of its messages
 // rise over restarts.
 func New(cfg Config, self Member, start uint64) *Core {
-	return &Core{cfg: cfg, self: self, seq: start, owns: map[string]heard{}, sums: map[string]heard{}, lost: map[Key]time.Duration{}}
+	return &Core{cfg: cfg, self: self, seq: start, owns: map[string]heard{}, sums: map[string]heard{}, lost: map[Key]time.Duration{}, slow: map[Key]slowAt{}}
 }
 
 // SetMembers replaces the list of VMs.
@@ -197,7 +219,7 @@
 	c.seq++
 	c.told = own
 	if head.VM != c.self.VM {
-		m := Message{From: c.self.VM, Domain: c.self.Domain, Of: OfVM, Seq: c.seq, Loads: pack(own), Lost: c.findings(now)}
+		m := Message{From: c.self.VM, Domain: c.self.Domain, Of: OfVM, Seq: c.seq, Loads: pack(own), Lost: c.findings(now), Slow: c.slowNow(now)}
 		return []Send{{Addr: head.Addr, Message: m}}
 	}
 	sum := c.sum(now, own)
@@ -242,6 +264,23 @@
 	return out
 }
 
+// FoundSlow notes a server's word of its pace, to pass it on.
+func (c *Core) FoundSlow(now time.Duration, k Key, slowX float64) {
+	c.slow[k] = slowAt{percent: uint16(min(100*slowX, 1<<16-1)), at: now}
+}
+
+func (c *Core) slowNow(now time.Duration) map[Key]Slow {
+	out := map[Key]Slow{}
+	for k, s := range c.slow {
+		if now-s.at > c.cfg.Passed {
+			delete(c.slow, k)
+			continue
+		}
+		out[k] = Slow{Percent: s.percent, Age: now - s.at}
+	}
+	return out
+}
+
 func (c *Core) sum(now time.Duration, own map[Key]Load) map[Key]Load {
 	sum := make(map[Key]Load, len(own))
 	add(sum, own)
@@ -264,7 +303,7 @@
 // spread sends the domain's sum to the other heads, and that of all to the members.
 func (c *Core) spread(now time.Duration, sum map[Key]Load) []Send {
 	message := func(of Of, loads map[Key]Load) Message {
-		return Message{From: c.self.VM, Domain: c.self.Domain, Of: of, Seq: c.seq, Loads: pack(loads), Lost: c.findings(now)}
+		return Message{From: c.self.VM, Domain: c.self.Domain, Of: of, Seq: c.seq, Loads: pack(loads), Lost: c.findings(now), Slow: c.slowNow(now)}
 	}
 	toHeads, toMembers := message(OfDomain, sum), message(OfAll, c.total.loads)
 	var out []Send
@@ -281,16 +320,27 @@
 	return out
 }
 
-// Take takes in a message and returns the servers that it newly calls dead. Loads
-// that are older than what is known change nothing.
-func (c *Core) Take(now time.Duration, m Message) []Key {
-	var news []Key
+// Take takes in a message and returns what it newly says of servers. Loads that are
+// older than what is known change nothing.
+func (c *Core) Take(now time.Duration, m Message) News {
+	var news News
 	for k, age := range m.Lost {
 		at, known := c.lost[k]
 		if age >= 0 && age <= c.cfg.Passed && (!known || now-at > c.cfg.Passed) {
 			c.lost[k] = now - age
-			news = append(news, k)
+			news.Lost = append(news.Lost, k)
+		}
+	}
+	for k, s := range m.Slow {
+		old, known := c.slow[k]
+		if s.Age < 0 || s.Age > c.cfg.Passed || (known && old.at >= now-s.Age) || (known && old.percent == s.Percent) {
+			continue
+		}
+		c.slow[k] = slowAt{percent: s.Percent, at: now - s.Age}
+		if news.Slow == nil {
+			news.Slow = map[Key]float64{}
 		}
+		news.Slow[k] = float64(s.Percent) / 100
 	}
 	c.takeLoads(now, m)
 	return news
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -15,10 +15,11 @@
 	cut  map[string]bool
 	now  time.Duration
 	news map[string][]Key
+	slow map[string][]float64
 }
 
 func newNet(t *testing.T, domains map[string]string) *net {
-	n := &net{t: t, vms: map[string]*Core{}, own: map[string]map[Key]Load{}, cut: map[string]bool{}, news: map[string][]Key{}}
+	n := &net{t: t, vms: map[string]*Core{}, own: map[string]map[Key]Load{}, cut: map[string]bool{}, news: map[string][]Key{}, slow: map[string][]float64{}}
 	var members []Member
 	for vm, domain := range domains {
 		members = append(members, Member{VM: vm, Domain: domain, Addr: vm})
@@ -39,12 +40,19 @@
 		}
 		for _, s := range c.Tick(n.now, n.own[vm]) {
 			if !n.cut[s.Addr] {
-				n.news[s.Addr] = append(n.news[s.Addr], n.vms[s.Addr].Take(n.now, s.Message)...)
+				n.took(s.Addr, n.vms[s.Addr].Take(n.now, s.Message))
 			}
 		}
 	}
 }
 
+func (n *net) took(vm string, news News) {
+	n.news[vm] = append(n.news[vm], news.Lost...)
+	for _, x := range news.Slow {
+		n.slow[vm] = append(n.slow[vm], x)
+	}
+}
+
 func sixVMs() map[string]string {
 	return map[string]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b", "c1": "c"}
 }
@@ -127,3 +135,25 @@
 	}
 	require.Len(t, n.news["a1"], 1)
 }
+
+func TestASlowServerIsToldToAllOnceAndSoIsItsRecovery(t *testing.T) {
+	n := newNet(t, sixVMs())
+	n.vms["b2"].FoundSlow(n.now, server, 3)
+	for range 15 {
+		n.round()
+	}
+	n.vms["c1"].FoundSlow(n.now, server, 1)
+	for range 15 {
+		n.round()
+	}
+	for vm := range n.vms {
+		switch vm {
+		case "b2":
+			require.Equal(t, []float64{1}, n.slow[vm])
+		case "c1":
+			require.Equal(t, []float64{3}, n.slow[vm])
+		default:
+			require.Equal(t, []float64{3, 1}, n.slow[vm], vm)
+		}
+	}
+}
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -33,6 +33,7 @@
 			st.leave(fault)
 		} else {
 			limit *= 2 // slow, not stalled: a question is priced
+			st.x.r.askPaces(st.choice())
 		}
 		st.watchAgain(run, limit)
 	})
@@ -148,9 +149,39 @@
 		r.log.Info().Err(err).Str("addr", first).Msg("report not read")
 		return ""
 	}
+	r.paced(first, rep.SlowX)
 	return rep.Stalled[requestID]
 }
 
+// askPaces asks the servers of a path on which a stream is late whether they are
+// slow, but for those that were asked lately.
+func (r *Router) askPaces(ch *dispatch.Choice) {
+	for _, p := range ch.Parts {
+		r.mu.Lock()
+		may := r.core.Fleet.MayAsk(r.clock.now(), p.Instance)
+		r.mu.Unlock()
+		if !may {
+			continue
+		}
+		rep, err := r.report(p.Addr)
+		if err != nil {
+			r.log.Info().Err(err).Str("addr", p.Addr).Msg("report not read")
+			continue
+		}
+		r.paced(p.Addr, rep.SlowX)
+	}
+}
+
+// paced takes in a server's own word of its pace.
+func (r *Router) paced(addr string, slowX float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.core.Fleet.At(addr)
+	if s != nil && r.core.Paced(r.clock.now(), s.Instance(), slowX) {
+		r.log.Info().Str("server", string(s.ID)).Str("addr", addr).Float64("slowX", slowX).Msg("backend server's pace")
+	}
+}
+
 // streamTable holds the streams in progress, to find those that pass a lost
 // server.
 type streamTable struct {
