Slow servers: streams that wait for their first event leave them

The pipe's meter allowed a whole second's tokens at once.

The pipe is counted over 0.4 s, and times all VMs while their loads are unknown.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strconv"
 	"time"
 
@@ -155,6 +156,25 @@
 	return ch, nil
 }
 
+// Elsewhere reports whether a request that was sent to a server could be sent to
+// another one now.
+func (c *Core) Elsewhere(now time.Duration, r *Request, sentTo fleet.ID) bool {
+	if !c.budget(r.Service.Name).Allows(now, retry.Again, c.vms) {
+		return false
+	}
+	again := *r
+	again.Sends++
+	again.SentTo, again.Avoid = with(r.SentTo, sentTo), with(r.Avoid, sentTo)
+	_, refusal := c.find(now, &again)
+	return refusal == nil
+}
+
+func with(set map[fleet.ID]bool, id fleet.ID) map[fleet.ID]bool {
+	out := maps.Clone(set)
+	out[id] = true
+	return out
+}
+
 func (c *Core) notRun(cause verdict.Cause, detail string) *verdict.Refusal {
 	return &verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: c.cfg.ComeBack, Detail: detail}
 }
@@ -314,6 +334,9 @@
 		return 0
 	}
 	own := loads.Load{TokenLayers: c.pipe.rate(now)}
+	if !c.Loads.Known(now) {
+		return own.TokenLayers * float64(c.vms) / most // all VMs may have started just now
+	}
 	return (own.TokenLayers + c.Loads.Others(now, pipeKey, own).TokenLayers) / most
 }
 
@@ -371,27 +394,29 @@
 	return c.Loads.Found(now, LoadKey(in))
 }
 
-// Heard takes in a message of another VM and returns the servers that it newly
-// calls dead.
-func (c *Core) Heard(now time.Duration, m loads.Message) []*fleet.Server {
-	news := c.Loads.Take(now, m)
-	if len(news.Lost) == 0 && len(news.Slow) == 0 {
-		return nil
+// News are backend servers that another VM found dead, or slow.
+type News struct{ Lost, Slow []*fleet.Server }
+
+// Heard takes in a message of another VM and returns what it newly says.
+func (c *Core) Heard(now time.Duration, m loads.Message) News {
+	said := c.Loads.Take(now, m)
+	var out News
+	if len(said.Lost) == 0 && len(said.Slow) == 0 {
+		return out
 	}
-	dead := make(map[loads.Key]bool, len(news.Lost))
-	for _, k := range news.Lost {
+	dead := make(map[loads.Key]bool, len(said.Lost))
+	for _, k := range said.Lost {
 		dead[k] = true
 	}
-	var out []*fleet.Server
 	for _, id := range c.Fleet.IDs() {
 		s := c.Fleet.Get(id)
 		key := LoadKey(s.Instance())
-		if x, ok := news.Slow[key]; ok {
-			c.Fleet.Paced(now, s.Instance(), x)
+		if x, ok := said.Slow[key]; ok && c.Fleet.Paced(now, s.Instance(), x) {
+			out.Slow = append(out.Slow, s)
 		}
 		if dead[key] {
 			c.Fleet.Failed(now, s.Instance(), c.cfg.LostFor)
-			out = append(out, s)
+			out.Lost = append(out.Lost, s)
 		}
 	}
 	return out
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -104,7 +104,7 @@
 	ch, _ := c.Choose(0, r)
 	lost := ch.Parts[0]
 	news := c.Heard(0, loads.Message{From: "a0", Domain: "a", Seq: 1, Lost: map[loads.Key]time.Duration{dispatch.LoadKey(lost.Instance): 0}})
-	require.Len(t, news, 1)
+	require.Len(t, news.Lost, 1)
 	again, refusal := c.Choose(time.Second, streamRequest(c, "r2"))
 	require.Nil(t, refusal)
 	for _, p := range again.Parts {
--- a/internal/dispatch/pipe.go
+++ b/internal/dispatch/pipe.go
@@ -4,9 +4,10 @@
 
 const (
 	// pipeWindow is the span over which the tokens that cross between failure
-	// domains are counted; pipePieces are its parts.
-	pipeWindow = time.Second
-	pipePieces = 10
+	// domains are counted: a burst of a whole window waits so long in the pipe, and
+	// callers want the first event within half a second. pipePieces are its parts.
+	pipeWindow = 400 * time.Millisecond
+	pipePieces = 8
 	// pipeFull is the part of the shared pipe that may be planned for. Transfers go
 	// one after another: near saturation every path that crosses stalls.
 	pipeFull = 0.85
@@ -31,7 +32,7 @@
 	p.tokens += tokens
 }
 
-// rate is the number of tokens in the last window.
+// rate is the number of tokens a second, over the last window.
 func (m *pipeMeter) rate(now time.Duration) float64 {
 	oldest := int64(now/(pipeWindow/pipePieces)) - pipePieces + 1
 	sum := 0.0
@@ -40,5 +41,5 @@
 			sum += p.tokens
 		}
 	}
-	return sum
+	return sum / pipeWindow.Seconds()
 }
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -369,10 +369,15 @@
 	return known.loads != nil && known.seq >= h.seq && h.at-known.at <= c.cfg.Stale
 }
 
+// Known reports whether the work of all VMs was heard of lately.
+func (c *Core) Known(now time.Duration) bool {
+	return c.total.loads != nil && now-c.total.at <= c.cfg.Stale
+}
+
 // Others estimates the work of all other VMs on a server, with own this VM's.
 func (c *Core) Others(now time.Duration, k Key, own Load) Load {
 	others := float64(c.neighbours() - 1)
-	if c.total.loads == nil || now-c.total.at > c.cfg.Stale {
+	if !c.Known(now) {
 		return Load{}.plus(own, others)
 	}
 	told := c.inTotal[k]
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -57,6 +57,15 @@
 // Repeat counts a further send and reports whether it is allowed, with vms the
 // number of VMs that share the slack.
 func (b *Budget) Repeat(now time.Duration, need Need, vms int) bool {
+	if !b.Allows(now, need, vms) {
+		return false
+	}
+	b.piece(now).repeat++
+	return true
+}
+
+// Allows reports whether a further send is allowed, and counts nothing.
+func (b *Budget) Allows(now time.Duration, need Need, vms int) bool {
 	at := b.piece(now)
 	var requests, repeats float64
 	oldest := at.span - slots + 1
@@ -70,11 +79,7 @@
 	if need == Again {
 		allowed *= againShare
 	}
-	if repeats+1 > allowed {
-		return false
-	}
-	at.repeat++
-	return true
+	return repeats+1 <= allowed
 }
 
 func (b *Budget) piece(now time.Duration) *piece {
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -48,13 +48,22 @@
 
 func (r *Router) hear(m loads.Message) {
 	r.mu.Lock()
-	var lost []string
-	for _, s := range r.core.Heard(r.clock.now(), m) {
+	now := r.clock.now()
+	news := r.core.Heard(now, m)
+	var lost, slow []string
+	for _, s := range news.Lost {
 		lost = append(lost, s.Addr)
 		r.log.Info().Str("server", string(s.ID)).Str("addr", s.Addr).Str("from", m.From).Msg("backend server lost, another VM says")
 	}
+	for _, s := range news.Slow {
+		if s.SlowX(now) >= r.cfg.LeaveSlow {
+			slow = append(slow, s.Addr)
+		}
+		r.log.Info().Str("server", string(s.ID)).Str("addr", s.Addr).Float64("slowX", s.SlowX(now)).Str("from", m.From).Msg("backend server's pace, another VM says")
+	}
 	r.mu.Unlock()
 	r.leave(lost)
+	r.leaveSlow(slow)
 }
 
 // lost notes that an engine waits in vain for the server at addr, and tells the
@@ -89,6 +98,21 @@
 	}
 }
 
+// leaveSlow gives the parts of slow servers to others, for streams that wait for
+// their first event: those that have begun are slower, but don't wait for prompts.
+func (r *Router) leaveSlow(slow []string) {
+	for _, addr := range slow {
+		for _, st := range r.streams.over(addr) {
+			if st.begun() {
+				continue
+			}
+			if err := r.pool.Submit(func() { st.leaveSlow(addr) }); err != nil {
+				r.log.Warn().Err(err).Str("request", st.x.req.ID).Msg("stream not moved off a slow server: all workers are busy")
+			}
+		}
+	}
+}
+
 // tellLoads sends this VM's work, or its failure domain's sum.
 func (r *Router) tellLoads(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -53,16 +53,51 @@
 // others while the run goes on; where that fails the run is ended, and resumed
 // elsewhere.
 func (st *stream) leave(fault string) {
-	st.mu.Lock()
-	old, run := st.send.choice, st.run
-	if st.ended || st.moving || !passes(old, fault) {
+	if !st.move(fault) {
+		st.mu.Lock()
+		run := st.run
 		st.mu.Unlock()
+		run(&stalledError{fault: fault})
+	}
+}
+
+// leaveSlow gives the part of a slow server to others, or ends the run on a slow
+// first server where another can take the request. Where that fails the stream
+// waits.
+func (st *stream) leaveSlow(addr string) {
+	first := st.choice().Target()
+	if first.Addr != addr {
+		if !st.move(addr) {
+			st.x.r.log.Info().Str("request", st.x.req.ID).Str("addr", addr).Msg("stream stays on a slow server")
+		}
+		return
+	}
+	x := st.x
+	x.r.mu.Lock()
+	elsewhere := x.r.core.Elsewhere(x.r.clock.now(), &x.req, first.Instance.ID)
+	x.r.mu.Unlock()
+	if !elsewhere || st.begun() {
 		return
 	}
+	st.mu.Lock()
+	run := st.run
+	st.mu.Unlock()
+	run(&stalledError{fault: addr})
+}
+
+// move gives the part of a server to others and reports whether there was nothing
+// to do or it was done.
+func (st *stream) move(addr string) bool {
+	st.mu.Lock()
+	old := st.send.choice
+	if st.ended || st.moving || !passes(old, addr) {
+		st.mu.Unlock()
+		return true
+	}
 	st.moving = true
 	st.mu.Unlock()
 
-	next := st.repath(old, fault)
+	next := st.repath(old, addr)
 
 	st.mu.Lock()
 	st.moving = false
@@ -78,8 +113,9 @@
 	case next != nil:
 		st.x.release(next)
 	default:
-		run(&stalledError{fault: fault})
+		return false
 	}
+	return true
 }
 
 // repath finds others for the part of a lost server and orders the first server to
@@ -91,13 +127,13 @@
 	x.r.mu.Unlock()
 	log := x.r.log.With().Str("request", x.req.ID).Str("fault", fault).Logger()
 	if next == nil {
-		log.Info().Msg("stream waits for a lost server: nobody else has room for its layers")
+		log.Info().Msg("stream stays where it is: nobody else has room for its layers")
 		return nil
 	}
 	status, err := x.r.repath(next, x.req.ID)
 	if err != nil || status/100 != 2 {
 		x.release(next)
-		log.Info().Err(err).Int("status", status).Msg("stream waits for a lost server: order to change its path refused")
+		log.Info().Err(err).Int("status", status).Msg("stream stays where it is: order to change its path refused")
 		return nil
 	}
 	x.r.met.repathed.Inc()
@@ -175,10 +211,15 @@
 // paced takes in a server's own word of its pace.
 func (r *Router) paced(addr string, slowX float64) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	s := r.core.Fleet.At(addr)
-	if s != nil && r.core.Paced(r.clock.now(), s.Instance(), slowX) {
-		r.log.Info().Str("server", string(s.ID)).Str("addr", addr).Float64("slowX", slowX).Msg("backend server's pace")
+	news := s != nil && r.core.Paced(r.clock.now(), s.Instance(), slowX)
+	r.mu.Unlock()
+	if !news {
+		return
+	}
+	r.log.Info().Str("server", string(s.ID)).Str("addr", addr).Float64("slowX", slowX).Msg("backend server's pace")
+	if slowX >= r.cfg.LeaveSlow {
+		r.leaveSlow([]string{addr})
 	}
 }
 
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,8 @@
 	ended   bool // the run is over; its choice is no longer replaced
 	closing bool
 
+	hasEvent atomic.Bool
+
 	first  time.Duration // from the request to its first event
 	maxGap time.Duration // longest pause between two events
 	last   time.Time     // when the last event came
@@ -197,12 +200,16 @@
 func (st *stream) pace(now time.Time) {
 	if st.last.IsZero() {
 		st.first = now.Sub(st.x.began)
+		st.hasEvent.Store(true)
 	} else {
 		st.maxGap = max(st.maxGap, now.Sub(st.last))
 	}
 	st.last = now
 }
 
+// begun reports whether the caller has a part of the answer.
+func (st *stream) begun() bool { return st.hasEvent.Load() }
+
 // Read gives the next whole events to the callers' server. An error that is not
 // io.EOF makes it break the connection off, so that a cut answer never looks
 // whole.
