Moves of layers: streams leave what a server gives up, a busy server gets no order

The giver took it for idle after load + 1.5 s and ordered again: 74 of 132 orders answered 409.

Change: a record that gives up layers makes every VM move its streams off them (not off a first server, which can't be left); before an order is repeated the server is asked whether it is busy; a refused change of path is tried again without the server that the refusal names. Both new tests (given-up layers, slow servers) seen failing with the calls taken out.

--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/catkinstair/catkinstair/internal/fleet"
 	"github.com/catkinstair/catkinstair/internal/loads"
 )
 
@@ -113,6 +114,19 @@
 	}
 }
 
+// leaveGivenUp takes streams off the layers that a server gives up: it waits for
+// them, at times for many seconds, before it loads what it was ordered to hold.
+func (r *Router) leaveGivenUp(addr string, held fleet.Layers) {
+	for _, st := range r.streams.over(addr) {
+		if !st.givenUp(addr, held) {
+			continue
+		}
+		if err := r.pool.Submit(func() { st.move(addr) }); err != nil {
+			r.log.Warn().Err(err).Str("request", st.x.req.ID).Msg("stream not moved off layers that are given up: all workers are busy")
+		}
+	}
+}
+
 // tellLoads sends this VM's work, or its failure domain's sum.
 func (r *Router) tellLoads(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -58,6 +58,11 @@
 		return nil
 	}
 	r.core.Fleet.Expire(now)
+	for in := range r.moving {
+		if s := r.core.Fleet.Get(in.ID); s == nil || s.Born != in.Born {
+			delete(r.moving, in)
+		}
+	}
 	var out []order
 	for name, svc := range table.Config().Services {
 		if svc.Engine == nil {
@@ -82,10 +87,11 @@
 		}
 		h := placement.Holder{Instance: s.Instance(), Domain: s.Domain, Card: card, Held: s.Held, Suspect: s.Suspect(now)}
 		if m, ok := r.moving[s.Instance()]; ok {
-			if now < m.until {
-				h.Held, h.Moving = m.layers, true
-			} else {
-				delete(r.moving, s.Instance())
+			h.Held, h.Moving = m.layers, true
+			if now >= m.until {
+				m.until = now + orderRetry
+				r.moving[s.Instance()] = m
+				r.askMoving(s.Instance(), s.Addr)
 			}
 		}
 		out = append(out, h)
@@ -93,6 +99,36 @@
 	return out
 }
 
+// askMoving asks a server whose order should be done by now. It may still wait for
+// streams that pass the layers it gives up, and takes no other order meanwhile. The
+// caller holds mu.
+func (r *Router) askMoving(in fleet.Instance, addr string) {
+	err := r.pool.Submit(func() {
+		rep, err := r.report(addr)
+		if err != nil {
+			r.log.Warn().Err(err).Str("server", string(in.ID)).Msg("report not read")
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if err == nil && !rep.Busy {
+			r.believeReport(in, rep)
+			delete(r.moving, in)
+		}
+	})
+	if err != nil {
+		r.log.Warn().Err(err).Str("server", string(in.ID)).Msg("server not asked for its order: all workers are busy")
+	}
+}
+
+// believeReport takes in what a server holds, unless it is of another life or older
+// than what is known. The caller holds mu.
+func (r *Router) believeReport(in fleet.Instance, rep platform.Report) {
+	s := r.core.Fleet.Get(in.ID)
+	if s != nil && s.Born == in.Born && s.Born == rep.Born && rep.Orders >= s.Orders {
+		s.Orders, s.Held = rep.Orders, rep.Held
+	}
+}
+
 // place sends one order. One without an answer may have been accepted: the next
 // plan goes by what the server reports.
 func (r *Router) place(o order) {
@@ -101,7 +137,7 @@
 		r.log.Error().Err(err).Msg("order not encoded")
 		return
 	}
-	status, err := r.sendOrder(o.addr, body)
+	status, _, err := r.sendOrder(o.addr, body)
 	ev := r.log.Info()
 	switch {
 	case err == nil && status == platform.StatusOrderBegun:
@@ -126,18 +162,19 @@
 }
 
 // sendOrder makes the call, if this VM still holds the duty at this moment.
-func (r *Router) sendOrder(addr string, body []byte) (int, error) {
+func (r *Router) sendOrder(addr string, body []byte) (status int, fault string, err error) {
 	r.mu.Lock()
 	may := r.duty.MayAct(r.clock.now())
 	r.mu.Unlock()
 	if !may {
-		return 0, errDutyLost
+		return 0, "", errDutyLost
 	}
 	return r.order(addr, body)
 }
 
-// order makes the call of an order, on a connection of its own.
-func (r *Router) order(addr string, body []byte) (int, error) {
+// order makes the call of an order, on a connection of its own. A refusal may name
+// the server at fault.
+func (r *Router) order(addr string, body []byte) (status int, fault string, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -145,28 +182,31 @@
 	req.SetRequestURI("http://" + addr + platform.OrderURI)
 	req.Header.SetContentType("application/json")
 	req.SetBodyRaw(body)
-	err := r.calls.Do(addr, req, resp, httpcall.Within(r.cfg.OrderTimeout).OnFresh())
-	return resp.StatusCode(), err
+	if err := r.calls.Do(addr, req, resp, httpcall.Within(r.cfg.OrderTimeout).OnFresh()); err != nil {
+		return 0, "", err
+	}
+	return resp.StatusCode(), platform.OrderFault(resp.Body()), nil
 }
 
 // refreshOrders asks a server that refused an order what it holds and how many
-// orders it has accepted: its record tells neither at once.
+// orders it has accepted: its record tells neither at once. One that is busy with an
+// order of another giver holds nothing that could be planned with.
 func (r *Router) refreshOrders(o order) {
 	rep, err := r.report(o.addr)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m, ok := r.moving[o.Instance]; ok {
 		m.until = r.clock.now() + orderRetry
+		if err == nil && rep.Busy {
+			m.layers = fleet.Layers{}
+		}
 		r.moving[o.Instance] = m
 	}
 	if err != nil {
 		r.log.Warn().Err(err).Str("server", string(o.Instance.ID)).Msg("report not read")
 		return
 	}
-	s := r.core.Fleet.Get(o.Instance.ID)
-	if s != nil && s.Born == rep.Born && rep.Orders >= s.Orders {
-		s.Orders, s.Held = rep.Orders, rep.Held
-	}
+	r.believeReport(o.Instance, rep)
 }
 
 func (r *Router) report(addr string) (platform.Report, error) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/catkinstair/catkinstair/internal/fleet"
 	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/platform"
 	"github.com/catkinstair/catkinstair/platform/standin"
@@ -211,6 +212,62 @@
 	require.Equal(t, 2, s.fleet.Runs("resumed"))
 }
 
+func at(engines []*standin.Server, addr string) *standin.Server {
+	for _, e := range engines {
+		if e.Addr == addr {
+			return e
+		}
+	}
+	return nil
+}
+
+// On hunted days servers that were ordered to hold other layers waited ten seconds
+// and more for the streams that passed the old ones, and served nothing meanwhile.
+func TestStreamsLeaveLayersThatAServerGivesUp(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, 1000, 5*time.Millisecond) // 5 s
+	v.awaitReady(t)
+	resp := v.call(t, "POST", streamURI, "leaves")
+	path := v.pathOf("leaves")
+	require.Greater(t, len(path), 2)
+	mover := at(engines, path[1].Addr)
+	wanted := fleet.Layers{From: 0, To: 5}
+	body, err := platform.EncodePlace(wanted, 1, 1)
+	require.NoError(t, err)
+	status, _, err := v.order(mover.Addr, body)
+	require.NoError(t, err)
+	require.Equal(t, platform.StatusOrderBegun, status)
+	require.Eventually(t, func() bool { return mover.Held() == wanted }, 2*time.Second, 5*time.Millisecond, "the stream was not moved off")
+	requireWhole(t, resp.Body, 1000)
+	require.Equal(t, 1, s.fleet.Runs("leaves"))
+}
+
+// On a hunted day requests waited two seconds for first events at servers twelve times
+// slower than their cards, until their callers left.
+func TestStreamsThatWaitLeaveASlowServer(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, 20, time.Millisecond)
+	v.awaitReady(t)
+	requireWhole(t, v.call(t, "POST", streamURI, "before").Body, 20)
+	resp := v.call(t, "POST", streamURI, "path")
+	path := v.pathOf("path")
+	requireWhole(t, resp.Body, 20)
+	at(engines, path[1].Addr).Slow(12)
+	began := time.Now()
+	requireWhole(t, v.call(t, "POST", streamURI, "slow").Body, 20)
+	require.Less(t, time.Since(began), 2*time.Second)
+	require.Equal(t, 1, s.fleet.Runs("slow"), "the path was to change under the run")
+	at(engines, path[0].Addr).Slow(12)
+	began = time.Now()
+	requireWhole(t, v.call(t, "POST", streamURI, "first").Body, 20)
+	require.Less(t, time.Since(began), 2*time.Second)
+	require.Equal(t, 2, s.fleet.Runs("first"), "another first server was to take it")
+}
+
 // A reset answer is no end of its server: on hunted days streams were resumed on a
 // third server of two that their route allows (BUDGET).
 func TestAStreamRunsOnNoMoreServersThanItsRouteAllows(t *testing.T) {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// avoid keeps the request from the server at addr, and reports whether that is new.
+func (x *exchange) avoid(addr string) bool {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	s := x.r.core.Fleet.At(addr)
+	if s == nil || x.req.Avoid[s.ID] {
+		return false
+	}
+	x.req.Avoid[s.ID] = true
+	return true
+}
+
 // next releases a failed send, notes it and reports whether the request may be
 // sent again.
 func (x *exchange) next(s *sent, unsent *int) bool {
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/fleet"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -118,27 +119,48 @@
 	return true
 }
 
+// maxRepaths bounds the tries to change the path of a stream: each refusal names a
+// further server to do without.
+const maxRepaths = 3
+
 // repath finds others for the part of a lost server and orders the first server to
 // use them. It returns nil where either fails.
 func (st *stream) repath(old *dispatch.Choice, fault string) *dispatch.Choice {
 	x := st.x
-	x.r.mu.Lock()
-	next := x.r.core.Replace(x.r.clock.now(), &x.req, old, fault)
-	x.r.mu.Unlock()
 	log := x.r.log.With().Str("request", x.req.ID).Str("fault", fault).Logger()
-	if next == nil {
-		log.Info().Msg("stream stays where it is: nobody else has room for its layers")
-		return nil
-	}
-	status, err := x.r.repath(next, x.req.ID)
-	if err != nil || status/100 != 2 {
+	for range maxRepaths {
+		x.r.mu.Lock()
+		next := x.r.core.Replace(x.r.clock.now(), &x.req, old, fault)
+		x.r.mu.Unlock()
+		if next == nil {
+			log.Info().Msg("stream stays where it is: nobody else has room for its layers")
+			return nil
+		}
+		status, at, err := x.r.repath(next, x.req.ID)
+		if err == nil && status/100 == 2 {
+			x.r.met.repathed.Inc()
+			log.Info().Str("path", platform.EncodePath(next.Parts)).Msg("stream goes on over another path")
+			return next
+		}
 		x.release(next)
-		log.Info().Err(err).Int("status", status).Msg("stream stays where it is: order to change its path refused")
-		return nil
+		log.Info().Err(err).Int("status", status).Str("at", at).Msg("stream stays where it is: order to change its path refused")
+		if err != nil || at == "" || !x.avoid(at) {
+			return nil
+		}
 	}
-	x.r.met.repathed.Inc()
-	log.Info().Str("path", platform.EncodePath(next.Parts)).Msg("stream goes on over another path")
-	return next
+	return nil
+}
+
+// givenUp reports whether the server at addr, where it is not the first, holds the
+// stream's layers no more.
+func (st *stream) givenUp(addr string, held fleet.Layers) bool {
+	ch := st.choice()
+	for i, p := range ch.Parts {
+		if p.Addr == addr {
+			return i > 0 && !held.Holds(p.Layers)
+		}
+	}
+	return false
 }
 
 func passes(ch *dispatch.Choice, addr string) bool {
@@ -151,10 +173,10 @@
 }
 
 // repath orders the first server of a path to go on with a request over it.
-func (r *Router) repath(ch *dispatch.Choice, requestID string) (int, error) {
+func (r *Router) repath(ch *dispatch.Choice, requestID string) (status int, fault string, err error) {
 	body, err := platform.EncodeRepath(requestID, ch.Parts)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	return r.order(ch.Target().Addr, body)
 }
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -180,9 +180,13 @@
 		r.log.Info().Str("server", it.Key).Str("addr", rec.Addr).Str("domain", rec.Domain).Str("card", rec.Card).Int64("born", rec.Born).
 			Bool("draining", rec.Life == fleet.Draining).Int("from", rec.Held.From).Int("to", rec.Held.To).Msg("backend server")
 	}
+	givesUp := old != nil && old.Born == rec.Born && !rec.Held.Holds(old.Held)
 	if r.core.Fleet.Put(rec) {
 		r.lastNew = now
 	}
+	if givesUp {
+		r.leaveGivenUp(rec.Addr, rec.Held)
+	}
 	if rec.Held.Len() > 0 {
 		r.everHeld = true
 	}
