--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -41,6 +41,9 @@
 	// Stalled is how long a stream may be silent before its first backend server
 	// is asked whether it waits for another. Default 300 ms.
 	Stalled time.Duration
+	// ReportAge is how old a server's report may be to answer another stream's
+	// question. Default 200 ms: the engine's own lag.
+	ReportAge time.Duration
 	// LeaveSlow is how many times slower than its card a server has to be for streams
 	// that wait for their first event to be moved off it. Default 3.
 	LeaveSlow float64
@@ -72,7 +75,7 @@
 		Dispatch: dispatch.DefaultConfig(), Duty: duty.DefaultConfig(), Placement: placement.DefaultConfig(), Follow: follow.DefaultConfig(),
 		WatchWait: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond,
 		StoreRetry: 200 * time.Millisecond, Settle: 1200 * time.Millisecond, PlanEvery: 100 * time.Millisecond,
-		OrderTimeout: time.Second, Stalled: 300 * time.Millisecond, LeaveSlow: 3, DialTimeout: 500 * time.Millisecond,
+		OrderTimeout: time.Second, Stalled: 300 * time.Millisecond, ReportAge: 200 * time.Millisecond, LeaveSlow: 3, DialTimeout: 500 * time.Millisecond,
 		KeptFor: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
 		AddressLifetime: 2 * time.Second, LogLevel: "info", Workers: 64,
 	}
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -208,18 +208,3 @@
 	}
 	r.believeReport(o.Instance, rep)
 }
-
-func (r *Router) report(addr string) (platform.Report, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + addr + platform.ReportURI)
-	r.met.reports.Inc()
-	if err := r.calls.Do(addr, req, resp, httpcall.Within(r.cfg.DialTimeout)); err != nil {
-		return platform.Report{}, err
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return platform.Report{}, httpcall.StatusError(addr, req, resp, httpcall.MayHaveArrived)
-	}
-	return platform.DecodeReport(resp.Body())
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,7 @@
 	avoidReader string                     // the reader that failed last
 
 	streams *streamTable
+	reports *reports
 	news    chan struct{} // a server was found lost
 
 	stopping atomic.Bool
@@ -94,7 +95,7 @@
 		core: dispatch.New(cfg.Dispatch), duty: duty.New(cfg.Duty, set.VM),
 		members: map[string]member{}, moving: map[fleet.Instance]movement{}, away: true,
 		changed: follow.NewLog[platform.Item](cfg.Follow), moreChanges: make(chan struct{}),
-		streams: newStreamTable(), news: make(chan struct{}, 1),
+		streams: newStreamTable(), reports: newReports(), news: make(chan struct{}, 1),
 	}, nil
 }
 
