--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -41,7 +41,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(sheetCommand(), limitsCommand(), configCommand(), vmsCommand(), backendsCommand(),
-		drainCommand(), goneCommand(), ordersCommand(), auditCommand(), traceCommand(), reportCommand(), versionCommand())
+		drainCommand(), goneCommand(), ordersCommand(), auditCommand(), traceCommand(), reportCommand(), explainCommand(), journalCommand(), versionCommand())
 	return root
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -141,3 +141,31 @@
 		require.Contains(t, out, c.says, "%v", c.args)
 	}
 }
+
+func TestExplainAndJournalReadFiles(t *testing.T) {
+	dir := t.TempDir()
+	log := filepath.Join(dir, "vm.log")
+	require.NoError(t, os.WriteFile(log, []byte(`{"vm":"a1","request":"r1","cause":"no-room","time":5,"message":"refused"}`+"\n"), 0o600))
+	run := func(args ...string) (string, error) {
+		var out bytes.Buffer
+		cmd := Command()
+		cmd.SetOut(&out)
+		cmd.SetArgs(args)
+		err := cmd.Execute()
+		return out.String(), err
+	}
+	text, err := run("explain", "r1", log)
+	require.NoError(t, err)
+	require.Contains(t, text, "outcome: refused cause=no-room")
+	_, err = run("explain", "r2", log)
+	require.ErrorContains(t, err, "no line of request r2")
+	_, err = run("explain", "r1", filepath.Join(dir, "none.log"))
+	require.ErrorContains(t, err, "none.log")
+	_, err = run("journal", dir)
+	require.ErrorContains(t, err, "holds no entries")
+	entry := `{"at":["2026-12-04T04:51:27Z"],"cmd":"score","head":"0de6ded8a1","site":"s","score":0.9,"days":[{"name":"quiet-1","G":0.915,"prices":[["calls",3,0.01]]}]}`
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "1.json"), []byte(entry), 0o600))
+	text, err = run("journal", dir)
+	require.NoError(t, err)
+	require.Regexp(t, `0de6ded8 +s +score +0.900 +quiet-1 +0.915.*calls 0.010`, text)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -93,6 +93,14 @@
 	return true
 }
 
+// SetRetry changes the budget of repeats.
+func (c *Core) SetRetry(now time.Duration, cfg retry.Config) {
+	c.cfg.Retry = cfg
+	for _, b := range c.budgets {
+		b.SetConfig(now, cfg)
+	}
+}
+
 // SetVMs says how many VMs share the work and the budgets.
 func (c *Core) SetVMs(n int) { c.vms = max(1, n) }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -36,6 +36,27 @@
 	return &Budget{cfg: cfg}
 }
 
+// SetConfig changes the settings. What was counted in the window counts as of now:
+// another window has other pieces.
+func (b *Budget) SetConfig(now time.Duration, cfg Config) {
+	requests, repeats := b.counted(now)
+	b.cfg, b.pieces = cfg, [slots]piece{}
+	at := b.piece(now)
+	at.requests, at.repeat = requests, repeats
+}
+
+// counted returns the requests and repeats of the window.
+func (b *Budget) counted(now time.Duration) (requests, repeats float64) {
+	oldest := b.piece(now).span - slots + 1
+	for i := range b.pieces {
+		if b.pieces[i].span >= oldest {
+			requests += b.pieces[i].requests
+			repeats += b.pieces[i].repeat
+		}
+	}
+	return requests, repeats
+}
+
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Duration) { b.piece(now).requests++ }
 
@@ -66,15 +87,7 @@
 
 // Allows reports whether a further send is allowed, and counts nothing.
 func (b *Budget) Allows(now time.Duration, need Need, vms int) bool {
-	at := b.piece(now)
-	var requests, repeats float64
-	oldest := at.span - slots + 1
-	for i := range b.pieces {
-		if b.pieces[i].span >= oldest {
-			requests += b.pieces[i].requests
-			repeats += b.pieces[i].repeat
-		}
-	}
+	requests, repeats := b.counted(now)
 	allowed := b.cfg.Margin * (b.cfg.Ratio*requests + b.cfg.Slack/float64(max(1, vms)))
 	if need == Again {
 		allowed *= againShare
--- a/internal/router/command.go
+++ b/internal/router/command.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -36,6 +38,10 @@
 	if err != nil {
 		return err
 	}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	v.cfg.SettingsFile, v.cfg.Hangup = v.file, hangup
 	r, err := New(v.cfg, set)
 	if err != nil {
 		return err
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"os"
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/dispatch"
@@ -61,6 +62,13 @@
 	// AddressLifetime is the lifetime of a directory's answer, at most the
 	// platform's. Default 2 s.
 	AddressLifetime time.Duration
+	// SettingsFile is the platform's settings file, "" where it is not read again. It
+	// may change with a signal (Hangup) or without.
+	SettingsFile string
+	// Hangup receives the signals to read it again.
+	Hangup <-chan os.Signal
+	// SettingsEvery is how often the file is looked at without a signal. Default 5 s.
+	SettingsEvery time.Duration
 	// MetricsPort is the port of the metrics; 0 for none.
 	MetricsPort int
 	// LogLevel is the least level of log lines. Default info.
@@ -77,6 +85,6 @@
 		StoreRetry: 200 * time.Millisecond, Settle: 1200 * time.Millisecond, PlanEvery: 100 * time.Millisecond,
 		OrderTimeout: time.Second, Stalled: 300 * time.Millisecond, ReportAge: 200 * time.Millisecond, LeaveSlow: 3, DialTimeout: 500 * time.Millisecond,
 		KeptFor: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
-		AddressLifetime: 2 * time.Second, LogLevel: "info", Workers: 64,
+		AddressLifetime: 2 * time.Second, SettingsEvery: 5 * time.Second, LogLevel: "info", Workers: 64,
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,11 +26,12 @@
 
 // Router is the process of one VM.
 type Router struct {
-	cfg   Config
-	set   *platform.Settings
-	log   zerolog.Logger
-	clock clock
-	met   *counters
+	cfg    Config
+	set    *platform.Settings // as at the start; what may change is in bounds and store
+	bounds atomic.Pointer[platform.Bounds]
+	log    zerolog.Logger
+	clock  clock
+	met    *counters
 
 	backends *httpcall.Client
 	calls    *httpcall.Client // short calls to the store and orders
@@ -87,16 +88,22 @@
 	}
 	cfg.Dispatch.VM, cfg.Dispatch.Domain = set.VM, set.Domain
 	cfg.Dispatch.Incarnation = uint64(time.Now().UnixMilli())
-	cfg.Dispatch.Retry = retry.Config{Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow, Slack: set.Bounds.RetrySlack, Margin: retry.DefaultMargin}
+	cfg.Dispatch.Retry = retryConfig(set.Bounds)
 	calls := httpcall.Default()
-	return &Router{
+	r := &Router{
 		cfg: cfg, set: set, log: log.With().Str("vm", set.VM).Logger(), clock: newClock(), met: newCounters(),
 		backends: backends, calls: calls, store: platform.NewStore(calls, set.Store.Addr), pool: pool,
 		core: dispatch.New(cfg.Dispatch), duty: duty.New(cfg.Duty, set.VM),
 		members: map[string]member{}, moving: map[fleet.Instance]movement{}, away: true,
 		changed: follow.NewLog[platform.Item](cfg.Follow), moreChanges: make(chan struct{}),
 		streams: newStreamTable(), reports: newReports(), news: make(chan struct{}, 1),
-	}, nil
+	}
+	r.bounds.Store(&set.Bounds)
+	return r, nil
+}
+
+func retryConfig(b platform.Bounds) retry.Config {
+	return retry.Config{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Margin: retry.DefaultMargin}
 }
 
 // Run serves until ctx ends, then stops as planned: no request is cut short.
@@ -122,7 +129,7 @@
 		return errors.Wrap(err, "socket for other VMs")
 	}
 	var duties, held sync.WaitGroup
-	for _, d := range []func(context.Context){r.followStore, r.hearLoads, r.tellLoads} {
+	for _, d := range []func(context.Context){r.followStore, r.hearLoads, r.tellLoads, r.followSettings} {
 		duties.Go(func() { d(work) })
 	}
 	for _, d := range []func(context.Context){r.keepPresence, r.giveOrders} {
@@ -149,7 +156,7 @@
 	began := time.Now()
 	r.log.Info().Int64("requests", r.open.Load()).Msg("stop: leaving the directory")
 	r.leaveStore()
-	last := began.Add(r.set.Bounds.Grace - r.cfg.StopMargin)
+	last := began.Add(r.bounds.Load().Grace - r.cfg.StopMargin)
 	time.Sleep(time.Until(began.Add(r.cfg.ListenAfterStop)))
 	ctx, cancel := context.WithDeadline(context.Background(), last)
 	defer cancel()
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -116,6 +117,8 @@
 	cfg := DefaultConfig()
 	cfg.Settle, cfg.PlanEvery, cfg.WatchPause = 100*time.Millisecond, 20*time.Millisecond, 10*time.Millisecond
 	cfg.ListenAfterStop, cfg.LogLevel = 300*time.Millisecond, "error"
+	cfg.SettingsFile, cfg.SettingsEvery = filepath.Join(s.t.TempDir(), "node.toml"), 20*time.Millisecond
+	require.NoError(s.t, os.WriteFile(cfg.SettingsFile, []byte(text), 0o600))
 	r, err := New(cfg, set)
 	require.NoError(s.t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -353,6 +356,26 @@
 	require.NoError(t, resp.Body.Close())
 }
 
+func (v *vm) rewriteSettings(t *testing.T, old, with string) {
+	t.Helper()
+	text, err := os.ReadFile(v.cfg.SettingsFile)
+	require.NoError(t, err)
+	require.Contains(t, string(text), old)
+	require.NoError(t, os.WriteFile(v.cfg.SettingsFile, []byte(strings.Replace(string(text), old, with, 1)), 0o600))
+}
+
+func TestChangedSettingsFileIsTakenIn(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	v.awaitReady(t)
+	v.rewriteSettings(t, "graceS = 8", "graceS = ")
+	time.Sleep(100 * time.Millisecond)
+	require.Equal(t, 8*time.Second, v.bounds.Load().Grace, "a broken file changes nothing")
+	v.rewriteSettings(t, "graceS = ", "graceS = 6")
+	require.Eventually(t, func() bool { return v.bounds.Load().Grace == 6*time.Second }, patience, 5*time.Millisecond)
+}
+
 func TestUnreadableConfigurationChangesNothing(t *testing.T) {
 	s := newSite(t)
 	v := s.vm("a1")
--- a/internal/router/small.go
+++ b/internal/router/small.go
@@ -82,7 +82,7 @@
 		ctx.Error("no VM is known yet", fasthttp.StatusServiceUnavailable)
 		return
 	}
-	life := min(r.cfg.AddressLifetime, r.set.Bounds.DirectoryTTL)
+	life := min(r.cfg.AddressLifetime, r.bounds.Load().DirectoryTTL)
 	body, err := json.Marshal(platform.NewAddresses(addrs, life))
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
