--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -22,14 +22,18 @@
 	// RankDelay is how much longer each VM in the order of names waits before it
 	// claims a free duty, so that not all claim at once. Default 120 ms.
 	RankDelay time.Duration
-	// Retry is the pause after a call that failed. Default 250 ms.
+	// Retry is the pause after a call that failed; it doubles with each further one up
+	// to RetryMost: calls that a store refuses are priced as well. Default 250 ms.
 	Retry time.Duration
+	// RetryMost bounds it: when the store is back, the VM's record has to be there
+	// before the directory's answers run out. Default 800 ms.
+	RetryMost time.Duration
 }
 
 // DefaultConfig returns the defaults that Config names.
 func DefaultConfig() Config {
 	return Config{TTL: 2500 * time.Millisecond, Keep: 800 * time.Millisecond, Margin: 400 * time.Millisecond,
-		RankDelay: 120 * time.Millisecond, Retry: 250 * time.Millisecond}
+		RankDelay: 120 * time.Millisecond, Retry: 250 * time.Millisecond, RetryMost: 800 * time.Millisecond}
 }
 
 // Call is a call to the store that the shell makes next.
@@ -60,6 +64,7 @@
 	announced bool
 	nextKeep  time.Duration
 	notBefore time.Duration
+	failures  int // in a row
 
 	holder         string // VM that claims the duty, "" for none
 	holderLease    uint64
@@ -135,28 +140,32 @@
 
 // Leased takes in a granted lease; it runs from asked at the earliest.
 func (c *Core) Leased(asked time.Duration, lease uint64, ttl time.Duration) {
-	c.lease, c.until, c.announced = lease, asked+ttl, false
+	c.lease, c.until, c.announced, c.failures = lease, asked+ttl, false, 0
 	c.nextKeep = asked + c.cfg.Keep
 }
 
 // Kept takes in a renewal.
 func (c *Core) Kept(asked time.Duration, ttl time.Duration) {
-	c.until = asked + ttl
+	c.until, c.failures = asked+ttl, 0
 	c.nextKeep = asked + c.cfg.Keep
 }
 
 // Announced takes in that the VM's record is written.
-func (c *Core) Announced() { c.announced = true }
+func (c *Core) Announced() { c.announced, c.failures = true, 0 }
 
 // Claimed takes in a claim that was written at revision.
 func (c *Core) Claimed(revision uint64) {
 	c.holder, c.holderLease, c.holderRevision = c.self, c.lease, revision
 }
 
+// maxDoublings keeps the shift of a pause within its type.
+const maxDoublings = 8
+
 // Failed takes in that the last call failed; leaseGone where the store knows the
 // lease no more.
 func (c *Core) Failed(now time.Duration, leaseGone bool) {
-	c.notBefore = now + c.cfg.Retry
+	c.notBefore = now + min(c.cfg.Retry<<min(c.failures, maxDoublings), c.cfg.RetryMost)
+	c.failures++
 	if leaseGone {
 		c.lease, c.announced = 0, false
 	}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -28,8 +28,12 @@
 	// StoreTimeout bounds a call to the store, beside its wait. Default 700 ms.
 	StoreTimeout time.Duration
 	// StoreRetry is the pause after a failed call to the store; a random part of
-	// it is added. Default 200 ms.
+	// it is added, and it doubles with each further one up to StoreRetryMost. Default
+	// 200 ms.
 	StoreRetry time.Duration
+	// StoreRetryMost bounds that pause: it is a part of the drain and configuration
+	// bounds when the store is back. Default 600 ms.
+	StoreRetryMost time.Duration
 	// Settle is how long no new backend server may have come before the first plan
 	// of an empty fleet: a plan for the first few would be made of too little.
 	// Default 1.2 s.
@@ -85,7 +89,7 @@
 	return Config{
 		Dispatch: dispatch.DefaultConfig(), Duty: duty.DefaultConfig(), Placement: placement.DefaultConfig(), Follow: follow.DefaultConfig(),
 		WatchWait: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond,
-		StoreRetry: 200 * time.Millisecond, Settle: 1200 * time.Millisecond, PlanEvery: 100 * time.Millisecond,
+		StoreRetry: 200 * time.Millisecond, StoreRetryMost: 600 * time.Millisecond, Settle: 1200 * time.Millisecond, PlanEvery: 100 * time.Millisecond,
 		OrdersAtOnce: 64, OrderTimeout: time.Second, Stalled: 300 * time.Millisecond, ReportAge: 200 * time.Millisecond, LeaveSlow: 3, DialTimeout: 500 * time.Millisecond,
 		KeptFor: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
 		AddressLifetime: 2 * time.Second, SettingsEvery: 5 * time.Second, LogLevel: "info", Workers: 64,
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -34,6 +34,7 @@
 // followStore reads everything once, then watches what changes.
 func (r *Router) followStore(ctx context.Context) {
 	since := uint64(0)
+	retry := r.cfg.StoreRetry
 	for ctx.Err() == nil {
 		var err error
 		r.mu.Lock()
@@ -49,9 +50,11 @@
 		}
 		if err != nil {
 			r.storeFailed(err)
-			pause(ctx, r.cfg.StoreRetry)
+			pause(ctx, retry)
+			retry = min(2*retry, r.cfg.StoreRetryMost)
 			continue
 		}
+		retry = r.cfg.StoreRetry
 		r.storeWorked()
 		pause(ctx, r.cfg.WatchPause)
 	}
