--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -23,7 +23,6 @@
 	// once.
 	notRun, once  []string
 	asked, served int
-	since         time.Time
 }
 
 func (v *verdicts) breaks(format string, args ...any) {
