--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -32,6 +33,7 @@
 	log    zerolog.Logger
 	clock  clock
 	met    *counters
+	lines  io.Closer // of the log
 
 	backends *httpcall.Client
 	calls    *httpcall.Client // short calls to the store and orders
@@ -73,7 +75,9 @@
 
 // New returns the Router of a VM.
 func New(cfg Config, set *platform.Settings) (*Router, error) {
-	log, err := obs.NewLogger(os.Stdout, cfg.LogLevel, "catkin-router")
+	met := newCounters()
+	lines := obs.NeverBlocking(os.Stdout, func(lost int) { met.linesLost.Add(lost) })
+	log, err := obs.NewLogger(lines, cfg.LogLevel, "catkin-router")
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +96,7 @@
 	cfg.Dispatch.Retry = retryConfig(set.Bounds)
 	calls := httpcall.Default()
 	r := &Router{
-		cfg: cfg, set: set, log: log.With().Str("vm", set.VM).Logger(), clock: newClock(), met: newCounters(),
+		cfg: cfg, set: set, log: log.With().Str("vm", set.VM).Logger(), clock: newClock(), met: met, lines: lines,
 		backends: backends, calls: calls, store: platform.NewStore(calls, set.Store.Addr), pool: pool,
 		core: dispatch.New(cfg.Dispatch), duty: duty.New(cfg.Duty, set.VM),
 		members: map[string]member{}, moving: map[fleet.Instance]movement{}, away: true,
@@ -109,6 +113,7 @@
 
 // Run serves until ctx ends, then stops as planned: no request is cut short.
 func (r *Router) Run(ctx context.Context) error {
+	defer func() { _ = r.lines.Close() }() // nothing is left to be told of a failure
 	// What the VM is told goes on until its last request has ended; what it does for
 	// others ends as soon as it leaves.
 	work, end := context.WithCancel(context.Background())
--- a/internal/router/small.go
+++ b/internal/router/small.go
@@ -15,7 +15,7 @@
 // counters are the metrics of the process.
 type counters struct {
 	storeErrors, gossipErrors, readerErrors, orders, reports, refused, resumed, repathed, repeated, failed *metrics.Counter
-	served                                                                                                 *metrics.Counter
+	served, linesLost                                                                                      *metrics.Counter
 	plainTime, firstEvent                                                                                  *metrics.Histogram
 }
 
@@ -27,6 +27,7 @@
 		reports: c("catkin_router_reports_total"), refused: c("catkin_router_refused_total"),
 		resumed: c("catkin_router_resumed_total"), repathed: c("catkin_router_repathed_total"), repeated: c("catkin_router_repeated_total"),
 		failed: c("catkin_router_failed_total"), served: c("catkin_router_served_total"),
+		linesLost:  c("catkin_router_log_lines_lost_total"),
 		plainTime:  metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
 		firstEvent: metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
 	}
