--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -1,17 +1,12 @@
 package router
 
 import (
-	"bufio"
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,147 +18,6 @@
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
 
-const patience = 10 * time.Second
-
-// site is the stand-ins of one trial and the routers before them.
-type site struct {
-	t     *testing.T
-	store *standin.Store
-	fleet *standin.Fleet
-}
-
-func newSite(t *testing.T) *site {
-	t.Helper()
-	store, err := standin.NewStore()
-	require.NoError(t, err)
-	t.Cleanup(store.Close)
-	return &site{t: t, store: store, fleet: standin.NewFleet(store)}
-}
-
-// configure writes the configuration of the published example, with routes to the
-// plain service beside those to the model.
-func (s *site) configure(version int) {
-	s.t.Helper()
-	text, err := os.ReadFile("../../platform/testdata/config.json")
-	require.NoError(s.t, err)
-	var doc map[string]any
-	require.NoError(s.t, json.Unmarshal(text, &doc))
-	routes := doc["routes"].([]any)
-	for _, kind := range []string{"idempotent", "non_idempotent"} {
-		routes = append(routes, map[string]any{"name": kind, "host": "ficu95.example", "prefix": "/" + kind + "/", "kind": kind,
-			"timeoutMs": 3000, "service": "wuno96b", "attempts": 2})
-	}
-	doc["routes"], doc["version"] = routes, version
-	text, err = json.Marshal(doc)
-	require.NoError(s.t, err)
-	s.store.Put(platform.ConfigKey, text)
-}
-
-func (s *site) server(cfg standin.ServerConfig) *standin.Server {
-	s.t.Helper()
-	out, err := s.fleet.Start(cfg)
-	require.NoError(s.t, err)
-	s.t.Cleanup(out.Close)
-	return out
-}
-
-// engines starts two covers of fast cards and waits until v knows that they are
-// placed.
-func (s *site) engines(v *vm, events int, every time.Duration) []*standin.Server {
-	var out []*standin.Server
-	for i := range 8 {
-		out = append(out, s.server(standin.ServerConfig{ID: fmt.Sprintf("engine-%d", i), Service: "huvo11a", Domain: "bergen-a",
-			Card: "a100", Events: events, EventEvery: every}))
-	}
-	require.Eventually(s.t, func() bool {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		for _, e := range out {
-			if known := v.core.Fleet.At(e.Addr); known == nil || known.Held.Len() == 0 {
-				return false
-			}
-		}
-		return true
-	}, patience, 5*time.Millisecond, "layers were not placed")
-	return out
-}
-
-var hosts atomic.Int32
-
-// vm is a running router with an address of its own on loopback, so that trials
-// side by side never meet.
-type vm struct {
-	*Router
-	host string
-	stop context.CancelFunc
-	done chan error
-}
-
-func (s *site) vm(name string) *vm {
-	s.t.Helper()
-	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, 2+hosts.Add(1))
-	text := fmt.Sprintf(`nodeName = %q
-ip = %q
-zone = "bergen-a"
-region = "vestland"
-internalPorts = [17340,17355]
-heartbeatMs = 1200
-listen = { front = "%[2]s:18227", ready = "%[2]s:18220", directory = "%[2]s:18224" }
-bounds = { drainMs = 2000, graceS = 8, configMs = 2000, retryBudgetRatio = 0.2, budgetWindowS = 10, budgetSlack = 196, stall_ms = 3000, ttl_max_s = 5 }
-platform = { address = %q }
-`, name, host, s.store.Addr)
-	set, err := platform.ParseSettings(text)
-	require.NoError(s.t, err)
-	cfg := DefaultConfig()
-	cfg.Settle, cfg.PlanEvery, cfg.WatchPause = 100*time.Millisecond, 20*time.Millisecond, 10*time.Millisecond
-	cfg.ListenAfterStop, cfg.LogLevel = 300*time.Millisecond, "error"
-	cfg.SettingsFile, cfg.SettingsEvery = filepath.Join(s.t.TempDir(), "node.toml"), 20*time.Millisecond
-	require.NoError(s.t, os.WriteFile(cfg.SettingsFile, []byte(text), 0o600))
-	r, err := New(cfg, set)
-	require.NoError(s.t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	v := &vm{Router: r, host: host, stop: stop, done: make(chan error, 1)}
-	go func() { v.done <- r.Run(ctx) }()
-	s.t.Cleanup(func() { stop(); <-v.done; v.done <- nil })
-	return v
-}
-
-func (v *vm) awaitReady(t *testing.T) {
-	t.Helper()
-	require.Eventually(t, func() bool { ok, _ := v.ready(); return ok }, patience, 5*time.Millisecond)
-}
-
-const key = "n2ctnfzs989anu6wsjnb"
-
-func (v *vm) call(t *testing.T, method, uri, id string) *http.Response {
-	t.Helper()
-	req, err := http.NewRequest(method, "http://"+v.host+":18227"+uri, nil)
-	require.NoError(t, err)
-	req.Host = "ficu95.example"
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", "20000")
-	req.Header.Set("Authorization", "Bearer "+key)
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
-}
-
-// requireWhole reads events 1 to n, each once and in order, to an explicit end.
-func requireWhole(t *testing.T, body io.Reader, n int) {
-	t.Helper()
-	lines, next := bufio.NewScanner(body), 1
-	for lines.Scan() {
-		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
-			require.Equal(t, fmt.Sprint(next), id)
-			next++
-		}
-	}
-	require.NoError(t, lines.Err())
-	require.Equal(t, n, next-1, "the answer is not whole")
-}
-
 const streamURI = "/pufi791/2f"
 
 func TestStreamOverSeveralServers(t *testing.T) {
@@ -370,8 +224,8 @@
 	s.configure(7)
 	v.awaitReady(t)
 	v.rewriteSettings(t, "graceS = 8", "graceS = ")
-	time.Sleep(100 * time.Millisecond)
-	require.Equal(t, 8*time.Second, v.bounds.Load().Grace, "a broken file changes nothing")
+	require.Equal(t, *v.set, v.reload(*v.set), "a broken file changes nothing")
+	require.Equal(t, 8*time.Second, v.bounds.Load().Grace)
 	v.rewriteSettings(t, "graceS = ", "graceS = 6")
 	require.Eventually(t, func() bool { return v.bounds.Load().Grace == 6*time.Second }, patience, 5*time.Millisecond)
 }
