placement: KV reserve per failure domain, judged by what the plan serves

Cause: one KV reserve of 1.7 for all. A domain without a model copy is planned with falling reserves until it has one; the plan that serves most wins. Servers that report layers outside the model are not used (Plan panicked).

--- a/internal/placement/extend.go
+++ b/internal/placement/extend.go
@@ -3,16 +3,11 @@
 import "github.com/catkinstair/catkinstair/internal/backend"
 
 // extendNeighbours closes the gaps that are left in a domain without spare servers: the
-// servers on both sides of a gap load its layers too, with KVReserve or, if that is not
-// enough, with MinKVReserve. A gap that they cannot close completely stays as it is,
-// because requests would have to cross to another domain anyway.
+// servers on both sides of a gap load its layers too. A gap that they cannot close
+// completely stays as it is, because requests would have to cross to another domain anyway.
 func (p *plan) extendNeighbours(domain string) {
 	for _, gap := range gaps(p.copies(domain)) {
-		for _, reserve := range []float64{p.cfg.KVReserve, p.cfg.MinKVReserve} {
-			if p.closeGap(domain, gap, reserve) {
-				break
-			}
-		}
+		p.closeGap(domain, gap)
 	}
 }
 
@@ -34,8 +29,8 @@
 }
 
 // closeGap extends the adjacent servers with the most spare capacity over gap, if
-// together they can hold all of it, and reports whether they can.
-func (p *plan) closeGap(domain string, gap backend.Layers, reserve float64) bool {
+// together they can hold all of it.
+func (p *plan) closeGap(domain string, gap backend.Layers) {
 	var left, right *Server
 	spareLeft, spareRight := 0, 0
 	for i := range p.servers {
@@ -43,7 +38,7 @@
 		if s.Domain != domain || s.OrderPending || s.Suspect || s.Held.Len() == 0 {
 			continue
 		}
-		extra := p.maxLayersWithReserve(s, reserve) - s.Held.Len()
+		extra := p.maxLayers(s) - s.Held.Len()
 		if s.Held.To == gap.From && extra > spareLeft {
 			left, spareLeft = s, extra
 		}
@@ -52,7 +47,7 @@
 		}
 	}
 	if spareLeft+spareRight < gap.Len() {
-		return false
+		return
 	}
 	// Loading on one server is better than on two, so the side with more capacity takes as
 	// many layers as it can hold.
@@ -66,5 +61,4 @@
 	if fromLeft < gap.Len() {
 		p.addOrder(right, backend.Layers{From: right.Held.From - (gap.Len() - fromLeft), To: right.Held.To})
 	}
-	return true
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,11 +31,11 @@
 	// KVReserve is the memory kept for the KV cache on each server beside the weights, as a
 	// multiple of the engine's KVCapacityTokens: what a model copy has in flight at peak
 	// load, and half as much again for the requests of a failure domain that lost a large
-	// server. Default 1.7.
+	// server. A failure domain that is too small for a model copy with it keeps less.
+	// Default 1.7.
 	KVReserve float64
-	// MinKVReserve is used instead of KVReserve if that closes a gap in a failure domain,
-	// because a gap sends all the domain's requests over the cross-domain link. Default
-	// 1, the capacity that the operators configured.
+	// MinKVReserve is the least reserve. With less, a model copy has room for so few
+	// requests that those of its domain are served better elsewhere. Default 0.3.
 	MinKVReserve float64
 	// LowCapacityShare is the share of the mean KV cache capacity per layer below which
 	// layers get more servers, also from other failure domains, because every path has to
@@ -49,7 +49,7 @@
 
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{KVReserve: 1.7, MinKVReserve: 1, LowCapacityShare: 0.6, MinMoveGain: 1.3}
+	return Config{KVReserve: 1.7, MinKVReserve: 0.3, LowCapacityShare: 0.6, MinMoveGain: 1.3}
 }
 
 // plan is the state of one call of Plan. The servers include the effect of the orders.
@@ -58,17 +58,23 @@
 	spec    *engine.Spec
 	servers []Server // fastest first
 	orders  []Order
+	// reserves holds the KV reserves of the failure domains that keep less than KVReserve.
+	reserves map[string]float64
 }
 
 // Plan returns the orders that bring the servers closer to the target placement, at most
-// one per server.
+// one per server. Servers that report layers outside the model are not used.
 func Plan(cfg Config, spec *engine.Spec, servers []Server) []Order {
-	p := &plan{cfg: cfg, spec: spec, servers: append([]Server(nil), servers...)}
+	p := &plan{cfg: cfg, spec: spec}
+	for _, s := range servers {
+		if ValidLayers(spec, s.Held) {
+			p.servers = append(p.servers, s)
+		}
+	}
 	sort.Slice(p.servers, func(a, b int) bool { return p.faster(&p.servers[a], &p.servers[b]) })
 	domains := p.domains()
 	for _, d := range domains {
-		p.fill(d, 1, true)
-		p.extendNeighbours(d)
+		p.completeDomain(d)
 	}
 	p.fill("", 1, true) // layers without a copy in any domain may get a server of any domain
 	p.relieveBottlenecks()
@@ -115,9 +121,12 @@
 	return s.Held.Len() == 0 && !s.OrderPending && !s.Suspect && p.maxLayers(s) > 0
 }
 
-func (p *plan) maxLayers(s *Server) int { return p.maxLayersWithReserve(s, p.cfg.KVReserve) }
-
-func (p *plan) maxLayersWithReserve(s *Server, reserve float64) int {
+// maxLayers returns how many layers a server can hold beside its KV reserve.
+func (p *plan) maxLayers(s *Server) int {
+	reserve, ok := p.reserves[s.Domain]
+	if !ok {
+		reserve = p.cfg.KVReserve
+	}
 	return p.spec.MaxLayers(s.Accelerator, reserve*float64(p.spec.KVCapacityTokens))
 }
 
