placement: spare servers move only where the plan then serves more

A spare server was moved to 8 of the 13 layers of a gap, which left the domain without a copy as before; two others were moved to other domains' bottlenecks and drained for 7 s; one gave up a range while the only other server with it was still loading, and its streams had nowhere to go. First stages that gave up their layers kept their streams. Change: a gap is closed completely by spare servers or left; bottleneck moves have to raise the predicted served requests; ranges that still load do not count as copies; streams leave a first stage that releases their layers, if the route can be resumed and the retry budget allows it. Records with layers outside the model or an unknown accelerator are logged with the remedy and not used.

--- a/internal/placement/bottleneck.go
+++ b/internal/placement/bottleneck.go
@@ -8,19 +8,29 @@
 // relieveBottlenecks moves servers that their own failure domain can spare to the
 // layers with the least KV cache capacity over all domains. A failure domain that lost
 // a large server sends its requests to the servers of those layers elsewhere, which
-// would then refuse requests while all other layers have free capacity.
+// would then refuse requests while all other layers have free capacity. Moves that do not
+// let the servers serve more are dropped; several may be needed before they do.
 func (p *plan) relieveBottlenecks() {
+	served := 0.0
+	trial := p.clone()
 	for range maxBottleneckMoves {
-		kvCapacity := p.kvCapacity()
+		kvCapacity := trial.kvCapacity()
 		layers, least, mean := bottleneck(kvCapacity)
 		if least >= p.cfg.LowCapacityShare*mean {
 			return
 		}
-		s := p.bestDonor(kvCapacity, least)
+		if served == 0 {
+			served = p.served()
+		}
+		s := trial.bestDonor(kvCapacity, least)
 		if s == nil {
 			return
 		}
-		p.addOrder(s, p.rangeAround(layers, p.maxLayers(s)))
+		trial.addOrder(s, trial.rangeAround(layers, trial.maxLayers(s)))
+		if now := trial.served(); now >= served*minServedGain {
+			served = now
+			*p = *trial.clone()
+		}
 	}
 }
 
@@ -90,7 +100,7 @@
 			return s
 		}
 		if copies[s.Domain] == nil {
-			copies[s.Domain] = p.copies(s.Domain)
+			copies[s.Domain] = p.servingCopies(s.Domain)
 		}
 		if !p.isSpare(s, copies[s.Domain]) {
 			continue
--- a/internal/placement/evaluate.go
+++ b/internal/placement/evaluate.go
@@ -12,6 +12,15 @@
 // Demand holds the requests per second that arrive in each failure domain.
 type Demand map[string]float64
 
+// Total returns the requests per second of all failure domains.
+func (d Demand) Total() float64 {
+	sum := 0.0
+	for _, rate := range d {
+		sum += rate
+	}
+	return sum
+}
+
 // Estimate predicts what a placement serves of a demand, in requests per second. A
 // request counts once, under the cheapest way that has capacity for it.
 type Estimate struct {
@@ -123,7 +132,7 @@
 // and to crossing paths, in this order.
 func (f *fleet) serve(demand Demand) Estimate {
 	var e Estimate
-	unserved, spare := 0.0, 0.0
+	spare := 0.0
 	for _, name := range f.names {
 		d := f.domains[name]
 		most := f.localRate(d)
@@ -131,10 +140,7 @@
 		e.Local += local
 		spare += most - local
 	}
-	for _, rate := range demand {
-		unserved += rate
-	}
-	unserved -= e.Local
+	unserved := demand.Total() - e.Local
 	e.Remote = min(unserved, spare)
 	if unserved -= e.Remote; unserved > 0 {
 		// All model copies are in use, so only what they leave over is free.
--- a/internal/placement/extend.go
+++ b/internal/placement/extend.go
@@ -11,6 +11,42 @@
 	}
 }
 
+// moveSpares closes gaps of a domain, "" for all, by moving servers whose layers others
+// hold too. A gap that they cannot close completely stays as it is.
+func (p *plan) moveSpares(domain string) {
+	for _, gap := range gaps(p.copies(domain)) {
+		if trial := p.clone(); trial.moveSparesTo(domain, gap) {
+			*p = *trial
+		}
+	}
+}
+
+// moveSparesTo moves spare servers to a gap until it is closed, and reports whether it is.
+func (p *plan) moveSparesTo(domain string, gap backend.Layers) bool {
+	for {
+		left := firstGap(p.copies(domain), gap)
+		if left.Len() == 0 {
+			return true
+		}
+		s := p.slowestSpare(domain)
+		if s == nil {
+			return false
+		}
+		p.addOrder(s, p.rangeAround(left, p.maxLayers(s)))
+	}
+}
+
+// firstGap returns the first range of layers without a copy within a range, empty for none.
+func firstGap(copies []int, within backend.Layers) backend.Layers {
+	for _, gap := range gaps(copies) {
+		from, to := max(gap.From, within.From), min(gap.To, within.To)
+		if from < to {
+			return backend.Layers{From: from, To: to}
+		}
+	}
+	return backend.Layers{}
+}
+
 // gaps returns the ranges of layers without a copy.
 func gaps(copies []int) []backend.Layers {
 	var out []backend.Layers
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,11 +76,13 @@
 	for _, d := range domains {
 		p.completeDomain(d)
 	}
-	p.fill("", 1, true) // layers without a copy in any domain may get a server of any domain
+	// Layers without a copy in any domain may get a server of any domain.
+	p.fill("", 1)
+	p.moveSpares("")
 	p.relieveBottlenecks()
 	for minCopies := 2; p.hasIdle() && minCopies <= len(p.servers); minCopies++ {
 		for _, d := range domains {
-			p.fill(d, minCopies, false)
+			p.fill(d, minCopies)
 		}
 	}
 	return p.orders
@@ -130,13 +132,19 @@
 	return p.spec.MaxLayers(s.Accelerator, reserve*float64(p.spec.KVCapacityTokens))
 }
 
-// copies counts for each layer the servers that hold it in domain, or in all domains
-// for "".
-func (p *plan) copies(domain string) []int {
+// copies counts for each layer the servers of domain, or of all domains for "", that hold
+// it or were ordered to.
+func (p *plan) copies(domain string) []int { return p.countHolders(domain, true) }
+
+// servingCopies counts for each layer the servers of domain, or of all domains for "",
+// that hold it now.
+func (p *plan) servingCopies(domain string) []int { return p.countHolders(domain, false) }
+
+func (p *plan) countHolders(domain string, withPending bool) []int {
 	n := make([]int, p.spec.Layers)
 	for i := range p.servers {
 		s := &p.servers[i]
-		if s.Suspect || (domain != "" && s.Domain != domain) {
+		if s.Suspect || (s.OrderPending && !withPending) || (domain != "" && s.Domain != domain) {
 			continue
 		}
 		for l := max(0, s.Held.From); l < min(s.Held.To, p.spec.Layers); l++ {
@@ -146,16 +154,15 @@
 	return n
 }
 
-// fill adds orders until all layers have minCopies copies in the domain ("" for all
-// domains) or no server is left. It uses idle servers and, with allowMove, servers whose
-// layers others hold too.
-func (p *plan) fill(domain string, minCopies int, allowMove bool) {
+// fill adds orders for idle servers until all layers have minCopies copies in the domain
+// ("" for all domains) or no idle server is left.
+func (p *plan) fill(domain string, minCopies int) {
 	for {
 		copies := p.copies(domain)
 		if countBelow(copies, minCopies) == 0 {
 			return
 		}
-		s := p.pickServer(domain, copies, allowMove)
+		s := p.fastestIdle(domain)
 		if s == nil {
 			return
 		}
@@ -226,34 +233,38 @@
 	return speed
 }
 
-// pickServer returns the fastest idle server. If there is none and allowMove is set, it
-// returns the slowest server whose layers all have another copy; otherwise nil.
-func (p *plan) pickServer(domain string, copies []int, allowMove bool) *Server {
+// fastestIdle returns the fastest idle server of a domain, "" for all, or nil.
+func (p *plan) fastestIdle(domain string) *Server {
 	for i := range p.servers {
 		s := &p.servers[i]
 		if (domain == "" || s.Domain == domain) && p.isIdle(s) {
 			return s
 		}
 	}
-	if !allowMove {
-		return nil
-	}
+	return nil
+}
+
+// slowestSpare returns the slowest server of a domain, "" for all, that can be moved, or
+// nil.
+func (p *plan) slowestSpare(domain string) *Server {
+	serving := p.servingCopies(domain)
 	for i := len(p.servers) - 1; i >= 0; i-- {
 		s := &p.servers[i]
-		if (domain == "" || s.Domain == domain) && p.isSpare(s, copies) {
+		if (domain == "" || s.Domain == domain) && p.isSpare(s, serving) {
 			return s
 		}
 	}
 	return nil
 }
 
-// isSpare reports whether s can be moved without removing the last copy of a layer.
-func (p *plan) isSpare(s *Server, copies []int) bool {
+// isSpare reports whether s can be moved: other servers hold all of its layers now. A range
+// that is still loading does not count, since the requests need one that serves meanwhile.
+func (p *plan) isSpare(s *Server, serving []int) bool {
 	if s.OrderPending || s.Suspect || s.Held.Len() == 0 || p.maxLayers(s) == 0 {
 		return false
 	}
 	for l := s.Held.From; l < s.Held.To; l++ {
-		if copies[l] < 2 {
+		if serving[l] < 2 {
 			return false
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -56,9 +56,13 @@
 // settle makes plans and applies their orders until a plan is empty. It returns the
 // resulting servers and the number of orders.
 func settle(t require.TestingT, s *engine.Spec, servers []placement.Server) ([]placement.Server, int) {
+	return settleWith(t, placement.DefaultConfig(), s, servers)
+}
+
+func settleWith(t require.TestingT, cfg placement.Config, s *engine.Spec, servers []placement.Server) ([]placement.Server, int) {
 	moves := 0
 	for range 50 {
-		orders := placement.Plan(placement.DefaultConfig(), s, servers)
+		orders := placement.Plan(cfg, s, servers)
 		if len(orders) == 0 {
 			return servers, moves
 		}
@@ -206,3 +210,22 @@
 		placement.Plan(placement.DefaultConfig(), s, servers[1:])
 	}
 }
+
+// The first plan after a start: every server is empty.
+func BenchmarkPlan600Empty(b *testing.B) {
+	s := spec(b)
+	servers := emptyServers(s, 20, 100, 80)
+	b.ReportAllocs()
+	for b.Loop() {
+		placement.Plan(placement.DefaultConfig(), s, servers)
+	}
+}
+
+func BenchmarkEvaluate600(b *testing.B) {
+	s := spec(b)
+	servers, _ := settle(b, s, emptyServers(s, 20, 100, 80))
+	b.ReportAllocs()
+	for b.Loop() {
+		placement.Evaluate(s, servers, placement.Demand{"a": 500, "b": 500, "c": 500})
+	}
+}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // reserveStep is the distance between the KV reserves that are tried for a failure domain.
 const reserveStep = 0.1
@@ -22,36 +26,56 @@
 	bestServed := 0.0
 	for reserve := p.cfg.KVReserve; reserve > p.cfg.MinKVReserve-reserveStep/2; reserve -= reserveStep {
 		trial := p.withReserve(domain, reserve)
-		trial.fill(domain, 1, true)
-		trial.extendNeighbours(domain)
+		complete := trial.fillGaps(domain)
 		if served := trial.served(); best == nil || served > bestServed*minServedGain {
 			best, bestServed = trial, served
 		}
-		if countBelow(trial.copies(domain), 1) == 0 {
+		if complete {
 			break
 		}
 	}
 	*p = *best
 }
 
+// fillGaps gives the missing layers of a domain to idle servers, then to the neighbours of
+// the gaps, then to spare servers. It reports whether the domain has a complete model copy.
+// If it has none either way, no spare server is moved: its load would bring nothing.
+func (p *plan) fillGaps(domain string) bool {
+	p.fill(domain, 1)
+	p.extendNeighbours(domain)
+	moved := p.clone()
+	moved.moveSpares(domain)
+	if countBelow(moved.copies(domain), 1) > 0 {
+		return false
+	}
+	*p = *moved
+	return true
+}
+
+// clone returns a copy of p that can be changed independently.
+func (p *plan) clone() *plan {
+	c := *p
+	c.servers = slices.Clone(p.servers)
+	c.orders = slices.Clone(p.orders)
+	return &c
+}
+
 // withReserve returns a copy of p in which the servers of a domain keep the given KV
 // reserve.
 func (p *plan) withReserve(domain string, reserve float64) *plan {
-	c := *p
-	c.servers = append([]Server(nil), p.servers...)
-	c.orders = append([]Order(nil), p.orders...)
-	c.reserves = make(map[string]float64, len(p.reserves)+1)
-	for d, r := range p.reserves {
-		c.reserves[d] = r
+	c := p.clone()
+	c.reserves = maps.Clone(p.reserves)
+	if c.reserves == nil {
+		c.reserves = map[string]float64{}
 	}
 	c.reserves[domain] = reserve
-	return &c
+	return c
 }
 
 // demandLevels are the loads for which plans are compared, as multiples of
 // copyRate in each domain. The demand is unknown when the first
 // plan is made, and a plan should serve a quiet hour as well as a peak.
-var demandLevels = []float64{0.25, 0.5, 1}
+var demandLevels = []float64{0.25, 0.5, 1, 2, 4}
 
 // served returns the share of the demand that the planned servers serve, summed over
 // demandLevels. Each failure domain has the same demand.
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -118,14 +118,13 @@
 	}
 }
 
-// moveOffReleased moves streams off the layers that a server releases. The server waits
-// for these streams, sometimes for many seconds, before it loads its new layers.
+// moveOffReleased moves streams off the layers that a server releases.
 func (r *Router) moveOffReleased(addr string, held backend.Layers) {
 	for _, st := range r.streams.through(addr) {
 		if !st.layersReleased(addr, held) {
 			continue
 		}
-		if err := r.workers.Submit(func() { st.moveOff(addr) }); err != nil {
+		if err := r.workers.Submit(func() { st.moveOffReleased(addr) }); err != nil {
 			r.log.Warn().Err(err).Str("request", st.x.req.ID).Msg("stream not moved off released layers: all workers are busy")
 		}
 	}
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -65,18 +65,36 @@
 // replaced within a run, so if it is the slow one, the run is cancelled, provided that
 // another server can take the request. If neither is possible, the stream stays.
 func (st *stream) moveOffSlow(addr string) {
-	first := st.choice().Target()
-	if first.Addr != addr {
+	if st.choice().Target().Addr != addr {
 		if !st.moveOff(addr) {
 			st.x.r.log.Info().Str("request", st.x.req.ID).Str("addr", addr).Msg("stream stays on a slow server")
 		}
 		return
 	}
+	if !st.begun() {
+		st.runElsewhere(addr)
+	}
+}
+
+// moveOffReleased leaves a server that releases the stream's layers. The server would wait
+// for the stream, sometimes for many seconds, before it loads its new layers.
+func (st *stream) moveOffReleased(addr string) {
+	if st.choice().Target().Addr != addr {
+		st.moveOff(addr)
+		return
+	}
+	st.runElsewhere(addr)
+}
+
+// runElsewhere cancels the run because of its first server, at addr, if another server can
+// take the request over now. The stream then continues after its last event.
+func (st *stream) runElsewhere(addr string) {
 	x := st.x
 	x.r.mu.Lock()
-	elsewhere := x.r.core.CanSendElsewhere(x.r.clock.now(), &x.req, first.Instance.ID)
+	elsewhere := x.req.Route.Retryable() && x.r.core.CanSendElsewhere(x.r.clock.now(), &x.req, st.choice().Target().Instance.ID)
 	x.r.mu.Unlock()
-	if !elsewhere || st.begun() {
+	if !elsewhere {
+		x.r.log.Info().Str("request", x.req.ID).Str("addr", addr).Msg("stream stays on its first server: no other can take it")
 		return
 	}
 	st.mu.Lock()
@@ -150,13 +168,12 @@
 	return nil
 }
 
-// layersReleased reports whether the server at addr is on the path, but not its first, and
-// held no longer covers its stage.
+// layersReleased reports whether the server at addr is on the path and held no longer
+// covers its stage.
 func (st *stream) layersReleased(addr string, held backend.Layers) bool {
-	ch := st.choice()
-	for i, stage := range ch.Stages {
+	for _, stage := range st.choice().Stages {
 		if stage.Addr == addr {
-			return i > 0 && !held.Contains(stage.Layers)
+			return !held.Contains(stage.Layers)
 		}
 	}
 	return false
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -7,9 +7,12 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/loads"
+	"github.com/catkinstair/catkinstair/internal/placement"
 	"github.com/catkinstair/catkinstair/internal/routes"
 	"github.com/catkinstair/catkinstair/platform"
 )
@@ -181,6 +184,11 @@
 	if old != nil && old.Revision > rec.Revision {
 		return
 	}
+	if err := r.checkServer(rec); err != nil {
+		r.log.Warn().Err(err).Msg("backend server not used")
+		r.core.Backends.Remove(now, id, false)
+		return
+	}
 	if old == nil || old.State != rec.State || old.Held != rec.Held || old.StartedMs != rec.StartedMs {
 		r.log.Info().Str("server", it.Key).Str("addr", rec.Addr).Str("domain", rec.Domain).Str("card", rec.Accelerator).Int64("born", rec.StartedMs).
 			Bool("draining", rec.State == backend.Draining).Int("from", rec.Held.From).Int("to", rec.Held.To).Msg("backend server")
@@ -200,6 +208,21 @@
 	}
 }
 
+// checkServer checks a record against the model in the configuration. The caller holds mu.
+func (r *Router) checkServer(rec backend.Record) error {
+	spec := r.core.Spec(rec.Service)
+	if spec == nil {
+		return nil
+	}
+	if _, known := spec.Accelerators[rec.Accelerator]; !known {
+		return errors.Newf("record %s: unknown accelerator %q; add it to the engine of service %s in the configuration or correct the record", rec.ID, rec.Accelerator, rec.Service)
+	}
+	if !placement.ValidLayers(spec, rec.Held) {
+		return errors.Newf("record %s: layers %d to %d are outside the model's %d; the server has to report what it holds", rec.ID, rec.Held.From, rec.Held.To, spec.Layers)
+	}
+	return nil
+}
+
 func (r *Router) applyMember(it platform.Item) {
 	vm := strings.TrimPrefix(it.Key, membersPrefix)
 	if it.Removed {
