--- a/internal/placement/extend.go
+++ b/internal/placement/extend.go
@@ -3,17 +3,48 @@
 import "github.com/catkinstair/catkinstair/internal/backend"
 
 // extendNeighbours closes the gaps that are left in a domain without spare servers: the
-// servers on both sides of a gap load its layers too, with KVReserve or, if that is not
-// enough, with MinKVReserve. A gap that they cannot close completely stays as it is,
-// because requests would have to cross to another domain anyway.
+// servers on both sides of a gap load its layers too. A gap that they cannot close
+// completely stays as it is, because requests would have to cross to another domain anyway.
 func (p *plan) extendNeighbours(domain string) {
 	for _, gap := range gaps(p.copies(domain)) {
-		for _, reserve := range []float64{p.cfg.KVReserve, p.cfg.MinKVReserve} {
-			if p.closeGap(domain, gap, reserve) {
-				break
-			}
+		p.closeGap(domain, gap)
+	}
+}
+
+// moveSpares closes gaps of a domain, "" for all, by moving servers whose layers others
+// hold too. A gap that they cannot close completely stays as it is.
+func (p *plan) moveSpares(domain string) {
+	for _, gap := range gaps(p.copies(domain)) {
+		if trial := p.clone(); trial.moveSparesTo(domain, gap) {
+			*p = *trial
+		}
+	}
+}
+
+// moveSparesTo moves spare servers to a gap until it is closed, and reports whether it is.
+func (p *plan) moveSparesTo(domain string, gap backend.Layers) bool {
+	for {
+		left := firstGap(p.copies(domain), gap)
+		if left.Len() == 0 {
+			return true
+		}
+		s := p.slowestSpare(domain)
+		if s == nil {
+			return false
+		}
+		p.addOrder(s, p.rangeAround(left, p.maxLayers(s)))
+	}
+}
+
+// firstGap returns the first range of layers without a copy within a range, empty for none.
+func firstGap(copies []int, within backend.Layers) backend.Layers {
+	for _, gap := range gaps(copies) {
+		from, to := max(gap.From, within.From), min(gap.To, within.To)
+		if from < to {
+			return backend.Layers{From: from, To: to}
 		}
 	}
+	return backend.Layers{}
 }
 
 // gaps returns the ranges of layers without a copy.
@@ -34,8 +65,8 @@
 }
 
 // closeGap extends the adjacent servers with the most spare capacity over gap, if
-// together they can hold all of it, and reports whether they can.
-func (p *plan) closeGap(domain string, gap backend.Layers, reserve float64) bool {
+// together they can hold all of it.
+func (p *plan) closeGap(domain string, gap backend.Layers) {
 	var left, right *Server
 	spareLeft, spareRight := 0, 0
 	for i := range p.servers {
@@ -43,7 +74,7 @@
 		if s.Domain != domain || s.OrderPending || s.Suspect || s.Held.Len() == 0 {
 			continue
 		}
-		extra := p.maxLayersWithReserve(s, reserve) - s.Held.Len()
+		extra := p.maxLayers(s) - s.Held.Len()
 		if s.Held.To == gap.From && extra > spareLeft {
 			left, spareLeft = s, extra
 		}
@@ -52,7 +83,7 @@
 		}
 	}
 	if spareLeft+spareRight < gap.Len() {
-		return false
+		return
 	}
 	// Loading on one server is better than on two, so the side with more capacity takes as
 	// many layers as it can hold.
@@ -66,5 +97,4 @@
 	if fromLeft < gap.Len() {
 		p.addOrder(right, backend.Layers{From: right.Held.From - (gap.Len() - fromLeft), To: right.Held.To})
 	}
-	return true
 }
