httpcall: responses without an end are given up within the VM's memory

Cause: the head of a response and interim responses were read without a bound, and bodies were bounded one by one: a server that sends header lines for 4 s made the client grow to 505 MB. The control client took bytes that arrived after an answer for the answer to the next call. Change: bounds on head and interim responses together and on the memory of all responses in progress, of which one may hold a quarter of what is free; calls check for stray bytes before they reuse a connection; Options.BeforeSend checks a permission right before the first byte.

--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -20,7 +20,8 @@
 
 // Client makes calls to any number of addresses. It is safe for concurrent use.
 type Client struct {
-	cfg Config
+	cfg    Config
+	memory *memoryBudget
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -31,12 +32,16 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, errors.Wrap(err, "invalid httpcall config")
 	}
-	return &Client{cfg: cfg, pools: map[string]*pool{}}, nil
+	return &Client{cfg: cfg, memory: &memoryBudget{limit: cfg.MaxBufferedBytes}, pools: map[string]*pool{}}, nil
 }
 
 // NewDefault returns a Client with DefaultConfig.
 func NewDefault() *Client {
-	return &Client{cfg: DefaultConfig(), pools: map[string]*pool{}}
+	c, err := New(DefaultConfig())
+	if err != nil {
+		panic(err) // DefaultConfig is valid; client_test.go checks it
+	}
+	return c
 }
 
 // Close closes every idle connection.
@@ -89,11 +94,20 @@
 	started := time.Now()
 	deadline := opt.deadline(started)
 	p := c.pool(addr)
-	cn, err := c.connect(p, addr, opt, deadline)
+	cn, _, err := c.connectWithoutPendingData(p, addr, opt, deadline)
 	if err != nil {
 		return setTarget(err, addr, req)
 	}
-	err = roundTrip(cn, req, resp, deadline, c.cfg.MaxBodyBytes)
+	if opt.BeforeSend != nil {
+		if cause := opt.BeforeSend(); cause != nil {
+			_ = cn.Close()
+			p.release()
+			return setTarget(&Error{Kind: KindWithdrawn, Sent: NotSent, Err: cause}, addr, req)
+		}
+	}
+	held := reservation{budget: c.memory}
+	defer held.release()
+	err = roundTrip(cn, req, resp, deadline, c.cfg, &held)
 	if err == nil && readBody != nil {
 		if bodyErr := readBody(cn); bodyErr != nil {
 			err = &Error{Kind: kindOf(bodyErr), Sent: MayHaveArrived, Err: bodyErr}
@@ -113,6 +127,7 @@
 		p.release()
 		return nil
 	}
+	cn.used = true
 	p.put(cn, time.Now(), c.cfg.IdleTimeout, c.cfg.MaxIdlePerAddr)
 	return nil
 }
@@ -165,8 +180,10 @@
 
 // roundTrip writes req and reads resp. Once writing has begun, every failure is
 // MayHaveArrived.
-func roundTrip(cn *conn, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, maxBody int) *Error {
+func roundTrip(cn *conn, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, cfg Config, held *reservation) *Error {
 	cn.deadline = deadline
+	cn.held = held
+	defer func() { cn.held = nil }()
 	if err := cn.SetDeadline(deadline); err != nil {
 		return &Error{Kind: KindClosed, Sent: NotSent, Err: err}
 	}
@@ -178,7 +195,10 @@
 		return &Error{Kind: kindOf(err), Sent: MayHaveArrived, Err: err}
 	}
 	resp.SkipBody = req.Header.IsHead()
-	err = resp.ReadLimitBody(cn.r, maxBody)
+	if resp.StreamBody {
+		cn.held = nil // the body is passed on as it arrives
+	}
+	err = resp.ReadLimitBody(cn.r, cfg.MaxBodyBytes)
 	if err != nil {
 		return &Error{Kind: kindOf(err), Sent: MayHaveArrived, Err: err}
 	}
@@ -190,8 +210,11 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return KindTimeout
 	}
-	if errors.Is(err, fasthttp.ErrTimeout) {
+	switch {
+	case errors.Is(err, fasthttp.ErrTimeout):
 		return KindTimeout
+	case errors.Is(err, errHeadTooLong), errors.Is(err, errMemoryBudget), errors.Is(err, errBodyTooLong), errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return KindOversized
 	}
 	return KindClosed
 }
--- a/internal/adapter/httpcall/config.go
+++ b/internal/adapter/httpcall/config.go
@@ -21,6 +21,12 @@
 	MaxIdlePerAddr int
 	// MaxBodyBytes limits the body of a response, in bytes. Default 16 MiB.
 	MaxBodyBytes int
+	// MaxHeadBytes limits the head of a response together with the interim responses
+	// before it, in bytes. Default 32 KiB.
+	MaxHeadBytes int
+	// MaxBufferedBytes limits the bodies of all responses in progress together, in bytes.
+	// Default 64 MiB.
+	MaxBufferedBytes int64
 	// KeepAlive configures TCP keep-alive probes, which detect connections that have
 	// permanently stopped delivering data. Default: first probe after 1 s idle, then
 	// every 500 ms, closed after 3 unanswered probes.
@@ -30,12 +36,14 @@
 // DefaultConfig returns the defaults documented in Config.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:     time.Second,
-		IdleTimeout:     15 * time.Second,
-		MaxConnsPerAddr: 512,
-		MaxIdlePerAddr:  64,
-		MaxBodyBytes:    16 << 20,
-		KeepAlive:       net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
+		DialTimeout:      time.Second,
+		IdleTimeout:      15 * time.Second,
+		MaxConnsPerAddr:  512,
+		MaxIdlePerAddr:   64,
+		MaxBodyBytes:     16 << 20,
+		MaxHeadBytes:     32 << 10,
+		MaxBufferedBytes: 64 << 20,
+		KeepAlive:        net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
 	}
 }
 
@@ -57,6 +65,12 @@
 	if c.MaxBodyBytes <= 0 {
 		problems = append(problems, "MaxBodyBytes must be at least 1")
 	}
+	if c.MaxHeadBytes <= 0 {
+		problems = append(problems, "MaxHeadBytes must be at least 1")
+	}
+	if c.MaxBufferedBytes <= 0 {
+		problems = append(problems, "MaxBufferedBytes must be at least 1")
+	}
 	if len(problems) > 0 {
 		return errors.New(strings.Join(problems, "; "))
 	}
@@ -71,6 +85,10 @@
 	// NewConnection opens a new connection for this call. If the call succeeds, the
 	// connection is kept for later calls.
 	NewConnection bool
+	// BeforeSend, if not nil, is called once a connection is open, immediately before the
+	// first byte is written. An error ends the call with NotSent. It is for permissions
+	// that can end while the connection is being opened.
+	BeforeSend func() error
 	// MaxIdleTime, if positive, allows only a new connection or one whose last
 	// response is at most this old.
 	MaxIdleTime time.Duration
--- a/internal/adapter/httpcall/errors.go
+++ b/internal/adapter/httpcall/errors.go
@@ -45,6 +45,11 @@
 	KindDial Kind = "dial"
 	// KindNoConnection: MaxConnsPerAddr connections to the address are in use.
 	KindNoConnection Kind = "no-connection"
+	// KindWithdrawn: Options.BeforeSend returned an error; nothing was sent.
+	KindWithdrawn Kind = "withdrawn"
+	// KindOversized: the response exceeded a limit on its head, its body or the memory of
+	// all responses.
+	KindOversized Kind = "oversized-answer"
 	// KindInvalid: the request could not be encoded; nothing was sent.
 	KindInvalid Kind = "invalid-request"
 	// KindTimeout: the deadline passed after writing had begun.
--- a/internal/adapter/httpcall/exchange.go
+++ b/internal/adapter/httpcall/exchange.go
@@ -23,8 +23,12 @@
 	complete          bool
 	reused            bool
 	maxIdleConns      int
+	held              reservation
 }
 
+// errBodyTooLong is the cause of a call whose response body exceeds the limit of ReadAll.
+var errBodyTooLong = errors.New("response body is too long")
+
 // Open sends head and body unchanged to addr on one connection and reads the response
 // header. method is the method of the request in head. The connection is closed when
 // ctx ends. The error is always an *Error.
@@ -36,8 +40,14 @@
 		err.Addr, err.Op = addr, method
 		return nil, err
 	}
-	x := &Exchange{client: c, pool: p, conn: cn, reused: reused, maxIdleConns: c.cfg.MaxIdlePerAddr}
+	x := &Exchange{client: c, pool: p, conn: cn, reused: reused, maxIdleConns: c.cfg.MaxIdlePerAddr, held: reservation{budget: c.memory}}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = cn.Close() })
+	if opt.BeforeSend != nil {
+		if cause := opt.BeforeSend(); cause != nil {
+			x.Close()
+			return nil, &Error{Kind: KindWithdrawn, Sent: NotSent, Addr: addr, Op: method, Err: cause}
+		}
+	}
 	if err := x.send(method, head, body, deadline); err != nil {
 		x.Close()
 		err.Addr, err.Op = addr, method
@@ -95,6 +105,8 @@
 	if _, err := cn.Write(append(head, body...)); err != nil {
 		return &Error{Kind: kindOf(err), Sent: MayHaveArrived, Err: err}
 	}
+	cn.limitHead, cn.headBytesLeft = true, x.client.cfg.MaxHeadBytes
+	defer func() { cn.limitHead = false }()
 	for {
 		resp, err := http.ReadResponse(cn.r, &http.Request{Method: method})
 		if err != nil {
@@ -123,22 +135,36 @@
 	return n, err
 }
 
-// ReadAll reads the body to its end. It returns an error if the body exceeds limit bytes.
+// ReadAll reads the body to its end. It returns an error if the body exceeds limit bytes,
+// or if it holds too large a share of Config.MaxBufferedBytes. The share is held until
+// Close.
 func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
 	var buf bytes.Buffer
-	if n := x.Response.ContentLength; n > 0 && n <= limit {
-		buf.Grow(int(n) + bytes.MinRead)
-	}
-	n, err := buf.ReadFrom(io.LimitReader(x, limit+1))
+	n, err := buf.ReadFrom(countingReader{io.LimitReader(x, limit+1), &x.held})
 	if err == nil && n > limit {
-		err = errors.Newf("response body exceeds %d bytes", limit)
+		err = errors.Wrapf(errBodyTooLong, "limit %d bytes", limit)
 	}
 	return buf.Bytes(), err
 }
 
+// countingReader reserves the memory for what it reads.
+type countingReader struct {
+	io.Reader
+	held *reservation
+}
+
+func (r countingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if budgetErr := r.held.grow(n); budgetErr != nil {
+		return n, budgetErr
+	}
+	return n, err
+}
+
 // Close ends the exchange. The connection is returned to the pool only after a complete
 // response, and only if the server keeps it open.
 func (x *Exchange) Close() {
+	x.held.release()
 	notCancelled := x.stopCloseOnCancel()
 	if x.complete && notCancelled && x.maxIdleConns > 0 && !x.Response.Close && x.Response.Body != nil && x.conn.r.Buffered() == 0 {
 		x.conn.used = true
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -22,13 +22,26 @@
 	readTimeout time.Duration
 	// deadline is the deadline of the call in progress.
 	deadline time.Time
-	// used is set once an Exchange has read a complete response on it.
+	// used is set once a complete response has been read on it.
 	used bool
+	// headBytesLeft, if limitHead is set, is how many more bytes may arrive for the head of
+	// the response in progress.
+	headBytesLeft int
+	limitHead     bool
+	// held, if not nil, counts the bytes that arrive for a buffered response.
+	held *reservation
 }
 
+// errHeadTooLong is the cause of a call whose response has no end of its head within
+// Config.MaxHeadBytes.
+var errHeadTooLong = errors.New("head of the response is too long")
+
 // Read implements net.Conn. Before each read of a streamed body it sets the read
-// deadline.
+// deadline. It fails once the response is larger than the limits allow.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.limitHead && c.headBytesLeft <= 0 {
+		return 0, errHeadTooLong
+	}
 	if c.readTimeout > 0 {
 		next := time.Now().Add(c.readTimeout)
 		if next.After(c.deadline) {
@@ -38,7 +51,12 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	c.headBytesLeft -= n
+	if c.held != nil && err == nil {
+		err = c.held.grow(n)
+	}
+	return n, err
 }
 
 // pool holds the connections to one address, the most recently used idle one last.
