--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -107,7 +107,9 @@
 	}
 	held := reservation{budget: c.memory}
 	defer held.release()
+	cn.readTimeout = opt.IdleTimeout
 	err = roundTrip(cn, req, resp, deadline, c.cfg, &held)
+	cn.readTimeout = 0
 	if err == nil && readBody != nil {
 		if bodyErr := readBody(cn); bodyErr != nil {
 			err = &Error{Kind: kindOf(bodyErr), Sent: MayHaveArrived, Err: bodyErr}
--- a/internal/adapter/httpcall/config.go
+++ b/internal/adapter/httpcall/config.go
@@ -82,6 +82,9 @@
 	// Deadline bounds the call up to the end of the response. Zero means
 	// DefaultTimeout from now.
 	Deadline time.Time
+	// IdleTimeout, if positive, also bounds each wait for bytes of the response. It tells
+	// a slow transfer of a long response from one that has stopped.
+	IdleTimeout time.Duration
 	// NewConnection opens a new connection for this call. If the call succeeds, the
 	// connection is kept for later calls.
 	NewConnection bool
--- a/internal/obs/writer_test.go
+++ b/internal/obs/writer_test.go
@@ -51,3 +51,26 @@
 			Dur("after", time.Second).Bool("whole", true).Int("events", 43).Dur("first", time.Millisecond).Msg("stream ended")
 	}
 }
+
+// closableWriter records whether it was closed.
+type closableWriter struct {
+	bytes.Buffer
+	closed bool
+}
+
+func (w *closableWriter) Close() error {
+	w.closed = true
+	return nil
+}
+
+// The standard output belongs to the process: tests that stop a router lost their reports
+// when the log closed it.
+func TestCloseLeavesUnderlyingWriterOpen(t *testing.T) {
+	var out closableWriter
+	w := NewNonBlockingWriter(&out, func(int) {})
+	_, err := io.WriteString(w, "line\n")
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	require.Equal(t, "line\n", out.String())
+	require.False(t, out.closed)
+}
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -15,7 +15,7 @@
 // routerMetrics holds the metrics of the process.
 type routerMetrics struct {
 	storeErrors, loadSendErrors, watcherErrors, orders, reports, refused, resumed, repathed, retried, failed *metrics.Counter
-	served, logLinesDropped                                                                                  *metrics.Counter
+	served, logLinesDropped, panics                                                                          *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 }
 
@@ -27,7 +27,7 @@
 		reports: c("catkin_router_reports_total"), refused: c("catkin_router_refused_total"),
 		resumed: c("catkin_router_resumed_total"), repathed: c("catkin_router_repathed_total"), retried: c("catkin_router_repeated_total"),
 		failed: c("catkin_router_failed_total"), served: c("catkin_router_served_total"),
-		logLinesDropped: c("catkin_router_log_lines_lost_total"),
+		logLinesDropped: c("catkin_router_log_lines_lost_total"), panics: c("catkin_router_panics_total"),
 		plainDuration:   metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
 		firstEventDelay: metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
 	}
@@ -53,7 +53,7 @@
 		if err != nil {
 			return err
 		}
-		s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
+		s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: r.guarded(handler), NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
 		r.auxServers = append(r.auxServers, s)
 		go func() {
 			if err := s.Serve(l); err != nil {
@@ -65,7 +65,11 @@
 }
 
 func (r *Router) handleReady(ctx *fasthttp.RequestCtx) {
-	if ok, reason := r.ready(); !ok || string(ctx.Path()) != platform.ReadyURI {
+	if string(ctx.Path()) != platform.ReadyURI {
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+		return
+	}
+	if ok, reason := r.ready(); !ok {
 		ctx.Error("not ready: "+reason, fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -28,6 +28,8 @@
 	// writeTimeout disconnects a caller that does not read. It bounds each write, because
 	// a stream as a whole lasts as long as its events keep coming.
 	writeTimeout = 10 * time.Second
+	// maxHeldRequests bounds the requests that wait for the first configuration.
+	maxHeldRequests = 512
 	// noConfigRetryAfter is sent as Retry-After while no configuration is known.
 	noConfigRetryAfter = 500 * time.Millisecond
 )
@@ -39,7 +41,7 @@
 		return nil, err
 	}
 	s := &fasthttp.Server{
-		Logger: httpLogger{r.log}, Handler: r.handle, NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
+		Logger: httpLogger{r.log}, Handler: r.guarded(r.handle), NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, IdleTimeout: callerIdleTimeout,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 	}
@@ -80,7 +82,9 @@
 	if r.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
-	x, status := r.accept(ctx)
+	receivedAt := time.Now()
+	r.awaitConfiguration(ctx)
+	x, status := r.accept(ctx, receivedAt)
 	if status != 0 {
 		ctx.Error(fasthttp.StatusMessage(status), status)
 		r.log.Info().Bytes("request", ctx.Request.Header.Peek(platform.HeaderRequestID)).Int("status", status).
@@ -96,10 +100,45 @@
 	if conn, ok := ctx.Conn().(*callerConn); ok {
 		conn.watch(func() { x.cancel(errCallerGone) })
 	}
-	r.mu.Lock()
-	r.core.RequestArrived(r.clock.now(), x.req.Service.Name)
-	x.maxIdleConns = r.core.IdleConnections(x.req.Service)
-	r.mu.Unlock()
+	if err := r.guard("request", x.req.ID, x.serve); err != nil {
+		x.failInternally()
+	}
+}
+
+// awaitConfiguration holds a request that arrives before the first configuration, for up to
+// FirstConfigWait: after a loss of power, VMs accept requests some hundred milliseconds
+// before they have read the store, and a refusal would use up the caller's retry.
+func (r *Router) awaitConfiguration(ctx *fasthttp.RequestCtx) {
+	select {
+	case <-r.configured:
+		return
+	default:
+	}
+	if r.heldRequests.Add(1) > maxHeldRequests {
+		r.heldRequests.Add(-1)
+		return
+	}
+	defer r.heldRequests.Add(-1)
+	gone := make(chan struct{})
+	if conn, ok := ctx.Conn().(*callerConn); ok {
+		conn.watch(func() { close(gone) })
+		defer conn.unwatch()
+	}
+	timeout := time.NewTimer(r.cfg.FirstConfigWait)
+	defer timeout.Stop()
+	select {
+	case <-r.configured:
+	case <-gone:
+	case <-timeout.C:
+	}
+}
+
+// serve forwards the request and sets the response.
+func (x *exchange) serve() {
+	x.r.locked(func() {
+		x.r.core.RequestArrived(x.r.clock.now(), x.req.Service.Name)
+		x.maxIdleConns = x.r.core.IdleConnections(x.req.Service)
+	})
 	if x.req.Route.Kind == routes.Stream {
 		x.serveStream()
 		return
@@ -108,6 +147,24 @@
 	x.finish()
 }
 
+// failInternally answers a request whose handling panicked. It may have run.
+func (x *exchange) failInternally() {
+	x.refuseRequest(verdict.Refusal{Verdict: verdict.MayHaveRun, Cause: verdict.CauseInternalFailure})
+	x.ctx.SetConnectionClose()
+	x.finish()
+}
+
+// guarded returns a handler that responds to a panic of h with an error and closes the
+// connection.
+func (r *Router) guarded(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if err := r.guard("handler", string(ctx.Path()), func() { h(ctx) }); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadGateway)
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 // finish ends the watch of the caller's connection and decrements openRequests. It is called
 // once: when a plain response is complete, or when a stream has been written.
 func (x *exchange) finish() {
@@ -121,7 +178,7 @@
 // accept resolves the request's route, team and service. It returns the HTTP status if
 // the configuration does not allow the request, and nil and 0 if there is no
 // configuration yet.
-func (r *Router) accept(ctx *fasthttp.RequestCtx) (*exchange, int) {
+func (r *Router) accept(ctx *fasthttp.RequestCtx, receivedAt time.Time) (*exchange, int) {
 	r.mu.Lock()
 	table := r.core.Table()
 	r.mu.Unlock()
@@ -139,7 +196,7 @@
 			return nil, fasthttp.StatusUnauthorized
 		}
 	}
-	x := &exchange{r: r, ctx: ctx, team: team, receivedAt: time.Now(), worstVerdict: verdict.NotRun}
+	x := &exchange{r: r, ctx: ctx, team: team, receivedAt: receivedAt, worstVerdict: verdict.NotRun}
 	x.req = dispatch.Request{ID: string(h.Peek(platform.HeaderRequestID)), Route: route, SentTo: map[backend.ID]bool{}, Avoid: map[backend.ID]bool{}}
 	svc, ok := table.Service(route, x.req.ID)
 	if !ok {
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	// Compressed, because a configuration of 100 kB goes to a dozen VMs over a slow link.
-	handler := fasthttp.CompressHandlerLevel(r.handleChanges, fasthttp.CompressBestSpeed)
+	handler := r.guarded(fasthttp.CompressHandlerLevel(r.handleChanges, fasthttp.CompressBestSpeed))
 	s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: handler, NoDefaultServerHeader: true}
 	r.auxServers = append(r.auxServers, s)
 	go func() {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -28,6 +28,13 @@
 	// StoreTimeout bounds a call to the store; a watch gets WatchTimeout on top.
 	// Default 700 ms.
 	StoreTimeout time.Duration
+	// FirstConfigWait is how long a request waits for the first configuration after a start
+	// before it is refused. Default 1.5 s.
+	FirstConfigWait time.Duration
+	// ReadAllTimeout bounds a read of one page of all keys, provided that bytes keep
+	// arriving within StoreTimeout. After a loss of power, all VMs read a configuration of
+	// some hundred kB at once over the store's link. Default 5 s.
+	ReadAllTimeout time.Duration
 	// StoreRetryDelay is the pause after a failed call to the store. It doubles with
 	// each further failure, up to MaxStoreRetryDelay, and up to half is added as jitter.
 	// Default 200 ms.
@@ -52,6 +59,10 @@
 	// first token, before its first backend server is asked whether it waits for another
 	// one. Default 300 ms.
 	StallTimeout time.Duration
+	// PartialEventTimeout is how long an event may take to arrive completely. Engines write
+	// events whole, so a longer one comes from a server that will not complete it. Default
+	// 1 s.
+	PartialEventTimeout time.Duration
 	// MaxReportAge is how long a server's report is reused for other streams. Default
 	// 200 ms, the engine's own report lag.
 	MaxReportAge time.Duration
@@ -92,9 +103,9 @@
 	return Config{
 		Dispatch: dispatch.DefaultConfig(), Leader: leader.DefaultConfig(), Placement: placement.DefaultConfig(), Changefeed: changefeed.DefaultConfig(),
 		WaitQueue:    dispatch.DefaultWaitQueueConfig(),
-		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond,
+		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, FirstConfigWait: 1500 * time.Millisecond,
 		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
-		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, DialTimeout: 500 * time.Millisecond,
+		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, DialTimeout: 500 * time.Millisecond,
 		ConnReuseTimeout: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
 		AddressLifetime: 2 * time.Second, SettingsInterval: 5 * time.Second, LogLevel: "info", Workers: 64,
 	}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -43,15 +43,22 @@
 			r.log.Warn().Err(err).Stringer("from", from).Msg("loads: invalid message")
 			continue
 		}
-		r.handleLoads(m)
+		r.run("loads", m.From, func() { r.handleLoads(m) })
 	}
 }
 
 func (r *Router) handleLoads(m loads.Message) {
-	r.mu.Lock()
+	var lostAddrs, slowAddrs []string
+	r.locked(func() { lostAddrs, slowAddrs = r.receiveFindings(m) })
+	r.moveOffLost(lostAddrs)
+	r.moveOffSlow(slowAddrs)
+}
+
+// receiveFindings applies a load message and returns the addresses of the servers that it
+// newly reports as lost and as slow. The caller holds mu.
+func (r *Router) receiveFindings(m loads.Message) (lostAddrs, slowAddrs []string) {
 	now := r.clock.now()
 	findings := r.core.Receive(now, m)
-	var lostAddrs, slowAddrs []string
 	for _, s := range findings.Lost {
 		lostAddrs = append(lostAddrs, s.Addr)
 		r.log.Info().Str("server", string(s.ID)).Str("addr", s.Addr).Str("from", m.From).Msg("backend server lost, another VM says")
@@ -65,9 +72,7 @@
 		}
 		r.log.Info().Str("server", string(s.ID)).Str("addr", s.Addr).Float64("slowX", s.SlowdownFactor(now)).Str("from", m.From).Msg("backend server's pace, another VM says")
 	}
-	r.mu.Unlock()
-	r.moveOffLost(lostAddrs)
-	r.moveOffSlow(slowAddrs)
+	return lostAddrs, slowAddrs
 }
 
 // recordLost records that the server at addr is lost, because an engine is stalled waiting
@@ -133,16 +138,16 @@
 // sendLoads sends this VM's loads or, as the aggregator, the sum of its failure domain.
 func (r *Router) sendLoads(ctx context.Context) {
 	for ctx.Err() == nil {
-		r.mu.Lock()
-		wait := r.core.Loads.Interval()
-		r.mu.Unlock()
+		var wait time.Duration
+		r.locked(func() { wait = r.core.Loads.Interval() })
 		r.waitToSendLoads(ctx, wait)
-		r.mu.Lock()
-		sends := r.core.Loads.Tick(r.clock.now(), r.core.OwnLoads(r.clock.now()))
-		r.mu.Unlock()
-		for _, s := range sends {
-			r.sendMessage(s)
-		}
+		r.run("loads", "send", func() {
+			var sends []loads.Send
+			r.locked(func() { sends = r.core.Loads.Tick(r.clock.now(), r.core.OwnLoads(r.clock.now())) })
+			for _, s := range sends {
+				r.sendMessage(s)
+			}
+		})
 	}
 }
 
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -35,11 +35,13 @@
 	for ctx.Err() == nil {
 		pause(ctx, r.cfg.PlanInterval)
 		var sends sync.WaitGroup
-		for _, o := range r.plan() {
+		var orders []placementOrder
+		r.run("placement", "plan", func() { orders = r.plan() })
+		for _, o := range orders {
 			sem <- struct{}{}
 			sends.Go(func() {
 				defer func() { <-sem }()
-				r.sendPlacement(o)
+				r.run("placement", string(o.Instance.ID), func() { r.sendPlacement(o) })
 			})
 		}
 		sends.Wait()
--- a/internal/router/presence.go
+++ b/internal/router/presence.go
@@ -18,14 +18,18 @@
 // until ctx ends.
 func (r *Router) maintainPresence(ctx context.Context) {
 	for ctx.Err() == nil {
-		r.mu.Lock()
-		call, lease, revision := r.election.Next(r.clock.now()), r.election.Lease(), r.election.ClaimRevision()
-		r.mu.Unlock()
+		var call leader.Call
+		var lease, revision uint64
+		r.locked(func() {
+			call, lease, revision = r.election.Next(r.clock.now()), r.election.Lease(), r.election.ClaimRevision()
+		})
 		if call == leader.None {
 			pause(ctx, presenceInterval)
 			continue
 		}
-		r.makePresenceCall(call, lease, revision)
+		if err := r.guard("presence", "store", func() { r.makePresenceCall(call, lease, revision) }); err != nil {
+			pause(ctx, presenceInterval)
+		}
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,6 +64,8 @@
 	reportCache  *reportCache
 	sendLoadsNow chan struct{} // signals a finding to send at once
 
+	configured   chan struct{} // closed when the first configuration is in force
+	heldRequests atomic.Int64  // requests that wait for it
 	stopping     atomic.Bool
 	openRequests atomic.Int64 // requests in progress
 }
@@ -104,6 +106,7 @@
 		members: map[string]member{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
 		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1),
+		configured: make(chan struct{}),
 	}
 	r.bounds.Store(&settings.Bounds)
 	return r, nil
--- a/internal/router/site_test.go
+++ b/internal/router/site_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -126,6 +127,15 @@
 	return v
 }
 
+// openPort reports whether the VM accepts connections of callers.
+func (v *vm) openPort() bool {
+	c, err := net.Dial("tcp", v.host+":18227")
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
 func (v *vm) awaitReady(t *testing.T) {
 	t.Helper()
 	require.Eventually(t, func() bool { ok, _ := v.ready(); return ok }, waitTimeout, 5*time.Millisecond)
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -17,29 +17,62 @@
 func (st *stream) watchStall(ch *dispatch.Choice) {
 	limit := st.x.r.cfg.StallTimeout + ch.FirstToken
 	firstAddr := ch.Target().Addr
-	st.recordRead()
+	st.recordRead(true, false)
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	run := st.runCount
 	st.stallTimer = time.AfterFunc(limit, func() {
-		st.mu.Lock()
-		silent := time.Since(st.lastRead)
-		st.mu.Unlock()
-		if silent < limit {
-			st.resetStallTimer(run, limit-silent)
-			return
-		}
-		if faultAddr := st.x.r.stalledOn(firstAddr, st.x.req.ID); faultAddr != "" {
-			st.x.r.recordLost(faultAddr)
-			st.moveOffLost(faultAddr)
-		} else {
-			limit *= 2 // slow, not stalled: ask less often, since each report request has a cost
-			st.x.r.requestSlowdowns(st.choice())
-		}
-		st.resetStallTimer(run, limit)
+		st.x.r.run("stall watch", st.x.req.ID, func() {
+			var next time.Duration
+			limit, next = st.checkStall(firstAddr, limit)
+			st.resetStallTimer(run, next)
+		})
 	})
 }
 
+// checkStall asks the first server of a run that has sent no complete event for limit
+// whether it waits for another server. It returns the limit of the next check and the time
+// until it.
+func (st *stream) checkStall(firstAddr string, limit time.Duration) (nextLimit, next time.Duration) {
+	r := st.x.r
+	st.mu.Lock()
+	silent, partial := time.Since(st.lastRead), st.partialFor(time.Now())
+	st.mu.Unlock()
+	if partial > r.cfg.PartialEventTimeout {
+		r.log.Info().Str("request", st.x.req.ID).Str("addr", firstAddr).Dur("age", partial).Msg("run cancelled: its event does not end")
+		st.cancelCurrentRun(firstAddr)
+		return limit, limit
+	}
+	if silent < limit {
+		return limit, min(limit-silent, r.cfg.PartialEventTimeout)
+	}
+	if faultAddr := r.stalledOn(firstAddr, st.x.req.ID); faultAddr != "" {
+		r.recordLost(faultAddr)
+		st.moveOffLost(faultAddr)
+	} else {
+		limit *= 2 // slow, not stalled: ask less often, since each report request has a cost
+		r.requestSlowdowns(st.choice())
+	}
+	return limit, min(limit, r.cfg.PartialEventTimeout)
+}
+
+// partialFor returns how long the event that has begun to arrive has been incomplete, zero
+// if there is none. The caller holds st.mu.
+func (st *stream) partialFor(now time.Time) time.Duration {
+	if st.partialSince.IsZero() {
+		return 0
+	}
+	return now.Sub(st.partialSince)
+}
+
+// cancelCurrentRun cancels the run because of the server at faultAddr.
+func (st *stream) cancelCurrentRun(faultAddr string) {
+	st.mu.Lock()
+	cancelRun := st.cancelRun
+	st.mu.Unlock()
+	cancelRun(&stalledError{faultAddr: faultAddr})
+}
+
 // resetStallTimer restarts the timer of a run, unless that run is over: the timer may by
 // then belong to another run.
 func (st *stream) resetStallTimer(run int, after time.Duration) {
@@ -54,10 +87,7 @@
 // the run continues. If that fails, the run is cancelled and resumed elsewhere.
 func (st *stream) moveOffLost(faultAddr string) {
 	if !st.moveOff(faultAddr) {
-		st.mu.Lock()
-		cancelRun := st.cancelRun
-		st.mu.Unlock()
-		cancelRun(&stalledError{faultAddr: faultAddr})
+		st.cancelCurrentRun(faultAddr)
 	}
 }
 
@@ -90,17 +120,15 @@
 // take the request over now. The stream then continues after its last event.
 func (st *stream) runElsewhere(addr string) {
 	x := st.x
-	x.r.mu.Lock()
-	elsewhere := x.req.Route.Retryable() && x.r.core.CanSendElsewhere(x.r.clock.now(), &x.req, st.choice().Target().Instance.ID)
-	x.r.mu.Unlock()
+	elsewhere := false
+	x.r.locked(func() {
+		elsewhere = x.req.Route.Retryable() && x.r.core.CanSendElsewhere(x.r.clock.now(), &x.req, st.choice().Target().Instance.ID)
+	})
 	if !elsewhere {
 		x.r.log.Info().Str("request", x.req.ID).Str("addr", addr).Msg("stream stays on its first server: no other can take it")
 		return
 	}
-	st.mu.Lock()
-	cancelRun := st.cancelRun
-	st.mu.Unlock()
-	cancelRun(&stalledError{faultAddr: addr})
+	st.cancelCurrentRun(addr)
 }
 
 // moveOff gives the stage of the server at addr to other servers. It reports false if that
@@ -146,9 +174,8 @@
 	x := st.x
 	log := x.r.log.With().Str("request", x.req.ID).Str("fault", faultAddr).Logger()
 	for range maxRepaths {
-		x.r.mu.Lock()
-		next := x.r.core.Replace(x.r.clock.now(), &x.req, old, faultAddr)
-		x.r.mu.Unlock()
+		var next *dispatch.Choice
+		x.r.locked(func() { next = x.r.core.Replace(x.r.clock.now(), &x.req, old, faultAddr) })
 		if next == nil {
 			log.Info().Msg("stream stays where it is: nobody else has room for its layers")
 			return nil
@@ -251,10 +278,12 @@
 // recordSlowdown records the slowdown factor that a server reports and, from
 // SlowdownThreshold on, moves waiting streams off the server.
 func (r *Router) recordSlowdown(addr string, slowdown float64) {
-	r.mu.Lock()
-	s := r.core.Backends.ByAddr(addr)
-	isNew := s != nil && r.core.RecordSlowdown(r.clock.now(), s.Instance(), slowdown)
-	r.mu.Unlock()
+	var s *backend.Server
+	isNew := false
+	r.locked(func() {
+		s = r.core.Backends.ByAddr(addr)
+		isNew = s != nil && r.core.RecordSlowdown(r.clock.now(), s.Instance(), slowdown)
+	})
 	if !isNew {
 		return
 	}
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -71,7 +71,9 @@
 	var items []platform.Item
 	since, after := uint64(0), ""
 	for {
-		page, err := r.store.Range("", after, httpcall.Within(r.cfg.StoreTimeout))
+		opt := httpcall.Within(r.cfg.ReadAllTimeout)
+		opt.IdleTimeout = r.cfg.StoreTimeout
+		page, err := r.store.Range("", after, opt)
 		if err != nil {
 			return 0, err
 		}
@@ -134,6 +136,10 @@
 
 // applyItem applies the state of one key to the cores. The caller holds mu.
 func (r *Router) applyItem(it platform.Item) {
+	r.run("store", it.Key, func() { r.applyKey(it) })
+}
+
+func (r *Router) applyKey(it platform.Item) {
 	now := r.clock.now()
 	switch {
 	case it.Key == platform.ConfigKey:
@@ -157,7 +163,11 @@
 		r.log.Error().Err(err).Uint64("revision", it.Revision).Msg("configuration: decoding failed; the version in force stays")
 		return
 	}
+	first := r.core.Table() == nil
 	if r.core.Apply(routes.NewTable(cfg)) {
+		if first {
+			close(r.configured)
+		}
 		r.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Int("teams", len(cfg.Teams)).Msg("configuration in force")
 	}
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -33,11 +33,13 @@
 	stallTimer *time.Timer
 	// mu guards cancelRun, stallTimer, the fields from lastRead to runEnded, and
 	// result.choice, which a change of path replaces.
-	mu        sync.Mutex
-	lastRead  time.Time
-	repathing bool // a change of the path is in progress
-	runCount  int  // lets a late timer detect that its run is over
-	runEnded  bool // the choice of an ended run is no longer replaced
+	mu       sync.Mutex
+	lastRead time.Time // when the last complete event of the run arrived, or the run began
+	// partialSince is when the incomplete event after it began to arrive, zero for none.
+	partialSince time.Time
+	repathing    bool // a change of the path is in progress
+	runCount     int  // lets a late timer detect that its run is over
+	runEnded     bool // the choice of an ended run is no longer replaced
 
 	closed bool
 
@@ -136,6 +138,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.runCtx, st.cancelRun = context.WithCancelCause(st.x.callerCtx)
+	st.partialSince = time.Time{}
 	st.result, st.runEnded = sendResult{choice: ch}, false
 	st.runCount++
 }
@@ -170,8 +173,8 @@
 	var buf [8 << 10]byte
 	for len(st.pending) == 0 && !st.complete {
 		n, err := st.result.call.Read(buf[:])
-		st.recordRead()
 		events, tooLong := st.splitter.Push(buf[:n])
+		st.recordRead(len(events) > 0, len(st.splitter.Incomplete()) > 0)
 		for _, e := range events {
 			st.pending = append(st.pending, e.Bytes...)
 			if e.ID != "" {
@@ -215,7 +218,14 @@
 
 // Read returns the next complete events to the server for callers. An error other than
 // io.EOF makes it abort the connection, so that a truncated response never looks complete.
-func (st *stream) Read(b []byte) (int, error) {
+func (st *stream) Read(b []byte) (n int, err error) {
+	if internal := st.x.r.guard("stream", st.x.req.ID, func() { n, err = st.read(b) }); internal != nil {
+		return 0, internal
+	}
+	return n, err
+}
+
+func (st *stream) read(b []byte) (int, error) {
 	for len(st.pending) == 0 {
 		if st.complete {
 			return 0, io.EOF
@@ -260,9 +270,13 @@
 // Close ends the stream. The server for callers calls it when the body has been written or
 // the caller's connection is lost.
 func (st *stream) Close() error {
+	return st.x.r.guard("stream", st.x.req.ID, st.close)
+}
+
+func (st *stream) close() {
 	x := st.x
 	if st.closed {
-		return nil
+		return
 	}
 	st.closed = true
 	x.r.streams.remove(st)
@@ -281,7 +295,6 @@
 			Str("path", platform.EncodePath(st.result.choice.Stages)).Msg("stream ended")
 	}
 	x.finish()
-	return nil
 }
 
 // endRun stops the stall timer of a run and cancels the run unless it is complete. The
@@ -296,8 +309,19 @@
 	}
 }
 
-func (st *stream) recordRead() {
+// recordRead updates what the stall watch knows. Only a complete event counts as progress: a
+// stalled server may still send a byte now and then.
+func (st *stream) recordRead(complete, partial bool) {
 	st.mu.Lock()
-	st.lastRead = time.Now()
-	st.mu.Unlock()
+	defer st.mu.Unlock()
+	now := time.Now()
+	if complete {
+		st.lastRead, st.partialSince = now, time.Time{}
+	}
+	switch {
+	case !partial:
+		st.partialSince = time.Time{}
+	case st.partialSince.IsZero():
+		st.partialSince = now
+	}
 }
