router: after a pause nothing old is true

Cause, by reading: deadlines ran on a clock that stands still while the VM is suspended, so a request could be sent with seconds more than its caller had left; after a freeze a VM served with the servers and the configuration it knew before until its watch returned; load messages that waited in the socket were taken for fresh ones; leadership was checked before an order's connection was opened, which can take a second. Change: deadlines run on the clock that counts suspensions; a pause of a second or more closes a gate until the store was read again (1.5 s at most); stale datagrams are dropped; leadership, caller and deadline are checked right before the first byte. Tests simulate the pause.

--- a/internal/adapter/httpcall/errors.go
+++ b/internal/adapter/httpcall/errors.go
@@ -115,3 +115,12 @@
 	}
 	return 0
 }
+
+// KindOf returns the Kind of the *Error in err, or "".
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -28,7 +28,7 @@
 	// writeTimeout disconnects a caller that does not read. It bounds each write, because
 	// a stream as a whole lasts as long as its events keep coming.
 	writeTimeout = 10 * time.Second
-	// maxHeldRequests bounds the requests that wait for the first configuration.
+	// maxHeldRequests bounds the requests that wait for current state.
 	maxHeldRequests = 512
 	// noConfigRetryAfter is sent as Retry-After while no configuration is known.
 	noConfigRetryAfter = 500 * time.Millisecond
@@ -67,23 +67,29 @@
 	req        dispatch.Request
 	team       *routes.Team
 	receivedAt time.Time
-	deadline   time.Time // the earlier of the caller's and the route's
-	cancel     context.CancelCauseFunc
+	// deadline is the earlier of the caller's and the route's, on the router's clock: it
+	// passes while the VM is suspended.
+	deadline time.Duration
+	cancel   context.CancelCauseFunc
 	// callerCtx is cancelled when the caller closes the connection.
 	callerCtx    context.Context
 	worstVerdict verdict.Verdict
 	maxIdleConns int // idle connections to keep per backend server
 }
 
-var errCallerGone = errors.New("the caller has closed the connection")
+var (
+	errCallerGone     = errors.New("the caller has closed the connection")
+	errDeadlinePassed = errors.New("the deadline has passed")
+)
 
 // handle serves one caller's request.
 func (r *Router) handle(ctx *fasthttp.RequestCtx) {
 	if r.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
-	receivedAt := time.Now()
-	r.awaitConfiguration(ctx)
+	receivedAt := r.clock.now()
+	r.checkPause()
+	r.awaitCurrentState(ctx)
 	x, status := r.accept(ctx, receivedAt)
 	if status != 0 {
 		ctx.Error(fasthttp.StatusMessage(status), status)
@@ -105,14 +111,13 @@
 	}
 }
 
-// awaitConfiguration holds a request that arrives before the first configuration, for up to
-// FirstConfigWait: after a loss of power, VMs accept requests some hundred milliseconds
-// before they have read the store, and a refusal would use up the caller's retry.
-func (r *Router) awaitConfiguration(ctx *fasthttp.RequestCtx) {
-	select {
-	case <-r.configured:
+// awaitCurrentState holds a request that arrives before the first configuration, or right
+// after a pause of the process, for up to StateWait: VMs accept requests some hundred
+// milliseconds before they have read the store, and a refusal would use up the caller's
+// retry. After a pause in which the store cannot be read, the state known before is used.
+func (r *Router) awaitCurrentState(ctx *fasthttp.RequestCtx) {
+	if r.current.isOpen() {
 		return
-	default:
 	}
 	if r.heldRequests.Add(1) > maxHeldRequests {
 		r.heldRequests.Add(-1)
@@ -124,10 +129,10 @@
 		conn.watch(func() { close(gone) })
 		defer conn.unwatch()
 	}
-	timeout := time.NewTimer(r.cfg.FirstConfigWait)
+	timeout := time.NewTimer(r.cfg.StateWait)
 	defer timeout.Stop()
 	select {
-	case <-r.configured:
+	case <-r.current.wait():
 	case <-gone:
 	case <-timeout.C:
 	}
@@ -178,7 +183,7 @@
 // accept resolves the request's route, team and service. It returns the HTTP status if
 // the configuration does not allow the request, and nil and 0 if there is no
 // configuration yet.
-func (r *Router) accept(ctx *fasthttp.RequestCtx, receivedAt time.Time) (*exchange, int) {
+func (r *Router) accept(ctx *fasthttp.RequestCtx, receivedAt time.Duration) (*exchange, int) {
 	r.mu.Lock()
 	table := r.core.Table()
 	r.mu.Unlock()
@@ -196,16 +201,16 @@
 			return nil, fasthttp.StatusUnauthorized
 		}
 	}
-	x := &exchange{r: r, ctx: ctx, team: team, receivedAt: receivedAt, worstVerdict: verdict.NotRun}
+	x := &exchange{r: r, ctx: ctx, team: team, receivedAt: time.Now().Add(receivedAt - r.clock.now()), worstVerdict: verdict.NotRun}
 	x.req = dispatch.Request{ID: string(h.Peek(platform.HeaderRequestID)), Route: route, SentTo: map[backend.ID]bool{}, Avoid: map[backend.ID]bool{}}
 	svc, ok := table.Service(route, x.req.ID)
 	if !ok {
 		return nil, fasthttp.StatusNotFound
 	}
 	x.req.Service = svc
-	x.deadline = x.receivedAt.Add(route.Timeout)
+	x.deadline = receivedAt + route.Timeout
 	if left, ok := platform.ParseTimeLeft(string(h.Peek(platform.HeaderTimeLeft))); ok && left < route.Timeout {
-		x.deadline = x.receivedAt.Add(left)
+		x.deadline = receivedAt + left
 	}
 	x.estimateTokens()
 	x.callerCtx, x.cancel = context.WithCancelCause(context.Background())
@@ -231,7 +236,7 @@
 	}
 }
 
-func (x *exchange) timeLeft() time.Duration { return time.Until(x.deadline) }
+func (x *exchange) timeLeft() time.Duration { return x.deadline - x.r.clock.now() }
 
 func (x *exchange) callerGone() bool { return x.callerCtx.Err() != nil }
 
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -28,9 +28,9 @@
 	// StoreTimeout bounds a call to the store; a watch gets WatchTimeout on top.
 	// Default 700 ms.
 	StoreTimeout time.Duration
-	// FirstConfigWait is how long a request waits for the first configuration after a start
-	// before it is refused. Default 1.5 s.
-	FirstConfigWait time.Duration
+	// StateWait is how long a request waits for the first configuration after a start, or
+	// for the store to be read again after a pause of the process. Default 1.5 s.
+	StateWait time.Duration
 	// ReadAllTimeout bounds a read of one page of all keys, provided that bytes keep
 	// arriving within StoreTimeout. After a loss of power, all VMs read a configuration of
 	// some hundred kB at once over the store's link. Default 5 s.
@@ -103,7 +103,7 @@
 	return Config{
 		Dispatch: dispatch.DefaultConfig(), Leader: leader.DefaultConfig(), Placement: placement.DefaultConfig(), Changefeed: changefeed.DefaultConfig(),
 		WaitQueue:    dispatch.DefaultWaitQueueConfig(),
-		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, FirstConfigWait: 1500 * time.Millisecond,
+		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, StateWait: 1500 * time.Millisecond,
 		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
 		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, DialTimeout: 500 * time.Millisecond,
 		ConnReuseTimeout: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -38,6 +38,9 @@
 			}
 			return
 		}
+		if r.checkPause(); int64(r.clock.now()) < r.dropMessagesUntil.Load() {
+			continue
+		}
 		var m loads.Message
 		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
 			r.log.Warn().Err(err).Stringer("from", from).Msg("loads: invalid message")
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -174,20 +174,26 @@
 	}
 }
 
-// sendOrderAsLeader posts an order if this VM is still the leader.
+// sendOrderAsLeader posts an order if this VM is still the leader when the first byte is
+// written: the connection may take long to open, and the process may be paused meanwhile.
+// What reaches the server later all the same carries the count of accepted orders that it
+// expects, which the first order of a successor changes.
 func (r *Router) sendOrderAsLeader(addr string, body []byte) (status int, faultAddr string, err error) {
+	return r.postOrder(addr, body, r.checkLeader)
+}
+
+func (r *Router) checkLeader() error {
 	r.mu.Lock()
-	leading := r.election.IsLeader(r.clock.now())
-	r.mu.Unlock()
-	if !leading {
-		return 0, "", errNotLeader
+	defer r.mu.Unlock()
+	if !r.election.IsLeader(r.clock.now()) {
+		return errNotLeader
 	}
-	return r.postOrder(addr, body)
+	return nil
 }
 
-// postOrder posts an order on a new connection. faultAddr is the server that a refusal
-// names as its cause, if any.
-func (r *Router) postOrder(addr string, body []byte) (status int, faultAddr string, err error) {
+// postOrder posts an order on a new connection, unless beforeSend returns an error.
+// faultAddr is the server that a refusal names as its cause, if any.
+func (r *Router) postOrder(addr string, body []byte, beforeSend func() error) (status int, faultAddr string, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -195,7 +201,9 @@
 	req.SetRequestURI("http://" + addr + platform.OrderURI)
 	req.Header.SetContentType("application/json")
 	req.SetBodyRaw(body)
-	if err := r.controlClient.Do(addr, req, resp, httpcall.Within(r.cfg.OrderTimeout).WithNewConnection()); err != nil {
+	opt := httpcall.Within(r.cfg.OrderTimeout).WithNewConnection()
+	opt.BeforeSend = beforeSend
+	if err := r.controlClient.Do(addr, req, resp, opt); err != nil {
 		return 0, "", err
 	}
 	return resp.StatusCode(), platform.OrderFaultAddr(resp.Body()), nil
--- /dev/null
+++ b/internal/router/pause_test.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/platform"
+	"github.com/catkinstair/catkinstair/platform/standin"
+)
+
+func TestPauseIsReportedOnce(t *testing.T) {
+	var d pauseDetector
+	require.Zero(t, d.observe(time.Second))
+	require.Zero(t, d.observe(time.Second+pauseTick))
+	require.Equal(t, 9*time.Second-pauseTick, d.observe(10*time.Second))
+	require.Zero(t, d.observe(10*time.Second))
+}
+
+func TestGateOpensAndCloses(t *testing.T) {
+	g := newGate()
+	waiting := g.wait()
+	require.False(t, g.isOpen())
+	g.open()
+	g.open()
+	<-waiting
+	g.close()
+	g.close()
+	require.False(t, g.isOpen())
+}
+
+// simulatePause makes the process believe that it did not run for d.
+func (v *vm) simulatePause(d time.Duration) {
+	v.pauses.lastRun.Store(int64(v.clock.now() - d))
+}
+
+// A VM that was frozen must not use a replica that left meanwhile. The record of its leaving
+// is in the store, but the VM's watch has not returned yet.
+func TestPausedVMReadsStateBeforeItServes(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	leaving := s.server(standin.ServerConfig{ID: "leaving", Service: "wuno96b", Domain: "bergen-a"})
+	v.awaitReady(t)
+	require.Eventually(t, func() bool { return v.call(t, "GET", "/idempotent/x", "before").StatusCode == http.StatusOK }, waitTimeout, 5*time.Millisecond)
+	s.server(standin.ServerConfig{ID: "staying", Service: "wuno96b", Domain: "bergen-a"})
+	for i := range 10 {
+		drained := time.Now()
+		leaving.Drain()
+		v.simulatePause(10 * time.Second)
+		require.Equal(t, http.StatusOK, v.call(t, "GET", "/idempotent/x", "after").StatusCode)
+		require.True(t, leaving.LastRequest().Before(drained), "round %d: a request reached the replica that leaves", i)
+	}
+}
+
+// While the store cannot be read, a VM that was paused goes on with the state it knew,
+// after a bounded wait.
+func TestPausedVMServesWithoutStore(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	s.server(standin.ServerConfig{ID: "app", Service: "wuno96b", Domain: "bergen-a"})
+	v.awaitReady(t)
+	require.Eventually(t, func() bool { return v.call(t, "GET", "/idempotent/x", "before").StatusCode == http.StatusOK }, waitTimeout, 5*time.Millisecond)
+	s.store.SetFaults(standin.StoreFaults{Unavailable: true})
+	v.simulatePause(10 * time.Second)
+	start := time.Now()
+	require.Equal(t, http.StatusOK, v.call(t, "GET", "/idempotent/x", "after").StatusCode)
+	require.InDelta(t, v.cfg.StateWait.Seconds(), time.Since(start).Seconds(), 0.5)
+	ready, reason := v.ready()
+	require.False(t, ready)
+	require.NotEmpty(t, reason)
+}
+
+// An order is not sent once the permission has ended, even if it was given when the
+// connection began to open.
+func TestOrderIsWithdrawnWithoutLeadership(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engine := s.server(standin.ServerConfig{ID: "engine", Service: "huvo11a", Domain: "bergen-a"})
+	v.awaitReady(t)
+	require.Eventually(t, func() bool { return v.checkLeader() == nil }, waitTimeout, 5*time.Millisecond)
+	v.locked(func() { v.election.ClaimObserved(v.clock.now(), "a2", 99, 1000) })
+	body, err := platform.EncodePlaceOrder(backend.Layers{From: 0, To: 5}, 1, 0)
+	require.NoError(t, err)
+	_, _, err = v.sendOrderAsLeader(engine.Addr, body)
+	require.ErrorIs(t, err, errNotLeader)
+	require.Zero(t, engine.Held())
+}
+
+// A request whose deadline passed while its connection was being opened, or whose header
+// states more time than is left, is not sent.
+func TestRequestIsWithdrawnAfterPause(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	x := &exchange{r: v.Router, callerCtx: t.Context(), deadline: v.clock.now() + time.Second}
+	require.NoError(t, x.checkBeforeSend(time.Second))
+	require.ErrorIs(t, x.checkBeforeSend(time.Second+2*maxHeaderAge), errHeaderOutdated)
+	x.deadline = v.clock.now() - time.Millisecond
+	require.ErrorIs(t, x.checkBeforeSend(time.Second), errDeadlinePassed)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,10 +64,14 @@
 	reportCache  *reportCache
 	sendLoadsNow chan struct{} // signals a finding to send at once
 
-	configured   chan struct{} // closed when the first configuration is in force
-	heldRequests atomic.Int64  // requests that wait for it
-	stopping     atomic.Bool
-	openRequests atomic.Int64 // requests in progress
+	current      *gate        // open while the state of this VM is current
+	heldRequests atomic.Int64 // requests that wait at the gate
+	pauses       pauseDetector
+	pauseCount   atomic.Int64
+	// dropMessagesUntil is the time on clock until which load messages are dropped.
+	dropMessagesUntil atomic.Int64
+	stopping          atomic.Bool
+	openRequests      atomic.Int64 // requests in progress
 }
 
 // pendingOrder is an order in progress: the layers that a server will hold, and the time
@@ -106,7 +110,7 @@
 		members: map[string]member{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
 		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1),
-		configured: make(chan struct{}),
+		current: newGate(),
 	}
 	r.bounds.Store(&settings.Bounds)
 	return r, nil
@@ -141,7 +145,7 @@
 		return errors.Wrap(err, "opening the socket for other VMs")
 	}
 	var workTasks, leaseTasks sync.WaitGroup
-	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings} {
+	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses} {
 		workTasks.Go(func() { task(workCtx) })
 	}
 	for _, task := range []func(context.Context){r.maintainPresence, r.runPlacement} {
@@ -193,6 +197,9 @@
 	if r.core.Table() == nil {
 		return false, "no configuration yet"
 	}
+	if !r.current.isOpen() {
+		return false, "paused a moment ago, state not read again yet"
+	}
 	return true, ""
 }
 
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
@@ -36,10 +37,15 @@
 func (x *exchange) send(ctx context.Context, ch *dispatch.Choice, resumeAfter string) sendResult {
 	h := &x.ctx.Request.Header
 	body := x.ctx.Request.Body()
-	header := platform.EncodeRequestHeader(nil, h, len(body), x.forwardHeaders(ch, resumeAfter))
-	opt := httpcall.Options{Deadline: x.deadline, MaxIdleTime: x.r.cfg.ConnReuseTimeout, NewConnection: !x.req.Route.Retryable()}
+	headers := x.forwardHeaders(ch, resumeAfter)
+	header := platform.EncodeRequestHeader(nil, h, len(body), headers)
+	opt := httpcall.Options{Deadline: time.Now().Add(headers.TimeLeft), MaxIdleTime: x.r.cfg.ConnReuseTimeout, NewConnection: !x.req.Route.Retryable(),
+		BeforeSend: func() error { return x.checkBeforeSend(headers.TimeLeft) }}
 	target := ch.Target()
 	call, err := x.r.backendClient.Open(ctx, target.Addr, string(h.Method()), header, body, opt)
+	if httpcall.KindOf(err) == httpcall.KindWithdrawn {
+		return sendResult{choice: ch, err: err, outcome: verdict.NotRun} // not the server's fault
+	}
 	if err != nil {
 		return sendResult{choice: ch, err: err, outcome: httpcall.SentOf(err).Verdict(), faultAddr: faultAddrOf(ctx, target.Addr)}
 	}
@@ -63,6 +69,27 @@
 	return s
 }
 
+// maxHeaderAge bounds the time between the encoding of a request's header, which states the
+// time left, and its first byte.
+const maxHeaderAge = 400 * time.Millisecond
+
+var errHeaderOutdated = errors.New("the time left has changed since the header was encoded")
+
+// checkBeforeSend returns an error if the request must not be sent any more: the process may
+// have been paused since its header was encoded with the given time left.
+func (x *exchange) checkBeforeSend(stated time.Duration) error {
+	left := x.timeLeft()
+	switch {
+	case x.callerGone():
+		return errCallerGone
+	case left <= 0:
+		return errDeadlinePassed
+	case stated-left > maxHeaderAge:
+		return errHeaderOutdated
+	}
+	return nil
+}
+
 // recordLoadReport records the load that the first server of a path reports in the
 // response header. The header is optional.
 func (x *exchange) recordLoadReport(ch *dispatch.Choice, header string) {
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -222,7 +222,7 @@
 	if err != nil {
 		return 0, "", err
 	}
-	return r.postOrder(ch.Target().Addr, body)
+	return r.postOrder(ch.Target().Addr, body, nil)
 }
 
 // stalledError is the cause of a run cancelled because of the server at faultAddr.
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -44,13 +44,16 @@
 		r.mu.Lock()
 		watcherAddr := r.watcherAddr(r.clock.now())
 		r.mu.Unlock()
+		pauseCount := r.pauseCount.Load()
 		switch {
 		case since == 0:
 			since, err = r.readAll()
+		case !r.current.isOpen():
+			since, err = r.watchOnce(since, noWait)
 		case watcherAddr != "":
 			since, err = r.fetchChanges(watcherAddr, since)
 		default:
-			since, err = r.watchOnce(since)
+			since, err = r.watchOnce(since, r.cfg.WatchTimeout)
 		}
 		if err != nil {
 			r.recordStoreFailure(err)
@@ -60,6 +63,7 @@
 		}
 		retryDelay = r.cfg.StoreRetryDelay
 		r.markStoreUp()
+		r.stateRead(pauseCount)
 		pause(ctx, r.cfg.WatchPause)
 	}
 }
@@ -115,9 +119,13 @@
 	}
 }
 
-func (r *Router) watchOnce(since uint64) (uint64, error) {
-	opt := httpcall.Within(r.cfg.WatchTimeout + r.cfg.StoreTimeout)
-	ev, err := r.store.Watch("", since, r.cfg.WatchTimeout, opt)
+// noWait makes a watch return at once.
+const noWait = time.Millisecond
+
+// watchOnce reads the changes since a revision, waiting up to wait for the first, and
+// returns the revision to continue from.
+func (r *Router) watchOnce(since uint64, wait time.Duration) (uint64, error) {
+	ev, err := r.store.Watch("", since, wait, httpcall.Within(wait+r.cfg.StoreTimeout))
 	if httpcall.StatusOf(err) == platform.StatusHistoryGone {
 		r.log.Warn().Uint64("since", since).Msg("store: history gone, reading everything again")
 		return r.readAll()
@@ -163,11 +171,7 @@
 		r.log.Error().Err(err).Uint64("revision", it.Revision).Msg("configuration: decoding failed; the version in force stays")
 		return
 	}
-	first := r.core.Table() == nil
 	if r.core.Apply(routes.NewTable(cfg)) {
-		if first {
-			close(r.configured)
-		}
 		r.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Int("teams", len(cfg.Teams)).Msg("configuration in force")
 	}
 }
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -68,7 +68,7 @@
 	resp := late.call(t, "GET", "/idempotent/x", "refused")
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
-	require.InDelta(t, late.cfg.FirstConfigWait.Seconds(), time.Since(start).Seconds(), 0.5)
+	require.InDelta(t, late.cfg.StateWait.Seconds(), time.Since(start).Seconds(), 0.5)
 }
 
 func TestPanicEndsOnlyItsTask(t *testing.T) {
