router: requests wait for records that the store is getting back

Change: for MissingRecordTTL after the store is reached, a request that lacks servers waits for their records; a VM without any state does not lengthen its pauses between reads.

--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -19,7 +19,7 @@
 	unsentAttempts := 0
 	var last *verdict.Refusal
 	for {
-		ch, refusal := x.choose()
+		ch, refusal := x.chooseOrWait()
 		if refusal != nil {
 			if last == nil {
 				last = refusal
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,6 +53,9 @@
 	layersSeen      bool          // a record with held layers has been read
 	storeDown       bool          // set by a failed call, cleared by the next successful read
 	pendingOrders   map[backend.Instance]pendingOrder
+	// recordsReturnUntil is the time on clock until which servers may still write records
+	// that expired while the store was unreachable.
+	recordsReturnUntil time.Duration
 
 	changeLog        *changefeed.Log[platform.Item] // served to other VMs
 	changeLogUpdated chan struct{}                  // closed when changeLog grows or the store is lost
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -58,7 +58,9 @@
 		if err != nil {
 			r.recordStoreFailure(err)
 			pause(ctx, retryDelay)
-			retryDelay = min(2*retryDelay, r.cfg.MaxStoreRetryDelay)
+			if since > 0 { // without any state, requests wait for the next try
+				retryDelay = min(2*retryDelay, r.cfg.MaxStoreRetryDelay)
+			}
 			continue
 		}
 		retryDelay = r.cfg.StoreRetryDelay
@@ -301,5 +303,6 @@
 	if r.storeDown {
 		r.log.Info().Int("servers", r.core.Backends.Len()).Int("vms", len(r.members)).Msg("store regained")
 		r.storeDown = false
+		r.recordsReturnUntil = r.clock.now() + r.cfg.Dispatch.Backends.MissingRecordTTL
 	}
 }
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -71,6 +71,22 @@
 	require.InDelta(t, late.cfg.StateWait.Seconds(), time.Since(start).Seconds(), 0.5)
 }
 
+// Records that expired while the store was down are back within two seconds of its return.
+// A VM that starts meanwhile must not refuse what it can serve then.
+func TestRequestWaitsForRecordsAfterStart(t *testing.T) {
+	s := newSite(t)
+	s.configure(7)
+	v := s.vm("a1")
+	v.awaitReady(t)
+	time.AfterFunc(500*time.Millisecond, func() { s.server(standin.ServerConfig{ID: "app", Service: "wuno96b", Domain: "bergen-a"}) })
+	require.Equal(t, http.StatusOK, v.call(t, "POST", "/non_idempotent/x", "early").StatusCode)
+
+	require.Eventually(t, func() bool { return !v.recordsMayReturn() }, waitTimeout, 10*time.Millisecond)
+	start := time.Now()
+	require.Equal(t, http.StatusServiceUnavailable, v.call(t, "POST", streamURI, "hopeless").StatusCode)
+	require.Less(t, time.Since(start), 300*time.Millisecond, "a request without servers is refused at once")
+}
+
 func TestPanicEndsOnlyItsTask(t *testing.T) {
 	s := newSite(t)
 	v := s.vm("a1")
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -7,13 +7,66 @@
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
-// chooseOrWait calls choose. If no capacity is free, a request that was not sent yet waits
-// in the queue for up to MaxWait, and choose is called again when it is at the head.
+// chooseOrWait calls choose. A request that was not sent yet waits for a short time if what
+// it lacks can be there soon: capacity, or records of servers that the store is getting
+// back.
 func (x *exchange) chooseOrWait() (*dispatch.Choice, *verdict.Refusal) {
 	ch, refusal := x.choose()
-	if refusal == nil || refusal.Cause != verdict.CauseNoCapacity || x.req.Sends > 0 {
-		return ch, refusal
+	if refusal != nil && x.req.Sends == 0 && lacksServers(refusal) {
+		ch, refusal = x.awaitRecords(refusal)
 	}
+	if refusal != nil && x.req.Sends == 0 && refusal.Cause == verdict.CauseNoCapacity {
+		ch, refusal = x.awaitCapacity(refusal)
+	}
+	return ch, refusal
+}
+
+func lacksServers(refusal *verdict.Refusal) bool {
+	return refusal.Cause == verdict.CauseLayersMissing || refusal.Cause == verdict.CauseNoBackend
+}
+
+// recordsRetryInterval is the interval at which a request looks for the records that it
+// waits for.
+const recordsRetryInterval = 50 * time.Millisecond
+
+// awaitRecords waits while records may be missing only because the store was unreachable:
+// servers write them again within MissingRecordTTL after its return.
+func (x *exchange) awaitRecords(refusal *verdict.Refusal) (*dispatch.Choice, *verdict.Refusal) {
+	r := x.r
+	if r.heldRequests.Add(1) > maxHeldRequests {
+		r.heldRequests.Add(-1)
+		return nil, refusal
+	}
+	defer r.heldRequests.Add(-1)
+	tick := time.NewTicker(recordsRetryInterval)
+	defer tick.Stop()
+	for r.recordsMayReturn() && x.timeLeft() > 0 {
+		select {
+		case <-x.callerCtx.Done():
+			return nil, refusal
+		case <-tick.C:
+		}
+		ch, now := x.choose()
+		if now == nil || !lacksServers(now) {
+			r.log.Info().Str("request", x.req.ID).Dur("after", time.Since(x.receivedAt)).Bool("found", now == nil).Msg("waited for servers' records")
+			return ch, now
+		}
+		refusal = now
+	}
+	return nil, refusal
+}
+
+// recordsMayReturn reports whether servers may still write records that expired while the
+// store was unreachable, or that were not there yet when it was read first.
+func (r *Router) recordsMayReturn() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.now() < r.recordsReturnUntil
+}
+
+// awaitCapacity waits in the queue for up to MaxWait and calls choose again while the request
+// is at the head.
+func (x *exchange) awaitCapacity(refusal *verdict.Refusal) (*dispatch.Choice, *verdict.Refusal) {
 	r := x.r
 	r.mu.Lock()
 	w := r.waitQueue.Join()
@@ -45,6 +98,7 @@
 		if !atHead {
 			continue
 		}
+		var ch *dispatch.Choice
 		if ch, refusal = x.choose(); refusal == nil || refusal.Cause != verdict.CauseNoCapacity {
 			r.log.Info().Str("request", x.req.ID).Dur("after", time.Since(x.receivedAt)).Bool("room", refusal == nil).Msg("waited for room")
 			return ch, refusal
