--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -12,7 +12,7 @@
 // back.
 func (x *exchange) chooseOrWait() (*dispatch.Choice, *verdict.Refusal) {
 	ch, refusal := x.choose()
-	if refusal != nil && x.req.Sends == 0 && lacksServers(refusal) {
+	if refusal != nil && x.req.Sends == 0 && lacksServers(refusal.Cause) {
 		ch, refusal = x.awaitRecords(refusal)
 	}
 	if refusal != nil && x.req.Sends == 0 && refusal.Cause == verdict.CauseNoCapacity {
@@ -21,13 +21,15 @@
 	return ch, refusal
 }
 
-func lacksServers(refusal *verdict.Refusal) bool {
-	return refusal.Cause == verdict.CauseLayersMissing || refusal.Cause == verdict.CauseNoBackend
+// lacksServers reports whether more servers would remove the cause of a refusal. While some
+// records are missing, paths cross failure domains and the link between them is full.
+func lacksServers(cause verdict.Cause) bool {
+	return cause == verdict.CauseLayersMissing || cause == verdict.CauseNoBackend || cause == verdict.CauseNoCapacity
 }
 
 // recordsRetryInterval is the interval at which a request looks for the records that it
 // waits for.
-const recordsRetryInterval = 50 * time.Millisecond
+const recordsRetryInterval = 100 * time.Millisecond
 
 // awaitRecords waits while records may be missing only because the store was unreachable:
 // servers write them again within MissingRecordTTL after its return.
@@ -47,7 +49,7 @@
 		case <-tick.C:
 		}
 		ch, now := x.choose()
-		if now == nil || !lacksServers(now) {
+		if now == nil || !lacksServers(now.Cause) {
 			r.log.Info().Str("request", x.req.ID).Dur("after", time.Since(x.receivedAt)).Bool("found", now == nil).Msg("waited for servers' records")
 			return ch, now
 		}
