router: a second report right after the first, which may predate the stall

Cause: a dark server was found 0.9 s after its death: the first report, 0.34 s after the last event, was older than the stall, and the pause before the next doubled.

--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -49,10 +49,13 @@
 	if faultAddr := r.stalledOn(firstAddr, st.x.req.ID); faultAddr != "" {
 		r.recordLost(faultAddr)
 		st.moveOffLost(faultAddr)
-	} else {
-		limit *= 2 // slow, not stalled: ask less often, since each report request has a cost
-		r.requestSlowdowns(st.choice())
+		return limit, min(limit, r.cfg.PartialEventTimeout)
 	}
+	r.requestSlowdowns(st.choice())
+	if silent < limit+r.cfg.MaxReportAge {
+		return limit, r.cfg.MaxReportAge // the report may be older than the stall: ask again
+	}
+	limit *= 2 // slow, not stalled: ask less often, since each report request has a cost
 	return limit, min(limit, r.cfg.PartialEventTimeout)
 }
 
