router: in an outage few VMs try the store

While the store is down its watchers answer that they cannot serve, so all 195 VMs watched it themselves, with two failed calls a second each, and one a second for their leases. Change: a VM that has just failed to reach the store leaves the next tries to the watchers for 2 s; calls for the lease wait as long, or until the store is back.

--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -121,6 +121,12 @@
 	if now < r.watchStoreUntil {
 		return ""
 	}
+	return r.assignedWatcher()
+}
+
+// assignedWatcher returns the address of a watcher of this VM's failure domain that has not
+// just failed, or "" if this VM is a watcher or has none. The caller holds mu.
+func (r *Router) assignedWatcher() string {
 	var sameDomain []string
 	for vm, m := range r.members {
 		if m.Domain == r.settings.Domain {
@@ -143,10 +149,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
-		r.failedWatcher, r.watchStoreUntil = addr, r.clock.now()+watchStoreFor
-		r.metrics.watcherErrors.Inc()
-		r.log.Info().Err(err).Str("reader", addr).Msg("changes: asking the store itself")
-		return since, nil // not a failure of the store
+		return since, r.watcherFailed(addr, err)
 	}
 	for _, it := range resp.Items {
 		r.applyItem(it)
@@ -155,6 +158,30 @@
 	return max(since, resp.AsOf), nil
 }
 
+// watcherFailed makes this VM watch the store itself for a while, unless it could not reach
+// the store a moment ago either. Then it asks the watchers again: in an outage, few VMs
+// need to find out when the store is back. It returns the error in that case. The caller
+// holds mu.
+func (r *Router) watcherFailed(addr string, err error) error {
+	r.failedWatcher = addr
+	r.metrics.watcherErrors.Inc()
+	now := r.clock.now()
+	if errors.Is(err, errChangesUnavailable) && now < r.ownTryAt {
+		return err
+	}
+	r.watchStoreUntil = now + watchStoreFor
+	r.log.Info().Err(err).Str("reader", addr).Msg("changes: asking the store itself")
+	return nil // not a failure of the store
+}
+
+// ownReadFailed records that this VM could not reach the store. A VM with watchers leaves the
+// next tries to them for OwnTryInterval. The caller holds mu.
+func (r *Router) ownReadFailed() {
+	if now := r.clock.now(); now < r.watchStoreUntil && r.assignedWatcher() != "" {
+		r.watchStoreUntil, r.ownTryAt = now, now+r.cfg.OwnTryInterval
+	}
+}
+
 func (r *Router) requestChanges(addr string, since uint64) (changesResponse, error) {
 	body, err := cbor.Marshal(changesRequest{Since: since})
 	if err != nil {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -43,6 +43,10 @@
 	// the store is back, so it counts toward the drain and configuration bounds.
 	// Default 600 ms.
 	MaxStoreRetryDelay time.Duration
+	// OwnTryInterval is how often a VM tries to reach a store that is down for the calls
+	// that others' tries can stand in for: its lease, and its reads if it has a watcher.
+	// Default 2 s.
+	OwnTryInterval time.Duration
 	// SettleTime is how long no new backend server may have registered before the first
 	// placement when no layers are held yet: a plan for the first few servers would
 	// ignore the rest. Default 1.2 s.
@@ -104,7 +108,7 @@
 		Dispatch: dispatch.DefaultConfig(), Leader: leader.DefaultConfig(), Placement: placement.DefaultConfig(), Changefeed: changefeed.DefaultConfig(),
 		WaitQueue:    dispatch.DefaultWaitQueueConfig(),
 		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, StateWait: 1500 * time.Millisecond,
-		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
+		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, OwnTryInterval: 2 * time.Second, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
 		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, DialTimeout: 500 * time.Millisecond,
 		ConnReuseTimeout: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
 		AddressLifetime: 2 * time.Second, SettingsInterval: 5 * time.Second, LogLevel: "info", Workers: 64,
--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -103,3 +104,38 @@
 	x.deadline = v.clock.now() - time.Millisecond
 	require.ErrorIs(t, x.checkBeforeSend(time.Second), errDeadlinePassed)
 }
+
+// While the store is down, its few watchers find out when it is back. With a try of each VM
+// twice a second, an outage of 8 s cost 195 VMs half of the day's calls.
+func TestFewCallsToStoreThatIsDown(t *testing.T) {
+	s := newSite(t)
+	s.configure(7)
+	var vms []*vm
+	for i := range 8 {
+		vms = append(vms, s.vm(fmt.Sprintf("a%d", i)))
+	}
+	allKnown := func() bool {
+		for _, v := range vms {
+			known := 0
+			v.locked(func() { known = len(v.members) })
+			if ok, _ := v.ready(); !ok || known != len(vms) {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, allKnown, waitTimeout, 10*time.Millisecond)
+	time.Sleep(vms[0].cfg.Leader.RenewInterval) // all follow the watchers by now
+	s.store.SetFaults(standin.StoreFaults{Unavailable: true})
+	before := s.store.CallCount()
+	const outage = 6 * time.Second
+	time.Sleep(outage)
+	calls := s.store.CallCount() - before
+	// Two watchers try every 0.6 to 0.9 s. Every VM tries twice per OwnTryInterval, and once
+	// for its lease and its reads before it knows of the outage.
+	limit := 2*2*outage.Seconds() + float64(len(vms))*(2*outage.Seconds()/vms[0].cfg.OwnTryInterval.Seconds()+4)
+	require.LessOrEqual(t, float64(calls), limit)
+	s.store.SetFaults(standin.StoreFaults{})
+	require.Eventually(t, allKnown, 4*time.Second, 10*time.Millisecond, "the records are not back")
+	t.Logf("%d calls of %d VMs in %v, limit %.0f", calls, len(vms), outage, limit)
+}
--- a/internal/router/presence.go
+++ b/internal/router/presence.go
@@ -21,6 +21,9 @@
 		var call leader.Call
 		var lease, revision uint64
 		r.locked(func() {
+			if r.storeDown && r.clock.now() < r.presenceTryAt {
+				return // whoever watches the store notices its return
+			}
 			call, lease, revision = r.election.Next(r.clock.now()), r.election.Lease(), r.election.ClaimRevision()
 		})
 		if call == leader.None {
@@ -72,6 +75,7 @@
 	}
 	// The claim or record may have been written nevertheless; the watch will show it.
 	r.log.Warn().Err(err).Uint8("call", uint8(call)).Msg("presence: call to the store failed")
+	r.presenceTryAt = r.clock.now() + r.cfg.OwnTryInterval
 	r.election.CallFailed(r.clock.now(), httpcall.StatusOf(err) == platform.StatusNoSuchLease)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,7 +42,7 @@
 	auxServers    []*fasthttp.Server // readiness, directory, metrics, changes for other VMs
 	workers       *ants.Pool
 
-	// mu guards the fields below, up to failedWatcher, and the wait queue. Nothing blocks
+	// mu guards the fields below, up to presenceTryAt, and the wait queue. Nothing blocks
 	// while it is held, and a choice takes well under a millisecond, so a lock is cheaper
 	// than handing requests to a goroutine.
 	mu              sync.Mutex
@@ -60,7 +60,9 @@
 	changeLog        *changefeed.Log[platform.Item] // served to other VMs
 	changeLogUpdated chan struct{}                  // closed when changeLog grows or the store is lost
 	watchStoreUntil  time.Duration                  // until this time on clock, this VM watches the store itself
-	failedWatcher    string                         // address of the last watcher that failed; it is not asked
+	failedWatcher    string                         // address of the watcher that failed last; another is asked first
+	ownTryAt         time.Duration                  // until this time on clock, tries to reach the store are left to the watchers
+	presenceTryAt    time.Duration                  // the same for the calls of the VM's lease while the store is down
 
 	waitQueue    *dispatch.WaitQueue
 	streams      *streamTable
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -284,6 +284,7 @@
 	r.metrics.storeErrors.Inc()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ownReadFailed()
 	r.markStoreDown(err)
 }
 
