dispatch: requests are spread while the load of the other VMs is unknown

Change: until a sum of all VMs' loads is there, requests stay in their failure domain, if it covers the model, and leave a random third of its servers out.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,6 +37,10 @@
 	// the other VMs' loads. If streams take three seconds, a third of the cache is
 	// released and filled again in a second. Default 0.05.
 	KVReservePerSecond float64
+	// UnknownLoadShare is the share, 0 to 1, of the servers of its failure domain that a
+	// request leaves out at random while the load of the other VMs is unknown; it also leaves
+	// out those of other failure domains. 0 disables both. Default 0.35.
+	UnknownLoadShare float64
 	// LoadReportTTL is how long a server's own load report takes precedence over the sum
 	// of the VMs' loads. Default 300 ms.
 	LoadReportTTL time.Duration
@@ -57,7 +61,7 @@
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
 	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(),
-		SoftKVShare: 0.8, KVReservePerSecond: 0.05, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond}
+		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond}
 }
 
 // Core holds the dispatch state of one VM. It is not safe for concurrent use.
@@ -211,7 +215,7 @@
 	}
 	q.LinkUtilization = c.linkUtilization(now, r)
 	q.MaxUtilization = c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends)
-	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, c.spread(now, r.Service.Engine, r, candidates), q)
 	if !ok {
 		q.MaxUtilization = c.maxKVShare()
 		path, ok = paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
