router: the memory for responses follows the VM's memory

Cause: bodies were bounded one by one (16 MiB) whatever the VM's size, and no soft memory limit was set. Change: a tenth of the VM's memory for the buffered responses of each client, and a soft limit of three quarters for the runtime, both from the settings file.

--- a/internal/router/command.go
+++ b/internal/router/command.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -38,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	if platformSettings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(softMemoryShare * bytesPerMB * float64(platformSettings.MemoryMB)))
+	}
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,9 +94,13 @@
 	if err != nil {
 		return nil, err
 	}
-	httpConfig := httpcall.DefaultConfig()
-	httpConfig.DialTimeout = cfg.DialTimeout
-	backendClient, err := httpcall.New(httpConfig)
+	backendConfig := responseLimits(settings.MemoryMB)
+	backendConfig.DialTimeout = cfg.DialTimeout
+	backendClient, err := httpcall.New(backendConfig)
+	if err != nil {
+		return nil, err
+	}
+	controlClient, err := httpcall.New(responseLimits(settings.MemoryMB))
 	if err != nil {
 		return nil, err
 	}
@@ -107,7 +111,6 @@
 	cfg.Dispatch.VM, cfg.Dispatch.Domain = settings.VM, settings.Domain
 	cfg.Dispatch.Incarnation = uint64(time.Now().UnixMilli())
 	cfg.Dispatch.Retry = retryConfig(settings.Bounds)
-	controlClient := httpcall.NewDefault()
 	r := &Router{
 		cfg: cfg, settings: settings, log: log.With().Str("vm", settings.VM).Logger(), clock: newClock(), metrics: metrics, logWriter: logWriter,
 		backendClient: backendClient, controlClient: controlClient, store: platform.NewStore(controlClient, settings.Store.Addr), workers: workers,
@@ -121,6 +124,27 @@
 	return r, nil
 }
 
+const (
+	// responseMemoryShare is the share of the VM's memory that the buffered responses of one
+	// client may hold.
+	responseMemoryShare = 0.1
+	// softMemoryShare is the share of the VM's memory from which garbage is collected more
+	// often.
+	softMemoryShare = 0.75
+	bytesPerMB      = 1e6
+)
+
+// responseLimits returns the default settings of an HTTP client with limits for a VM with
+// the given memory, 0 for unknown.
+func responseLimits(memoryMB int) httpcall.Config {
+	c := httpcall.DefaultConfig()
+	if memoryMB > 0 {
+		c.MaxBufferedBytes = int64(responseMemoryShare * bytesPerMB * float64(memoryMB))
+		c.MaxBodyBytes = min(c.MaxBodyBytes, int(c.MaxBufferedBytes))
+	}
+	return c
+}
+
 func retryConfig(b platform.Bounds) retry.Config {
 	return retry.Config{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, UsableShare: retry.DefaultUsableShare}
 }
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
 
@@ -108,3 +109,10 @@
 	require.Eventually(t, func() bool { return v.call(t, "GET", "/idempotent/x", "served").StatusCode == http.StatusOK }, waitTimeout, 20*time.Millisecond)
 	require.Zero(t, v.openRequests.Load())
 }
+
+func TestResponseLimitsFollowMemoryOfVM(t *testing.T) {
+	require.EqualValues(t, 18_400_000, responseLimits(184).MaxBufferedBytes)
+	require.LessOrEqual(t, int64(responseLimits(20).MaxBodyBytes), responseLimits(20).MaxBufferedBytes)
+	require.Equal(t, httpcall.DefaultConfig(), responseLimits(0))
+	require.NoError(t, responseLimits(184).Validate())
+}
