engine: loads that run together take longer

Cause: MaxConcurrentLoads was set and read nowhere, so a server was asked about its order while its load still ran. Change: the predicted load time grows with the number of pending orders, threefold at most.

--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -231,7 +231,7 @@
 	for _, o := range s.planner(s.placementServers()) {
 		e := s.engines[o.Instance.ID]
 		e.held = o.Layers
-		loadTime := s.spec.LoadTime(o.Layers.Len())
+		loadTime := s.spec.LoadTime(o.Layers.Len(), 1)
 		e.loadingUntil = s.now + loadTime
 		s.layerLoads++
 		s.publishRecord(e)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -90,9 +90,18 @@
 	return time.Duration(s.LayerShare(n) * acc.PrefillFactor * tokens / s.PrefillTokensPerSecond * float64(time.Second))
 }
 
-// LoadTime returns the time to load the weights of n layers.
-func (s *Spec) LoadTime(n int) time.Duration {
-	return time.Duration(s.LayerShare(n) * float64(s.FullLoadTime))
+// maxLoadSlowdown bounds the predicted slowdown of loads. At the first start hundreds run
+// together, but from a faster store than later.
+const maxLoadSlowdown = 3
+
+// LoadTime returns the time to load the weights of n layers while the given number of loads
+// runs, this one included.
+func (s *Spec) LoadTime(n, concurrent int) time.Duration {
+	slowdown := 1.0
+	if s.MaxConcurrentLoads > 0 {
+		slowdown = min(max(1, float64(concurrent)/float64(s.MaxConcurrentLoads)), maxLoadSlowdown)
+	}
+	return time.Duration(s.LayerShare(n) * float64(s.FullLoadTime) * slowdown)
 }
 
 // CrossDomainTokensPerSecond returns the number of tokens per second that the
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -78,9 +78,11 @@
 		if svc.Engine == nil {
 			continue
 		}
-		for _, o := range placement.Plan(r.cfg.Placement, svc.Engine, r.placementServers(now, name, svc.Engine)) {
+		orders := placement.Plan(r.cfg.Placement, svc.Engine, r.placementServers(now, name, svc.Engine))
+		concurrent := len(r.pendingOrders) + len(orders)
+		for _, o := range orders {
 			s := r.core.Backends.Get(o.Instance.ID)
-			loadTime := svc.Engine.LoadTime(o.Layers.Len())
+			loadTime := svc.Engine.LoadTime(o.Layers.Len(), concurrent)
 			r.pendingOrders[o.Instance] = pendingOrder{layers: o.Layers, checkAt: now + loadTime + loadSlack}
 			out = append(out, placementOrder{Order: o, addr: s.Addr, acceptedOrders: s.AcceptedOrders, fencingToken: r.election.FencingToken(), loadTime: loadTime})
 		}
