dispatch: the first sums of loads are not relied upon

The first sums lack the VMs that have not sent theirs yet, so the fastest servers looked idle. Change: requests are spread until a sum has been known for 1 s.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,6 +41,9 @@
 	// request leaves out at random while the load of the other VMs is unknown; it also leaves
 	// out those of other failure domains. 0 disables both. Default 0.35.
 	UnknownLoadShare float64
+	// LoadsSettleTime is how long the sum of all VMs' loads has to be known before it is
+	// relied upon. Default 1 s.
+	LoadsSettleTime time.Duration
 	// LoadReportTTL is how long a server's own load report takes precedence over the sum
 	// of the VMs' loads. Default 300 ms.
 	LoadReportTTL time.Duration
@@ -61,7 +64,7 @@
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
 	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(),
-		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond}
+		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond}
 }
 
 // Core holds the dispatch state of one VM. It is not safe for concurrent use.
@@ -73,6 +76,7 @@
 	budgets         map[string]*retry.Budget
 	vmCount         int
 	crossDomainLink linkMeter
+	loadsUnknownAt  time.Duration // last time at which the load of the other VMs was unknown
 }
 
 // New returns a Core without a configuration.
--- a/internal/dispatch/unknown_load.go
+++ b/internal/dispatch/unknown_load.go
@@ -15,7 +15,7 @@
 // of other failure domains to their own VMs and, for each request, a random part of the
 // others out. Candidates that would no longer cover the model are kept.
 func (c *Core) spread(now time.Duration, spec *engine.Spec, r *Request, candidates []paths.Candidate) []paths.Candidate {
-	if c.cfg.UnknownLoadShare <= 0 || c.vmCount <= 1 || c.Loads.HasFreshTotal(now) {
+	if c.cfg.UnknownLoadShare <= 0 || c.vmCount <= 1 || c.knowsLoads(now) {
 		return candidates
 	}
 	local := candidates[:0:0]
@@ -39,6 +39,16 @@
 	return drawn
 }
 
+// knowsLoads reports whether the sum of all VMs' loads has been known for LoadsSettleTime. The
+// first sums lack the VMs that have not sent theirs yet.
+func (c *Core) knowsLoads(now time.Duration) bool {
+	if !c.Loads.HasFreshTotal(now) {
+		c.loadsUnknownAt = now
+		return false
+	}
+	return now-c.loadsUnknownAt >= c.cfg.LoadsSettleTime
+}
+
 // pairFraction returns a pseudo-random number in [0, 1), fixed for a request and a server.
 func pairFraction(requestID, serverID string) float64 {
 	d := xxhash.New()
