--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -65,10 +65,13 @@
 func (s *Spec) layerTokenMB() float64 { return s.KVTokenBytes / float64(s.Layers) / bytesPerMB }
 
 // MaxLayers returns how many layers fit on an accelerator together with the KV cache of
-// kvTokens tokens in each of them.
+// kvTokens tokens in each of them; 0 if the size of a layer is unknown.
 func (s *Spec) MaxLayers(acc Accelerator, kvTokens float64) int {
-	n := int(acc.MemoryMB / (s.LayerMB + kvTokens*s.layerTokenMB()))
-	return max(0, min(n, s.Layers))
+	layerMB := s.LayerMB + kvTokens*s.layerTokenMB()
+	if !(layerMB > 0) || !(acc.MemoryMB > 0) { // also not a number
+		return 0
+	}
+	return int(min(acc.MemoryMB/layerMB, float64(s.Layers)))
 }
 
 // KVCapacity returns the KV cache capacity of an accelerator that holds n layers, in
--- a/internal/placement/fleets_test.go
+++ b/internal/placement/fleets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -99,12 +100,13 @@
 	f.Add(uint64(1), 80, 1750.0, 72000.0, 0, 23)
 	f.Add(uint64(2), 80, 1750.0, 72000.0, 78, 85)
 	f.Add(uint64(3), 1, 0.001, 0.0, -1, 1<<40)
+	f.Add(uint64(4), 40, 0.0, math.Inf(1), 0, 5)
+	f.Add(uint64(5), 40, math.NaN(), -3.0, 0, 5)
+	f.Add(uint64(6), 40, -1750.0, 1e300, 0, 5)
 	f.Fuzz(func(t *testing.T, seed uint64, layers int, layerMB, memoryMB float64, from, to int) {
-		if layers < 1 || layers > 200 || !(layerMB > 0) {
-			t.Skip("rejected when the configuration is decoded")
-		}
 		s := *spec(t)
-		s.Layers, s.LayerMB = layers, layerMB
+		// A service without layers has no engine; the bound only limits the fuzzer's time.
+		s.Layers, s.LayerMB = 1+int(uint(layers)%200), layerMB
 		rng := rand.New(rand.NewPCG(seed, 0))
 		servers := emptyServers(&s, 1, 2, 2)
 		for i := range servers {
