router: a slow caller is no partial event

Cause, found reading the diff: an event in the buffer while the caller reads slowly counted as one that does not arrive, and a sound run would have been cancelled. Change: time counts only while the stream waits for bytes of its server.

--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -17,7 +17,7 @@
 func (st *stream) watchStall(ch *dispatch.Choice) {
 	limit := st.x.r.cfg.StallTimeout + ch.FirstToken
 	firstAddr := ch.Target().Addr
-	st.recordRead(true, false)
+	st.recordProgress()
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	run := st.runCount
@@ -59,8 +59,8 @@
 	return limit, min(limit, r.cfg.PartialEventTimeout)
 }
 
-// partialFor returns how long the event that has begun to arrive has been incomplete, zero
-// if there is none. The caller holds st.mu.
+// partialFor returns how long the stream has waited for the rest of an event, zero if it does
+// not. The caller holds st.mu.
 func (st *stream) partialFor(now time.Time) time.Duration {
 	if st.partialSince.IsZero() {
 		return 0
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -35,7 +35,7 @@
 	// result.choice, which a change of path replaces.
 	mu       sync.Mutex
 	lastRead time.Time // when the last complete event of the run arrived, or the run began
-	// partialSince is when the incomplete event after it began to arrive, zero for none.
+	// partialSince is when the stream began to wait for the rest of an event, zero for none.
 	partialSince time.Time
 	repathing    bool // a change of the path is in progress
 	runCount     int  // lets a late timer detect that its run is over
@@ -171,10 +171,14 @@
 // readEvents reads until there is at least one complete event, or the end.
 func (st *stream) readEvents() error {
 	var buf [8 << 10]byte
+	defer st.endWait()
 	for len(st.pending) == 0 && !st.complete {
+		st.beginWait(len(st.splitter.Incomplete()) > 0)
 		n, err := st.result.call.Read(buf[:])
 		events, tooLong := st.splitter.Push(buf[:n])
-		st.recordRead(len(events) > 0, len(st.splitter.Incomplete()) > 0)
+		if len(events) > 0 {
+			st.recordProgress()
+		}
 		for _, e := range events {
 			st.pending = append(st.pending, e.Bytes...)
 			if e.ID != "" {
@@ -309,19 +313,26 @@
 	}
 }
 
-// recordRead updates what the stall watch knows. Only a complete event counts as progress: a
-// stalled server may still send a byte now and then.
-func (st *stream) recordRead(complete, partial bool) {
+// recordProgress tells the stall watch that the run began or a complete event arrived. Other
+// bytes are no progress: a stalled server may still send one now and then.
+func (st *stream) recordProgress() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	now := time.Now()
-	if complete {
-		st.lastRead, st.partialSince = now, time.Time{}
-	}
-	switch {
-	case !partial:
-		st.partialSince = time.Time{}
-	case st.partialSince.IsZero():
-		st.partialSince = now
+	st.lastRead, st.partialSince = time.Now(), time.Time{}
+}
+
+// beginWait tells the stall watch that the stream waits for more bytes, partial if an event
+// has begun to arrive. While the stream waits for its caller instead, no time counts.
+func (st *stream) beginWait(partial bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if partial && st.partialSince.IsZero() {
+		st.partialSince = time.Now()
 	}
 }
+
+func (st *stream) endWait() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.partialSince = time.Time{}
+}
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -28,6 +28,23 @@
 	require.Equal(t, 2, s.backends.Runs("dribbled"))
 }
 
+// A caller that reads slowly leaves a part of an event in the buffer. That time is not its
+// server's.
+func TestSlowCallerIsNoPartialEvent(t *testing.T) {
+	var st stream
+	now := time.Now()
+	st.beginWait(true)
+	st.beginWait(true)
+	require.Greater(t, st.partialFor(now.Add(2*time.Second)), time.Second)
+	st.endWait() // the events before it are passed on
+	require.Zero(t, st.partialFor(now.Add(10*time.Second)))
+	st.beginWait(false)
+	require.Zero(t, st.partialFor(now.Add(10*time.Second)))
+	st.beginWait(true)
+	st.recordProgress()
+	require.Zero(t, st.partialFor(now.Add(10*time.Second)))
+}
+
 // Whole events at long intervals come from a slow server, whose stream must not be cut.
 func TestSlowStreamIsNotCut(t *testing.T) {
 	s := newSite(t)
