--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -72,24 +72,24 @@
 	return c
 }
 
-// demandLevels are the loads for which plans are compared, as multiples of
-// copyRate in each domain. The demand is unknown when the first
-// plan is made, and a plan should serve a quiet hour as well as a peak.
+// demandLevels are the loads for which plans are compared, as multiples of copyRate in each
+// domain. The demand is unknown when the first plan is made, and a plan should serve a
+// quiet hour as well as a peak.
 var demandLevels = []float64{0.25, 0.5, 1, 2, 4}
 
 // served returns the share of the demand that the planned servers serve, summed over
 // demandLevels. Each failure domain has the same demand.
 func (p *plan) served() float64 {
 	f := newFleet(p.spec, p.servers)
+	domains, copyRate := p.domains(), p.copyRate()
 	sum := 0.0
 	for _, level := range demandLevels {
-		rate := level * p.copyRate()
 		demand := Demand{}
-		for _, d := range p.domains() {
-			demand[d] = rate
+		for _, d := range domains {
+			demand[d] = level * copyRate
 		}
 		e := f.serve(demand)
-		sum += (e.Local + remoteValue*e.Remote + crossingValue*e.Crossing) / (rate * float64(len(demand)))
+		sum += (e.Local + remoteValue*e.Remote + crossingValue*e.Crossing) / demand.Total()
 	}
 	return sum
 }
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -46,7 +46,7 @@
 			r.log.Warn().Err(err).Stringer("from", from).Msg("loads: invalid message")
 			continue
 		}
-		r.run("loads", m.From, func() { r.handleLoads(m) })
+		r.runGuarded("loads", m.From, func() { r.handleLoads(m) })
 	}
 }
 
@@ -144,7 +144,7 @@
 		var wait time.Duration
 		r.locked(func() { wait = r.core.Loads.Interval() })
 		r.waitToSendLoads(ctx, wait)
-		r.run("loads", "send", func() {
+		r.runGuarded("loads", "send", func() {
 			var sends []loads.Send
 			r.locked(func() { sends = r.core.Loads.Tick(r.clock.now(), r.core.OwnLoads(r.clock.now())) })
 			for _, s := range sends {
--- a/internal/router/guard.go
+++ b/internal/router/guard.go
@@ -30,7 +30,7 @@
 	return nil
 }
 
-// run is guard for tasks whose only consequence of a panic is the log line.
-func (r *Router) run(task, subject string, f func()) {
+// runGuarded is guard for tasks whose only consequence of a panic is the log line.
+func (r *Router) runGuarded(task, subject string, f func()) {
 	_ = r.guard(task, subject, f) // logged by guard
 }
--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -36,12 +36,12 @@
 		pause(ctx, r.cfg.PlanInterval)
 		var sends sync.WaitGroup
 		var orders []placementOrder
-		r.run("placement", "plan", func() { orders = r.plan() })
+		r.runGuarded("placement", "plan", func() { orders = r.plan() })
 		for _, o := range orders {
 			sem <- struct{}{}
 			sends.Go(func() {
 				defer func() { <-sem }()
-				r.run("placement", string(o.Instance.ID), func() { r.sendPlacement(o) })
+				r.runGuarded("placement", string(o.Instance.ID), func() { r.sendPlacement(o) })
 			})
 		}
 		sends.Wait()
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -22,7 +22,7 @@
 	defer st.mu.Unlock()
 	run := st.runCount
 	st.stallTimer = time.AfterFunc(limit, func() {
-		st.x.r.run("stall watch", st.x.req.ID, func() {
+		st.x.r.runGuarded("stall watch", st.x.req.ID, func() {
 			var next time.Duration
 			limit, next = st.checkStall(firstAddr, limit)
 			st.resetStallTimer(run, next)
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -146,7 +146,7 @@
 
 // applyItem applies the state of one key to the cores. The caller holds mu.
 func (r *Router) applyItem(it platform.Item) {
-	r.run("store", it.Key, func() { r.applyKey(it) })
+	r.runGuarded("store", it.Key, func() { r.applyKey(it) })
 }
 
 func (r *Router) applyKey(it platform.Item) {
