--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -77,6 +77,8 @@
 	worstVerdict verdict.Verdict
 	maxIdleConns int // idle connections to keep per backend server
 	promptParts  []string
+	// fingerprint is the same for all repetitions of a request, which have different IDs.
+	fingerprint string
 	// sound is set once a run of the request has written enough events to clear its prompt;
 	// crashes counts the servers that ended on the request before.
 	sound   bool
@@ -107,7 +109,7 @@
 	}
 	if x == nil {
 		id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
-		r.refuse(ctx, id, verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
+		r.refuse(ctx, id, "", verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
 		return
 	}
 	r.openRequests.Add(1)
@@ -223,6 +225,7 @@
 	if left, ok := platform.ParseTimeLeft(string(h.Peek(platform.HeaderTimeLeft))); ok && left < route.Timeout {
 		x.deadline = receivedAt + left
 	}
+	x.fingerprint = fingerprintOf(h, team, ctx.Request.Body())
 	x.estimateTokens()
 	x.callerCtx, x.cancel = context.WithCancelCause(context.Background())
 	return x, 0
@@ -268,7 +271,7 @@
 // refuse responds to a request that cannot be served. Only a request that did not run
 // gets a 503 with Retry-After; one that may have run gets a 504 after its deadline,
 // otherwise a 502.
-func (r *Router) refuse(ctx *fasthttp.RequestCtx, id string, refusal verdict.Refusal) {
+func (r *Router) refuse(ctx *fasthttp.RequestCtx, id, fingerprint string, refusal verdict.Refusal) {
 	r.metrics.refused.Inc()
 	if refusal.Cause == verdict.CausePromptBlocked {
 		r.metrics.promptsBlocked.Inc()
@@ -290,12 +293,12 @@
 	if status == fasthttp.StatusServiceUnavailable && refusal.RetryAfter > 0 {
 		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
 	}
-	r.log.Info().Str("request", id).Int("status", status).Str("verdict", refusal.Verdict.String()).Str("cause", string(refusal.Cause)).
+	r.log.Info().Str("request", id).Str("fingerprint", fingerprint).Int("status", status).Str("verdict", refusal.Verdict.String()).Str("cause", string(refusal.Cause)).
 		Dur("comeBack", refusal.RetryAfter).Str("detail", refusal.Detail).Msg("refused")
 }
 
 // refuseRequest refuses the request with the worst verdict of all its sends.
 func (x *exchange) refuseRequest(refusal verdict.Refusal) {
 	refusal.Verdict = verdict.Worse(refusal.Verdict, x.worstVerdict)
-	x.r.refuse(x.ctx, x.req.ID, refusal)
+	x.r.refuse(x.ctx, x.req.ID, x.fingerprint, refusal)
 }
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -194,7 +194,7 @@
 }
 
 func (x *exchange) logSend(ev *zerolog.Event, s *sendResult, status int) *zerolog.Event {
-	return ev.Str("request", x.req.ID).Str("server", string(s.choice.Target().Instance.ID)).Int("parts", len(s.choice.Stages)).
+	return ev.Str("request", x.req.ID).Str("fingerprint", x.fingerprint).Str("route", x.req.Route.Name).Str("server", string(s.choice.Target().Instance.ID)).Int("parts", len(s.choice.Stages)).
 		Str("verdict", s.outcome.String()).Str("fault", s.faultAddr).Int("status", status).
 		Int("runEvents", s.events).Strs("prompt", x.promptParts).Dur("after", time.Since(x.receivedAt)).Err(s.err)
 }
