--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -63,8 +63,8 @@
 	// RetryAfter is the Retry-After time of a refusal. By then, other servers have loaded
 	// the layers of a dead backend server. Default 1.2 s.
 	RetryAfter time.Duration
-	// BlockedRetryAfter is the Retry-After time of a request whose prompt is blocked.
-	// Default 30 s.
+	// BlockedRetryAfter is the longest Retry-After time of a request that is blocked, or whose
+	// prompt is. Default 30 s.
 	BlockedRetryAfter time.Duration
 }
 
@@ -137,8 +137,8 @@
 	Service routes.Service
 	// PromptTokens and AnswerTokens are predicted sizes; zero for plain services.
 	PromptTokens, AnswerTokens float64
-	// Prompt holds the parts of the prompt; empty if they are not known.
-	Prompt poison.Prompt
+	// Subject is what may crash a server in the request.
+	Subject poison.Subject
 	// Sends counts the sends so far. SentTo holds the backend servers that they went to;
 	// Route.MaxAttempts limits their number.
 	Sends  int
--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -1,15 +1,24 @@
-// Package poison finds the parts of prompts that crash backend servers, and blocks the
-// requests that contain them.
+// Package poison finds requests, and parts of prompts, that crash backend servers, and blocks
+// them.
 //
-// A crash cuts many runs, of which few can have caused it. A run that has written events is
-// not the cause, and the progress of a run clears all parts of its prompt. What is left are
-// the parts of runs that were cut before their second event. A part is blocked if such runs
-// were cut in several crashes one after the other, each sent after the crash before it, and
-// no run with the part has made progress since. Servers that end together, as in the loss
-// of a failure domain, therefore count as one crash.
+// A crash cuts many runs, of which few can have caused it. A run that has written events, or
+// its whole response, is not the cause, and its progress clears its request and all parts of
+// its prompt. What is left are the runs that were cut before.
 //
-// Requests with a blocked part come at any VM. The VMs exchange crashes, clearances and
-// blocked parts in Updates, so that all of them decide on the same evidence.
+// A part of a prompt is blocked if such runs were cut in several crashes one after the
+// other, each sent after the crash before it, and no run with the part has made progress
+// since. Servers that end together, as in the loss of a failure domain, therefore count as
+// one crash.
 //
-// Guard is a pure state machine. Callers choose the parts, so every table is bounded.
+// A request is known by its fingerprint, which its repetitions share. It is blocked after two
+// crashes if no other request was cut in both. If one was, both are blocked for some seconds
+// after the third, and the next crash tells which of them it was. Plain requests that were cut
+// in one crash are suspects: they follow each other at an interval, so that most crashes have
+// one cause. A server that responds to a request sent after its crash has not crashed; only
+// its connections were lost.
+//
+// Repetitions come at any VM. The VMs exchange crashes, clearances and blocks in Updates, so
+// that all of them decide on the same evidence.
+//
+// Guard is a pure state machine. Callers choose the requests, so every table is bounded.
 package poison
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -107,7 +107,7 @@
 }
 
 func (f *fleet) send(p Prompt, poison bool, vm int) {
-	if _, blocked := f.guards[vm].Find(f.now, p); blocked {
+	if _, blocked := f.guards[vm].Find(f.now, Subject{Prompt: p}); blocked {
 		if poison {
 			f.poisonRefused++
 		} else {
@@ -156,7 +156,7 @@
 		if r.progressSeen {
 			continue
 		}
-		f.cancel(r.vm, f.guards[r.vm].RecordCrash(f.now, CutRun{Server: cut, Prompt: r.prompt, SentAt: r.sentAt, EndedAt: f.now}))
+		f.cancel(r.vm, f.guards[r.vm].RecordCrash(f.now, CutRun{Server: cut, Subject: Subject{Prompt: r.prompt}, SentAt: r.sentAt, EndedAt: f.now}))
 		f.share(r.vm)
 	}
 }
@@ -179,7 +179,7 @@
 			crashed = r.server
 		case !r.progressSeen && f.now >= r.secondEvent:
 			r.progressSeen = true
-			if f.guards[r.vm].RecordProgress(f.now, r.prompt).News {
+			if f.guards[r.vm].RecordProgress(f.now, Subject{Prompt: r.prompt}).News {
 				f.share(r.vm)
 			}
 		}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -21,6 +21,15 @@
 	// BlockTTL is how long a part stays blocked after the last request with it at any VM.
 	// Default 15 min.
 	BlockTTL time.Duration
+	// AmbiguousTTL is how long a request stays blocked for crashes in which others were cut as
+	// well. Default 10 s.
+	AmbiguousTTL time.Duration
+	// SuspicionDelay is the time from a crash until the first of the plain requests cut in it
+	// may be sent again: the other VMs must know the crash by then. Default 40 ms.
+	SuspicionDelay time.Duration
+	// SuspectSpacing is the interval at which the others follow, so that at most one of them
+	// runs when the next server crashes. Default 100 ms.
+	SuspectSpacing time.Duration
 	// MaxProgress bounds the parts whose last progress is remembered. Default 4096.
 	MaxProgress int
 	// ShareTTL is how long runs and clearances are passed on to other VMs. Default 3 s.
@@ -30,14 +39,16 @@
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
 	return Config{EvidenceTTL: 10 * time.Minute, MaxRuns: 256, MaxBlocked: 256, BlockTTL: 15 * time.Minute,
+		AmbiguousTTL: 10 * time.Second, SuspicionDelay: 40 * time.Millisecond, SuspectSpacing: 100 * time.Millisecond,
 		MaxProgress: 4096, ShareTTL: 3 * time.Second}
 }
 
-// CutRun is a run that ended with the crash of its first server before its second event.
+// CutRun is a run that ended with the crash of its first server, before its second event if
+// it is a stream.
 type CutRun struct {
 	// Server identifies the incarnation of the server.
 	Server uint32
-	Prompt Prompt
+	Subject
 	// SentAt and EndedAt are on the VM's clock.
 	SentAt, EndedAt time.Duration
 }
@@ -50,6 +61,9 @@
 	Since, Seen time.Duration
 	// Crashes is the number of crashes that led to the block; 0 if another VM found it.
 	Crashes int
+	// Ambiguous is set if other requests were cut in the same crashes. The block ends after
+	// Config.AmbiguousTTL, and one more crash decides.
+	Ambiguous bool
 }
 
 // Guard holds what one VM knows of cut runs and blocked parts.
@@ -60,12 +74,17 @@
 	// shareUntil is when the progress of a part is no longer news for the other VMs.
 	shareUntil map[Part]time.Duration
 	blocked    map[Part]Block
-	version    uint64
+	// heardFrom holds when a server that was thought to have crashed responded to a request
+	// that was sent after the crash; the value is the time of the sending.
+	heardFrom map[uint32]time.Duration
+	judgeAt   map[Part]time.Duration // when to judge a request that was cut in a crash
+	judged    []Block                // requests blocked since the last call of Judge
+	version   uint64
 }
 
 // New returns a Guard that blocks nothing.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, progress: map[Part]time.Duration{}, shareUntil: map[Part]time.Duration{}, blocked: map[Part]Block{}}
+	return &Guard{cfg: cfg, progress: map[Part]time.Duration{}, shareUntil: map[Part]time.Duration{}, blocked: map[Part]Block{}, heardFrom: map[uint32]time.Duration{}, judgeAt: map[Part]time.Duration{}}
 }
 
 // Version increases with each change of the set of blocked parts.
@@ -74,16 +93,29 @@
 // RecordCrash records a run that was cut by the crash of its server and returns the parts
 // that are blocked from now on.
 func (g *Guard) RecordCrash(now time.Duration, run CutRun) []Block {
-	if len(run.Prompt) == 0 || !g.addRun(now, run) {
+	if run.isEmpty() || !g.addRun(now, run) {
 		return nil
 	}
-	return g.blockParts(now, run.Prompt)
+	return g.block(now, run.Subject)
+}
+
+// block blocks the parts of a subject's prompt that the known crashes convict. Its request is
+// judged when the other VMs have reported what they lost in the crash.
+func (g *Guard) block(now time.Duration, s Subject) []Block {
+	if s.Request != "" && len(g.judgeAt) < g.cfg.MaxRuns {
+		g.judgeAt[s.Request] = now + g.cfg.SuspicionDelay
+	}
+	if len(s.Prompt) == 0 {
+		return nil
+	}
+	return g.blockParts(now, s.Prompt)
 }
 
 // addRun adds a run to the evidence. It reports false for one that is known or too old.
 func (g *Guard) addRun(now time.Duration, run CutRun) bool {
 	g.runs = slices.DeleteFunc(g.runs, func(r CutRun) bool { return now-r.EndedAt > g.cfg.EvidenceTTL })
-	if now-run.EndedAt > g.cfg.EvidenceTTL || slices.ContainsFunc(g.runs, run.sameAs) {
+	heard, alive := g.heardFrom[run.Server]
+	if now-run.EndedAt > g.cfg.EvidenceTTL || (alive && heard > run.EndedAt) || slices.ContainsFunc(g.runs, run.sameAs) {
 		return false
 	}
 	i, _ := slices.BinarySearchFunc(g.runs, run, func(a, b CutRun) int { return int(a.EndedAt - b.EndedAt) })
@@ -91,7 +123,7 @@
 	if len(g.runs) > g.cfg.MaxRuns {
 		g.runs = slices.Delete(g.runs, 0, 1)
 	}
-	for _, part := range run.Prompt {
+	for _, part := range append(slices.Clone(run.Prompt), run.Request) {
 		if g.lastProgress(part) != never {
 			g.shareProgress(now, part) // the other VMs may not know it
 		}
@@ -102,7 +134,7 @@
 // sameAs reports whether both are the same run. The times of a run that another VM has sent
 // are inaccurate.
 func (r CutRun) sameAs(other CutRun) bool {
-	return r.Server == other.Server && slices.Equal(r.Prompt, other.Prompt)
+	return r.Server == other.Server && r.Request == other.Request && slices.Equal(r.Prompt, other.Prompt)
 }
 
 // Progress is the effect of a run's progress.
@@ -113,16 +145,19 @@
 	Unblocked []Part
 }
 
-// RecordProgress records that a run wrote its second event: no part of its prompt crashes
-// servers.
-func (g *Guard) RecordProgress(now time.Duration, prompt Prompt) Progress {
+// RecordProgress records that a run wrote its second event, or its whole response: neither
+// the request nor a part of its prompt crashes servers.
+func (g *Guard) RecordProgress(now time.Duration, s Subject) Progress {
 	var p Progress
-	for i, part := range prompt {
+	for i, part := range s.Prompt {
 		// Only repetitions of the request share the last part, so it matters only after a crash.
-		if i < len(prompt)-1 || g.cutBetween(part, never, now) {
+		if i < len(s.Prompt)-1 || g.cutBetween(part, never, now) {
 			g.recordProgress(now, part, now, &p)
 		}
 	}
+	if s.Request != "" && g.cutBetween(s.Request, never, now) {
+		g.recordProgress(now, s.Request, now, &p)
+	}
 	return p
 }
 
@@ -167,7 +202,7 @@
 // cutBetween reports whether a run with the part was cut after one time and before another.
 func (g *Guard) cutBetween(part Part, after, before time.Duration) bool {
 	return slices.ContainsFunc(g.runs, func(r CutRun) bool {
-		return r.EndedAt > after && r.EndedAt < before && slices.Contains(r.Prompt, part)
+		return r.EndedAt > after && r.EndedAt < before && r.Has(part)
 	})
 }
 
@@ -189,21 +224,47 @@
 	return !slices.ContainsFunc(prompt.middle(), func(part Part) bool { return g.lastProgress(part) <= cutAt })
 }
 
-// Find returns the block of a part of the prompt, if there is one, and notes that a request
-// with it has arrived.
-func (g *Guard) Find(now time.Duration, prompt Prompt) (Block, bool) {
+// Find returns the block of a part of the prompt or of the request, if there is one, and
+// notes that a request with it has arrived.
+func (g *Guard) Find(now time.Duration, s Subject) (Block, bool) {
+	g.judgeDue(now)
 	if len(g.blocked) == 0 {
 		return Block{}, false
 	}
 	g.expire(now)
-	for _, part := range prompt {
-		if b, ok := g.blocked[part]; ok {
-			b.Seen = now
-			g.blocked[part] = b
+	for _, part := range s.Prompt {
+		if b, blocked := g.find(now, part); blocked {
 			return b, true
 		}
 	}
-	return Block{}, false
+	return g.find(now, s.Request)
+}
+
+func (g *Guard) find(now time.Duration, part Part) (Block, bool) {
+	b, blocked := g.blocked[part]
+	if blocked {
+		b.Seen = now
+		g.blocked[part] = b
+	}
+	return b, blocked
+}
+
+// EndsAt returns when a block ends if no further request comes.
+func (g *Guard) EndsAt(b Block) time.Duration {
+	if b.Ambiguous {
+		return b.Since + g.cfg.AmbiguousTTL
+	}
+	return b.Seen + g.cfg.BlockTTL
+}
+
+// Lift ends the block of a part, as an operator orders. It reports false if there is none.
+func (g *Guard) Lift(now time.Duration, part Part) (Progress, bool) {
+	var p Progress
+	if _, blocked := g.blocked[part]; !blocked {
+		return p, false
+	}
+	g.recordProgress(now, part, now, &p)
+	return p, true
 }
 
 // Blocked returns all blocked parts, the one seen last first.
@@ -224,7 +285,7 @@
 
 func (g *Guard) expire(now time.Duration) {
 	for part, b := range g.blocked {
-		if now-b.Seen > g.cfg.BlockTTL {
+		if now > g.EndsAt(b) {
 			delete(g.blocked, part)
 			g.version++
 		}
@@ -248,14 +309,14 @@
 		}
 		return false
 	}
-	if g.lastProgress(b.Part) > b.Since || now-b.Seen > g.cfg.BlockTTL {
+	if g.lastProgress(b.Part) > b.Since || now > g.EndsAt(b) {
 		return false
 	}
-	g.block(b)
+	g.addBlock(b)
 	return true
 }
 
-func (g *Guard) block(b Block) {
+func (g *Guard) addBlock(b Block) {
 	if len(g.blocked) >= g.cfg.MaxBlocked {
 		oldest := slices.MinFunc(slices.Collect(maps.Values(g.blocked)), func(a, b Block) int { return int(a.Seen - b.Seen) })
 		delete(g.blocked, oldest.Part)
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -16,9 +16,11 @@
 
 func prompt(ids ...string) Prompt { return NewPrompt(ids) }
 
+func subject(ids ...string) Subject { return Subject{Prompt: prompt(ids...)} }
+
 // cut returns a run that was cut at a server between two times in milliseconds.
 func cut(server uint32, sentMs, endedMs int, ids ...string) CutRun {
-	return CutRun{Server: server, Prompt: prompt(ids...), SentAt: time.Duration(sentMs) * time.Millisecond, EndedAt: time.Duration(endedMs) * time.Millisecond}
+	return CutRun{Server: server, Subject: subject(ids...), SentAt: time.Duration(sentMs) * time.Millisecond, EndedAt: time.Duration(endedMs) * time.Millisecond}
 }
 
 func recordAll(g *Guard, runs ...CutRun) (blocked []Part) {
@@ -34,9 +36,9 @@
 	g := New(DefaultConfig())
 	require.Empty(t, recordAll(g, cut(1, 0, 100, "first", "deadly", "a")))
 	require.Equal(t, []Part{"deadly"}, recordAll(g, cut(2, 150, 250, "first", "deadly", "b")))
-	_, blocked := g.Find(second, prompt("first", "deadly", "c"))
+	_, blocked := g.Find(second, subject("first", "deadly", "c"))
 	require.True(t, blocked)
-	_, blocked = g.Find(second, prompt("first", "other", "c"))
+	_, blocked = g.Find(second, subject("first", "other", "c"))
 	require.False(t, blocked)
 }
 
@@ -51,15 +53,15 @@
 func TestPartThatMakesProgressIsNotBlocked(t *testing.T) {
 	g := New(DefaultConfig())
 	require.Empty(t, recordAll(g, cut(1, 0, 100, "first", "shared", "a")))
-	require.True(t, g.RecordProgress(120*time.Millisecond, prompt("first", "shared", "b")).News)
-	require.False(t, g.RecordProgress(125*time.Millisecond, prompt("first", "shared", "b")).News, "passed on once for each crash")
+	require.True(t, g.RecordProgress(120*time.Millisecond, subject("first", "shared", "b")).News)
+	require.False(t, g.RecordProgress(125*time.Millisecond, subject("first", "shared", "b")).News, "passed on once for each crash")
 	require.Empty(t, recordAll(g, cut(2, 150, 250, "first", "shared", "c")))
 	var blocked []Part
 	for i := range 4 {
 		blocked = append(blocked, recordAll(g, cut(uint32(3+i), 260+100*i, 300+100*i, "first", "shared", fmt.Sprint("own", i)))...)
 	}
 	require.Equal(t, []Part{"shared"}, blocked, "a part that has worked before needs five crashes")
-	require.Equal(t, []Part{"shared"}, g.RecordProgress(610*time.Millisecond, prompt("first", "shared", "f")).Unblocked, "a run that was sent before the block")
+	require.Equal(t, []Part{"shared"}, g.RecordProgress(610*time.Millisecond, subject("first", "shared", "f")).Unblocked, "a run that was sent before the block")
 	require.Empty(t, g.Blocked(second))
 }
 
@@ -105,9 +107,9 @@
 	suspect := cut(1, 0, 100, "first", "shared", "own")
 	recordAll(g, suspect)
 	require.False(t, g.Cleared(suspect.Prompt, suspect.EndedAt))
-	g.RecordProgress(90*time.Millisecond, prompt("shared"))
+	g.RecordProgress(90*time.Millisecond, subject("shared"))
 	require.False(t, g.Cleared(suspect.Prompt, suspect.EndedAt), "progress before the crash")
-	g.RecordProgress(110*time.Millisecond, prompt("x", "shared", "y"))
+	g.RecordProgress(110*time.Millisecond, subject("x", "shared", "y"))
 	require.True(t, g.Cleared(suspect.Prompt, suspect.EndedAt))
 	require.True(t, g.Cleared(prompt("first", "own"), suspect.EndedAt), "no part besides the first that others share")
 }
@@ -119,10 +121,10 @@
 	now := second
 	for range 20 {
 		now += cfg.BlockTTL - second
-		_, blocked := g.Find(now, prompt("f", "deadly", "c"))
+		_, blocked := g.Find(now, subject("f", "deadly", "c"))
 		require.True(t, blocked)
 	}
-	_, blocked := g.Find(now+cfg.BlockTTL+1, prompt("f", "deadly", "c"))
+	_, blocked := g.Find(now+cfg.BlockTTL+1, subject("f", "deadly", "c"))
 	require.False(t, blocked)
 }
 
@@ -135,7 +137,7 @@
 	require.True(t, result.New)
 	require.Len(t, result.Blocked, 1)
 	require.False(t, started.Receive(5*second, origin.Update(60*second)).New, "known already")
-	informed.RecordProgress(5*second, prompt("f", "deadly", "c"))
+	informed.RecordProgress(5*second, subject("f", "deadly", "c"))
 	require.Empty(t, informed.Receive(5*second+10*time.Millisecond, origin.Update(60*second)).Blocked)
 }
 
@@ -143,7 +145,7 @@
 func TestExchangeDoesNotRenewKnowledge(t *testing.T) {
 	a, b := New(DefaultConfig()), New(DefaultConfig())
 	recordAll(a, cut(1, 0, 100, "f", "deadly", "x"), cut(2, 150, 250, "f", "deadly", "y"))
-	a.RecordProgress(260*time.Millisecond, prompt("f"))
+	a.RecordProgress(260*time.Millisecond, subject("f"))
 	now := 300 * time.Millisecond
 	for i := range 10_000 {
 		now += 100 * time.Millisecond
@@ -163,9 +165,13 @@
 		var now time.Duration
 		for range 600 {
 			now += time.Duration(rng.IntN(200)) * time.Millisecond
-			p := prompt(fmt.Sprint("f", rng.IntN(3)), fmt.Sprint("m", rng.IntN(2000)), fmt.Sprint("own", rng.IntN(100_000)))
-			if rng.IntN(3) > 0 {
-				g.RecordCrash(now, CutRun{Server: rng.Uint32(), Prompt: p, SentAt: now - 50*time.Millisecond, EndedAt: now})
+			p := subject(fmt.Sprint("f", rng.IntN(3)), fmt.Sprint("m", rng.IntN(2000)), fmt.Sprint("own", rng.IntN(100_000)))
+			p.Request = RequestPart(fmt.Sprint(rng.IntN(300)))
+			if len(g.runs) > 0 && rng.IntN(10) == 0 {
+				g.RecordResponse(now, now-20*time.Millisecond, g.runs[rng.IntN(len(g.runs))].Server)
+			}
+			if len(g.runs) < 2 || rng.IntN(3) > 0 {
+				g.RecordCrash(now, CutRun{Server: rng.Uint32(), Subject: p, SentAt: now - 50*time.Millisecond, EndedAt: now})
 			} else {
 				g.RecordProgress(now, p)
 			}
@@ -178,6 +184,7 @@
 			require.LessOrEqual(t, len(x.blocked), cfg.MaxBlocked)
 			require.LessOrEqual(t, len(x.progress), cfg.MaxProgress)
 			require.LessOrEqual(t, len(x.shareUntil), maxSharedParts)
+			require.LessOrEqual(t, len(x.heardFrom), cfg.MaxRuns)
 		}
 		u := g.Update(now)
 		require.LessOrEqual(t, len(u.Runs), maxSharedRuns)
--- a/internal/poison/prompt.go
+++ b/internal/poison/prompt.go
@@ -3,11 +3,12 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Part is the ID of a part of a prompt, at most maxPartBytes long.
+// Part is the ID of a part of a prompt, or of a whole request, at most maxPartBytes long.
 type Part string
 
 // maxPartBytes is the length of an ID above which its hash takes its place.
@@ -24,7 +25,7 @@
 	}
 	p := make(Prompt, len(ids))
 	for i, id := range ids {
-		if len(id) > maxPartBytes {
+		if len(id) > maxPartBytes || Part(id).IsRequest() {
 			id = strconv.FormatUint(xxhash.Sum64String(id), 16)
 		}
 		p[i] = Part(id)
@@ -32,6 +33,29 @@
 	return p
 }
 
+// requestPrefix begins the IDs of whole requests.
+const requestPrefix = "request:"
+
+// RequestPart returns the ID of the requests with the given fingerprint.
+func RequestPart(fingerprint string) Part { return Part(requestPrefix + fingerprint) }
+
+// IsRequest reports whether the ID is that of a whole request.
+func (p Part) IsRequest() bool { return strings.HasPrefix(string(p), requestPrefix) }
+
+// Subject is what may crash a server in a request: a part of its prompt, or the request as a
+// whole with all its repetitions.
+type Subject struct {
+	Prompt  Prompt // empty for a request without a prompt
+	Request Part   // "" if it is not known
+}
+
+// Has reports whether the subject has a part.
+func (s Subject) Has(part Part) bool {
+	return part == s.Request || slices.Contains(s.Prompt, part)
+}
+
+func (s Subject) isEmpty() bool { return len(s.Prompt) == 0 && s.Request == "" }
+
 // hash identifies the whole prompt.
 func (p Prompt) hash() uint64 {
 	d := xxhash.New()
--- /dev/null
+++ b/internal/poison/requests_test.go
@@ -0,0 +1,115 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// cutRequest returns a run of a plain request that was cut between two times in milliseconds.
+func cutRequest(server uint32, sentMs, endedMs int, fingerprint string) CutRun {
+	return CutRun{Server: server, Subject: Subject{Request: RequestPart(fingerprint)}, SentAt: time.Duration(sentMs) * time.Millisecond, EndedAt: time.Duration(endedMs) * time.Millisecond}
+}
+
+// recordCrashes records runs and returns the requests that are blocked once the crash is judged.
+func recordCrashes(g *Guard, runs ...CutRun) (blocked []Part) {
+	blocked = recordAll(g, runs...)
+	for _, b := range g.Judge(runs[len(runs)-1].EndedAt + DefaultConfig().SuspicionDelay) {
+		blocked = append(blocked, b.Part)
+	}
+	return blocked
+}
+
+func requestBlocked(g *Guard, now time.Duration, fingerprint string) bool {
+	_, blocked := g.Find(now, Subject{Request: RequestPart(fingerprint)})
+	return blocked
+}
+
+func TestRequestIsBlockedAfterTwoCrashesThatCutNoOtherTwice(t *testing.T) {
+	g := New(DefaultConfig())
+	require.Empty(t, recordCrashes(g, cutRequest(1, 0, 100, "deadly"), cutRequest(1, 50, 100, "a")))
+	require.Equal(t, []Part{"request:deadly"}, recordCrashes(g, cutRequest(2, 200, 300, "b"), cutRequest(2, 150, 300, "deadly")))
+	require.True(t, requestBlocked(g, second, "deadly"))
+	require.False(t, requestBlocked(g, second, "a"))
+	require.Empty(t, recordCrashes(g, cutRequest(2, 200, 300, "a")), "the blocked request explains the crash")
+}
+
+func TestRequestsCutInTheSameCrashesAreToldApartLater(t *testing.T) {
+	g := New(DefaultConfig())
+	require.Empty(t, recordCrashes(g, cutRequest(1, 0, 100, "deadly"), cutRequest(1, 0, 100, "sound")))
+	require.Empty(t, recordCrashes(g, cutRequest(2, 150, 300, "deadly"), cutRequest(2, 150, 300, "sound")))
+	require.Equal(t, []Part{"request:deadly", "request:sound"}, recordCrashes(g, cutRequest(3, 350, 400, "deadly"), cutRequest(3, 350, 400, "sound")))
+	end := 400*time.Millisecond + DefaultConfig().SuspicionDelay + DefaultConfig().AmbiguousTTL
+	require.True(t, requestBlocked(g, end-time.Millisecond, "sound"))
+	require.False(t, requestBlocked(g, end+time.Millisecond, "sound"))
+	g.RecordProgress(end+100*time.Millisecond, Subject{Request: "request:sound"})
+	after := int(end/time.Millisecond) + 200
+	require.Equal(t, []Part{"request:deadly"}, recordCrashes(g, cutRequest(4, after, after+50, "deadly")))
+	require.True(t, requestBlocked(g, end+time.Minute, "deadly"), "no other request was cut in all four")
+	require.False(t, requestBlocked(g, end+time.Minute, "sound"))
+}
+
+func TestRequestThatMakesProgressIsNotBlocked(t *testing.T) {
+	g := New(DefaultConfig())
+	for i := range 10 {
+		require.Empty(t, recordCrashes(g, cutRequest(uint32(i), 1000*i, 1000*i+50, "popular")))
+		require.True(t, g.RecordProgress(time.Duration(1000*i+100)*time.Millisecond, Subject{Request: "request:popular"}).News)
+	}
+}
+
+func TestRepeatedRequestCutWhenServersEndTogetherIsNotBlocked(t *testing.T) {
+	g := New(DefaultConfig())
+	for server := range uint32(20) {
+		require.Empty(t, recordCrashes(g, cutRequest(server, 1000, 1100+int(server), "popular")))
+	}
+}
+
+// Lost connections look like crashes until the servers respond.
+func TestServersThatRespondHaveNotCrashed(t *testing.T) {
+	g := New(DefaultConfig())
+	require.Empty(t, recordCrashes(g, cutRequest(1, 0, 100, "sound")))
+	require.False(t, g.RecordResponse(second/2, 50*time.Millisecond, 1).News, "sent before the crash")
+	require.Equal(t, []Part{"request:sound"}, recordCrashes(g, cutRequest(2, 150, 300, "sound")))
+	require.Equal(t, []Part{"request:sound"}, g.RecordResponse(second, 400*time.Millisecond, 1).Unblocked)
+	require.False(t, requestBlocked(g, second, "sound"))
+	require.False(t, g.addRun(second, cutRequest(1, 0, 100, "sound")), "another VM still reports it")
+	require.False(t, g.Restore(second, Block{Part: "request:sound", Since: 310 * time.Millisecond, Seen: second}))
+}
+
+func TestSuspectsOfACrashFollowEachOther(t *testing.T) {
+	cfg := DefaultConfig()
+	g := New(cfg)
+	recordCrashes(g, cutRequest(1, 0, 100, "b"), cutRequest(1, 0, 100, "a"), cutRequest(1, 0, 100, "c"))
+	first := 100*time.Millisecond + cfg.SuspicionDelay
+	for i, fingerprint := range []string{"a", "b", "c"} {
+		at, suspect := g.SendAfter(RequestPart(fingerprint))
+		require.True(t, suspect)
+		require.Equal(t, first+time.Duration(i)*cfg.SuspectSpacing, at)
+	}
+	g.RecordProgress(second, Subject{Request: "request:a"})
+	_, suspect := g.SendAfter("request:a")
+	require.False(t, suspect)
+	at, _ := g.SendAfter("request:b")
+	require.Equal(t, first, at)
+	_, suspect = g.SendAfter("request:other")
+	require.False(t, suspect)
+}
+
+func TestOperatorLiftsABlock(t *testing.T) {
+	g := New(DefaultConfig())
+	recordCrashes(g, cutRequest(1, 0, 100, "deadly"), cutRequest(2, 150, 300, "deadly"))
+	peer := New(DefaultConfig())
+	require.NotEmpty(t, peer.Receive(second, g.Update(second)).Blocked)
+	_, known := g.Lift(2*second, "request:unknown")
+	require.False(t, known)
+	_, known = g.Lift(2*second, "request:deadly")
+	require.True(t, known)
+	require.Equal(t, []Part{"request:deadly"}, peer.Receive(2*second, g.Update(2*second)).Unblocked)
+	require.False(t, requestBlocked(peer, 3*second, "deadly"))
+}
+
+// A prompt whose parts are named like requests must not block them.
+func TestPromptPartsCannotNameRequests(t *testing.T) {
+	require.NotEqual(t, RequestPart("abc"), NewPrompt([]string{"request:abc"})[0])
+}
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -14,27 +14,27 @@
 
 // Update carries one VM's knowledge to the others. Times are ages.
 type Update struct {
-	Runs []SharedRun `cbor:"1,keyasint,omitempty"`
+	Runs []SharedRun `cbor:"4,keyasint,omitempty"`
 	// Progress holds the age of the last progress of parts of cut runs.
 	Progress map[Part]time.Duration `cbor:"2,keyasint,omitempty"`
-	Blocked  []SharedBlock          `cbor:"3,keyasint,omitempty"`
+	Blocked  []SharedBlock          `cbor:"5,keyasint,omitempty"`
 }
 
 // SharedRun is a CutRun in an Update.
 type SharedRun struct {
-	_       struct{} `cbor:",toarray"`
-	Server  uint32
-	Prompt  Prompt
-	SentAge time.Duration
-	Age     time.Duration
+	Server  uint32        `cbor:"1,keyasint"`
+	Prompt  Prompt        `cbor:"2,keyasint,omitempty"`
+	Request Part          `cbor:"3,keyasint,omitempty"`
+	SentAge time.Duration `cbor:"4,keyasint"`
+	Age     time.Duration `cbor:"5,keyasint"`
 }
 
 // SharedBlock is a Block in an Update.
 type SharedBlock struct {
-	_       struct{} `cbor:",toarray"`
-	Part    Part
-	Age     time.Duration
-	SeenAge time.Duration
+	Part      Part          `cbor:"1,keyasint"`
+	Age       time.Duration `cbor:"2,keyasint"`
+	SeenAge   time.Duration `cbor:"3,keyasint"`
+	Ambiguous bool          `cbor:"4,keyasint,omitempty"`
 }
 
 // Update returns what to send to the other VMs now, nil if there is nothing. Blocked parts
@@ -43,7 +43,7 @@
 	var u Update
 	for i := len(g.runs) - 1; i >= 0 && len(u.Runs) < maxSharedRuns; i-- {
 		if r := g.runs[i]; now-r.EndedAt <= g.cfg.ShareTTL {
-			u.Runs = append(u.Runs, SharedRun{Server: r.Server, Prompt: r.Prompt, SentAge: now - r.SentAt, Age: now - r.EndedAt})
+			u.Runs = append(u.Runs, SharedRun{Server: r.Server, Prompt: r.Prompt, Request: r.Request, SentAge: now - r.SentAt, Age: now - r.EndedAt})
 		}
 	}
 	for part, until := range g.shareUntil {
@@ -56,7 +56,7 @@
 	}
 	for _, b := range g.Blocked(now) {
 		if len(u.Blocked) < maxSharedBlocks {
-			u.Blocked = append(u.Blocked, SharedBlock{Part: b.Part, Age: now - b.Since, SeenAge: now - b.Seen})
+			u.Blocked = append(u.Blocked, SharedBlock{Part: b.Part, Age: now - b.Since, SeenAge: now - b.Seen, Ambiguous: b.Ambiguous})
 		}
 	}
 	if len(u.Runs)+len(u.Progress)+len(u.Blocked) == 0 {
@@ -81,13 +81,14 @@
 	if u == nil {
 		return result
 	}
-	var added []Prompt
+	var added []Subject
 	for _, r := range u.Runs {
-		if r.Age < 0 || r.SentAge < r.Age || r.Age > g.cfg.ShareTTL || !validPrompt(r.Prompt) {
+		subject := Subject{Prompt: r.Prompt, Request: r.Request}
+		if r.Age < 0 || r.SentAge < r.Age || r.Age > g.cfg.ShareTTL || !subject.valid() {
 			continue
 		}
-		if g.addRun(now, CutRun{Server: r.Server, Prompt: r.Prompt, SentAt: now - r.SentAge, EndedAt: now - r.Age}) {
-			added = append(added, r.Prompt)
+		if g.addRun(now, CutRun{Server: r.Server, Subject: subject, SentAt: now - r.SentAge, EndedAt: now - r.Age}) {
+			added = append(added, subject)
 		}
 	}
 	result.New = len(added) > 0
@@ -99,23 +100,23 @@
 	}
 	result.New, result.Unblocked = result.New || p.News, p.Unblocked
 	for _, b := range u.Blocked {
-		block := Block{Part: b.Part, Since: now - b.Age, Seen: now - b.SeenAge}
+		block := Block{Part: b.Part, Since: now - b.Age, Seen: now - b.SeenAge, Ambiguous: b.Ambiguous}
 		if b.Age >= 0 && b.SeenAge >= 0 && len(b.Part) <= maxPartBytes && g.Restore(now, block) {
 			result.New = true
 			result.Blocked = append(result.Blocked, block)
 		}
 	}
-	for _, prompt := range added {
-		result.Blocked = append(result.Blocked, g.blockParts(now, prompt)...)
+	for _, subject := range added {
+		result.Blocked = append(result.Blocked, g.block(now, subject)...)
 	}
 	return result
 }
 
-func validPrompt(p Prompt) bool {
-	for _, part := range p {
+func (s Subject) valid() bool {
+	for _, part := range s.Prompt {
 		if len(part) > maxPartBytes {
 			return false
 		}
 	}
-	return len(p) > 0 && len(p) <= maxPromptParts
+	return !s.isEmpty() && len(s.Prompt) <= maxPromptParts && len(s.Request) <= maxPartBytes
 }
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -47,6 +47,10 @@
 			return errors.Wrap(err, "address of the readiness check")
 		}
 		handlers[net.JoinHostPort(host, strconv.Itoa(r.cfg.MetricsPort))] = func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == blockedPartsURI && ctx.IsDelete() {
+				r.handleLiftBlock(ctx)
+				return
+			}
 			if string(ctx.Path()) == blockedPartsURI {
 				r.handleBlockedParts(ctx)
 				return
--- a/internal/router/blockedparts.go
+++ b/internal/router/blockedparts.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// blockedPartsURI is the path on the metrics port that lists the blocked parts.
+	// blockedPartsURI is the path on the metrics port that lists the blocked parts and requests
+	// (GET) and lifts a block (DELETE).
 	blockedPartsURI = "/blocked-prompt-parts"
+	// liftPartParam is the query parameter of the part whose block an operator lifts.
+	liftPartParam = "part"
 	// storeBlocksInterval is the interval at which the leader compares the stored list with
 	// its own.
 	storeBlocksInterval = 500 * time.Millisecond
@@ -30,6 +33,8 @@
 	SinceMs int64 `json:"since_ms"`
 	SeenMs  int64 `json:"seen_ms"`
 	Crashes int   `json:"crashes,omitempty"`
+	// Ambiguous blocks end by themselves after some seconds.
+	Ambiguous bool `json:"ambiguous,omitempty"`
 }
 
 // storedBlocks is what is known of the list in the store, from which VMs that start after
@@ -57,8 +62,9 @@
 	now, wall := r.clock.now(), time.Now()
 	age := func(ms int64) time.Duration { return max(0, wall.Sub(time.UnixMilli(ms))) }
 	for _, b := range list[:min(len(list), maxStoredBlocks)] {
-		if r.core.Poison.Restore(now, poison.Block{Part: b.Part, Since: now - age(b.SinceMs), Seen: now - age(b.SeenMs), Crashes: b.Crashes}) {
-			r.log.Warn().Str("part", string(b.Part)).Int("crashes", b.Crashes).Str("from", "store").Msg("prompt part blocked: it crashes backend servers")
+		restored := poison.Block{Part: b.Part, Since: now - age(b.SinceMs), Seen: now - age(b.SeenMs), Crashes: b.Crashes, Ambiguous: b.Ambiguous}
+		if r.core.Poison.Restore(now, restored) {
+			r.logBlock(restored, "store")
 		}
 	}
 }
@@ -70,7 +76,7 @@
 	now, wall := r.clock.now(), time.Now()
 	list = []blockedPart{}
 	for _, b := range r.core.Poison.Blocked(now) {
-		list = append(list, blockedPart{Part: b.Part, SinceMs: wall.Add(b.Since - now).UnixMilli(), SeenMs: wall.Add(b.Seen - now).UnixMilli(), Crashes: b.Crashes})
+		list = append(list, blockedPart{Part: b.Part, SinceMs: wall.Add(b.Since - now).UnixMilli(), SeenMs: wall.Add(b.Seen - now).UnixMilli(), Crashes: b.Crashes, Ambiguous: b.Ambiguous})
 	}
 	return list, r.core.Poison.Version()
 }
@@ -121,3 +127,17 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
+
+// handleLiftBlock ends the block of the part that the query names, on all VMs.
+func (r *Router) handleLiftBlock(ctx *fasthttp.RequestCtx) {
+	part := poison.Part(ctx.QueryArgs().Peek(liftPartParam))
+	var p poison.Progress
+	var known bool
+	r.locked(func() { p, known = r.core.Poison.Lift(r.clock.now(), part) })
+	if !known {
+		ctx.Error("no block of this part; GET "+blockedPartsURI+" lists them", fasthttp.StatusNotFound)
+		return
+	}
+	r.log.Warn().Str("part", string(part)).Stringer("from", ctx.RemoteAddr()).Msg("block lifted by an operator")
+	r.applyBlocks(poison.Result{New: p.News, Unblocked: p.Unblocked}, r.settings.VM)
+}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -79,10 +79,12 @@
 	promptParts  []string
 	// fingerprint is the same for all repetitions of a request, which have different IDs.
 	fingerprint string
-	// sound is set once a run of the request has written enough events to clear its prompt;
-	// crashes counts the servers that ended on the request before.
+	// sound is set once a run of the request has written enough events to clear it; crashes
+	// counts the servers that ended on the request before.
 	sound   bool
 	crashes int
+	// turnUntil is Router.turnUntil while the request holds the turn of suspects, otherwise 0.
+	turnUntil time.Duration
 	// held are the choices whose load is counted, guarded by Router.mu.
 	held map[*dispatch.Choice]struct{}
 }
@@ -188,6 +190,7 @@
 		conn.unwatch()
 	}
 	x.cancel(nil)
+	x.endTurn()
 	x.releaseAll()
 	x.r.openRequests.Add(-1)
 }
@@ -226,6 +229,7 @@
 		x.deadline = receivedAt + left
 	}
 	x.fingerprint = fingerprintOf(h, team, ctx.Request.Body())
+	x.req.Subject.Request = poison.RequestPart(x.fingerprint)
 	x.estimateTokens()
 	x.callerCtx, x.cancel = context.WithCancelCause(context.Background())
 	return x, 0
@@ -240,7 +244,7 @@
 	}
 	h := &x.ctx.Request.Header
 	x.promptParts = platform.ParsePromptParts(string(h.Peek(platform.HeaderPromptParts)))
-	x.req.Prompt = poison.NewPrompt(x.promptParts)
+	x.req.Subject.Prompt = poison.NewPrompt(x.promptParts)
 	x.req.PromptTokens, x.req.AnswerTokens = spec.PromptTokens, spec.AnswerTokens
 	prompt, maxAnswer, ok := platform.ParseTokens(string(h.Peek(platform.HeaderTokens)))
 	if !ok {
@@ -273,7 +277,7 @@
 // otherwise a 502.
 func (r *Router) refuse(ctx *fasthttp.RequestCtx, id, fingerprint string, refusal verdict.Refusal) {
 	r.metrics.refused.Inc()
-	if refusal.Cause == verdict.CausePromptBlocked {
+	if refusal.Cause == verdict.CausePromptBlocked || refusal.Cause == verdict.CauseRequestBlocked {
 		r.metrics.promptsBlocked.Inc()
 	}
 	status := fasthttp.StatusServiceUnavailable
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -74,6 +74,9 @@
 	// other requests with its shared parts have made progress; without that it is not sent
 	// again. Default 300 ms.
 	ClearanceTimeout time.Duration
+	// SuspectWait is how long a plain request that may have crashed a server waits until it
+	// may be sent. Default 800 ms.
+	SuspectWait time.Duration
 	// SlowdownThreshold is the least slowdown factor of a server at which streams that
 	// wait for their first event are moved off it. Default 3.
 	SlowdownThreshold float64
@@ -113,7 +116,7 @@
 		WaitQueue:    dispatch.DefaultWaitQueueConfig(),
 		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, StateWait: 1500 * time.Millisecond,
 		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, OwnTryInterval: 2 * time.Second, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
-		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
+		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, SuspectWait: 800 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
 		ConnReuseTimeout: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
 		AddressLifetime: 2 * time.Second, SettingsInterval: 5 * time.Second, LogLevel: "info", Workers: 64,
 	}
--- a/internal/router/crashing_request_test.go
+++ b/internal/router/crashing_request_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
@@ -44,7 +45,7 @@
 	for i := range 3 {
 		s.server(standin.ServerConfig{ID: fmt.Sprintf("app-%d", i), Service: "wuno96b", Domain: "bergen-a", Work: 20 * time.Millisecond})
 	}
-	s.backends.CrashOnPath("/idempotent/deadly", s.restartCrashed(300*time.Millisecond))
+	s.backends.CrashOnPath("/idempotent/deadly", standin.CrashReset, s.restartCrashed(300*time.Millisecond))
 	for _, v := range vms {
 		v.awaitReady(t)
 	}
@@ -79,3 +80,71 @@
 		require.Equal(t, http.StatusOK, v.call(t, "GET", "/idempotent/popular", "popular-"+id).StatusCode)
 	}
 }
+
+// deadlySite starts VMs and replicas that crash on one path, and returns a function that
+// sends the next repetition to the next VM.
+func deadlySite(t *testing.T, method, uri string, kind standin.CrashKind) (s *site, vms []*vm, repeat func() int) {
+	s = newSite(t)
+	vms = []*vm{s.vm("a1"), s.vm("a2"), s.vm("a3")}
+	s.configure(7)
+	for i := range 6 {
+		s.server(standin.ServerConfig{ID: fmt.Sprintf("app-%d", i), Service: "wuno96b", Domain: "bergen-a", Work: 20 * time.Millisecond})
+	}
+	s.backends.CrashOnPath(uri, kind, s.restartCrashed(300*time.Millisecond))
+	for _, v := range vms {
+		v.awaitReady(t)
+	}
+	repetitions := 0
+	return s, vms, func() int {
+		repetitions++
+		resp := vms[repetitions%len(vms)].call(t, method, uri, fmt.Sprintf("deadly-%d", repetitions))
+		time.Sleep(50 * time.Millisecond)
+		return resp.StatusCode
+	}
+}
+
+func TestRequestThatCrashesReplicasInTheMiddleOfAnswersIsStopped(t *testing.T) {
+	t.Parallel()
+	s, _, repeat := deadlySite(t, "GET", "/idempotent/deadly", standin.CrashHalfway)
+	for range 8 {
+		repeat()
+	}
+	require.LessOrEqual(t, s.backends.Crashes(), maxCrashes)
+	require.Equal(t, http.StatusServiceUnavailable, repeat())
+}
+
+func TestAtMostOnceRequestThatCrashesReplicasIsStoppedWithoutRetries(t *testing.T) {
+	t.Parallel()
+	s, _, repeat := deadlySite(t, "POST", "/non_idempotent/deadly", standin.CrashReset)
+	require.Equal(t, http.StatusBadGateway, repeat())
+	require.Equal(t, 1, s.backends.Runs("deadly-1"))
+	for range 8 {
+		repeat()
+	}
+	require.LessOrEqual(t, s.backends.Crashes(), maxCrashes)
+	require.Equal(t, http.StatusServiceUnavailable, repeat())
+}
+
+func TestOperatorLiftsBlockOnAllVMs(t *testing.T) {
+	t.Parallel()
+	s, vms, repeat := deadlySite(t, "GET", "/idempotent/deadly", standin.CrashReset)
+	for range 4 {
+		repeat()
+	}
+	require.Equal(t, http.StatusServiceUnavailable, repeat())
+	s.backends.CrashOnPath("", standin.CrashReset, nil) // the service has been mended
+	list, _ := vms[0].blockedList()
+	require.Len(t, list, 1)
+	var ctx fasthttp.RequestCtx
+	ctx.QueryArgs().Set(liftPartParam, "unknown")
+	vms[0].handleLiftBlock(&ctx)
+	require.Equal(t, http.StatusNotFound, ctx.Response.StatusCode())
+	ctx = fasthttp.RequestCtx{}
+	ctx.QueryArgs().Set(liftPartParam, string(list[0].Part))
+	vms[0].handleLiftBlock(&ctx)
+	require.Equal(t, http.StatusOK, ctx.Response.StatusCode())
+	for _, v := range vms {
+		require.Eventually(t, func() bool { list, _ := v.blockedList(); return len(list) == 0 }, waitTimeout, 5*time.Millisecond)
+	}
+	require.Equal(t, http.StatusOK, repeat())
+}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -163,7 +163,12 @@
 		r.waitToSendLoads(ctx, wait)
 		r.runGuarded("loads", "send", func() {
 			var sends []loads.Send
-			r.locked(func() { sends = r.core.Tick(r.clock.now()) })
+			var blocked []poison.Block
+			r.locked(func() {
+				sends = r.core.Tick(r.clock.now())
+				blocked = r.core.Poison.Judge(r.clock.now())
+			})
+			r.applyBlocks(poison.Result{New: len(blocked) > 0, Blocked: blocked}, r.settings.VM)
 			for _, s := range sends {
 				r.sendMessage(s)
 			}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -19,8 +19,13 @@
 	unsentAttempts := 0
 	var last *verdict.Refusal
 	for {
-		ch, refusal := x.chooseOrWait()
+		var ch *dispatch.Choice
+		refusal := x.awaitTurn()
+		if refusal == nil {
+			ch, refusal = x.chooseOrWait()
+		}
 		if refusal != nil {
+			x.endTurn()
 			if last == nil {
 				last = refusal
 			}
@@ -30,7 +35,9 @@
 		lateTimer := time.AfterFunc(x.lateAfter(), func() { x.recordLate(ch) })
 		s := x.send(x.callerCtx, ch, "")
 		lateTimer.Stop()
-		if s.call != nil && s.outcome == verdict.Ran && x.forwardResponse(&s) {
+		served := s.call != nil && s.outcome == verdict.Ran && x.forwardResponse(&s)
+		x.endTurn()
+		if served {
 			return
 		}
 		cause := verdict.CauseBackendLost
@@ -74,9 +81,10 @@
 	body, err := s.call.ReadAll(maxResponseBytes)
 	if err != nil {
 		s.call.Close()
-		s.call, s.err, s.outcome = nil, err, verdict.MayHaveRun
+		s.call, s.err, s.outcome, s.cancelled = nil, err, verdict.MayHaveRun, x.callerGone()
 		return false
 	}
+	x.recordProgress()
 	if resp.StatusCode >= 500 && x.req.Route.Retryable() && x.req.Sends+1 < x.req.Route.MaxAttempts && x.timeLeft() > 0 {
 		return false
 	}
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -2,17 +2,17 @@
 
 import (
 	"io"
-	"slices"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
+	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/poison"
 )
 
-var errPromptBlocked = errors.New("a part of the prompt crashes backend servers")
+var errBlocked = errors.New("the request, or a part of its prompt, crashes backend servers")
 
 const (
 	// minEventsOfSoundRun is the number of events from which on a run's prompt cannot crash
@@ -27,23 +27,27 @@
 	clearanceInterval = 20 * time.Millisecond
 )
 
-// promptBlocked reports whether a part of the request's prompt is blocked.
-func (x *exchange) promptBlocked() bool {
-	if len(x.req.Prompt) == 0 {
-		return false
-	}
+// blocked reports whether the request or a part of its prompt is blocked.
+func (x *exchange) blocked() bool {
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
-	_, blocked := x.r.core.Poison.Find(x.r.clock.now(), x.req.Prompt)
+	_, blocked := x.r.core.Poison.Find(x.r.clock.now(), x.req.Subject)
 	return blocked
 }
 
+// recordResponse records that a server responded to a request that was sent at sentAt.
+func (r *Router) recordResponse(in backend.Instance, sentAt time.Duration) {
+	var p poison.Progress
+	r.locked(func() { p = r.core.RecordResponse(r.clock.now(), sentAt, in) })
+	r.applyBlocks(poison.Result{New: p.News, Unblocked: p.Unblocked}, r.settings.VM)
+}
+
 // recordProgress records that a run of the request has written enough events, or its whole
-// response, and so clears its prompt.
+// response, and so clears the request and its prompt.
 func (x *exchange) recordProgress() {
 	x.sound = true
 	var p poison.Progress
-	x.r.locked(func() { p = x.r.core.Poison.RecordProgress(x.r.clock.now(), x.req.Prompt) })
+	x.r.locked(func() { p = x.r.core.Poison.RecordProgress(x.r.clock.now(), x.req.Subject) })
 	x.r.applyBlocks(poison.Result{New: p.News, Unblocked: p.Unblocked}, x.r.settings.VM)
 }
 
@@ -51,13 +55,14 @@
 // request may be the cause. It reports whether it may.
 func (x *exchange) recordCrash(s *sendResult) bool {
 	now := x.r.clock.now()
-	if x.sound || s.cancelled || s.faultAddr != s.choice.Target().Addr || !isReset(s.err, now-s.sentAt) {
+	otherFault := s.faultAddr != "" && s.faultAddr != s.choice.Target().Addr
+	if x.sound || s.cancelled || otherFault || !isReset(s.err, now-s.sentAt) {
 		return false
 	}
 	x.crashes++
 	var blocked []poison.Block
 	x.r.locked(func() { blocked = x.r.core.RecordCrash(now, s.sentAt, &x.req, s.choice.Target().Instance) })
-	x.r.applyBlocks(poison.Result{New: len(x.req.Prompt) > 0, Blocked: blocked}, x.r.settings.VM)
+	x.r.applyBlocks(poison.Result{New: true, Blocked: blocked}, x.r.settings.VM)
 	return true
 }
 
@@ -101,7 +106,7 @@
 func (x *exchange) cleared(cutAt time.Duration) bool {
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
-	return x.r.core.Poison.Cleared(x.req.Prompt, cutAt)
+	return x.r.core.Poison.Cleared(x.req.Subject.Prompt, cutAt)
 }
 
 // applyBlocks cancels the runs with newly blocked parts that have not begun, and passes on
@@ -109,23 +114,31 @@
 func (r *Router) applyBlocks(result poison.Result, from string) {
 	for _, b := range result.Blocked {
 		r.metrics.partsBlocked.Inc()
-		r.log.Warn().Str("part", string(b.Part)).Int("crashes", b.Crashes).Str("from", from).Msg("prompt part blocked: it crashes backend servers")
+		r.logBlock(b, from)
 		r.streams.cancelWaiting(b.Part)
 	}
 	for _, part := range result.Unblocked {
-		r.log.Warn().Str("part", string(part)).Str("from", from).Msg("prompt part no longer blocked: a request with it made progress")
+		r.log.Warn().Str("part", string(part)).Str("from", from).Msg("no longer blocked: a request with this part made progress")
 	}
 	if result.New {
 		r.sendFindingsNow()
 	}
 }
 
-// cancelWaiting cancels the runs without an event whose prompt has the part.
+func (r *Router) logBlock(b poison.Block, from string) {
+	message := "prompt part blocked: it crashes backend servers"
+	if b.Part.IsRequest() {
+		message = "request blocked: it crashes backend servers"
+	}
+	r.log.Warn().Str("part", string(b.Part)).Int("crashes", b.Crashes).Bool("ambiguous", b.Ambiguous).Str("from", from).Msg(message)
+}
+
+// cancelWaiting cancels the runs without an event of requests that have the part.
 func (t *streamTable) cancelWaiting(part poison.Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for st := range t.active {
-		if !st.begun() && slices.Contains(st.x.req.Prompt, part) {
+		if !st.begun() && st.x.req.Subject.Has(part) {
 			st.cancelForBlock()
 		}
 	}
@@ -137,6 +150,6 @@
 	cancelRun := st.cancelRun
 	st.mu.Unlock()
 	if cancelRun != nil {
-		cancelRun(errPromptBlocked)
+		cancelRun(errBlocked)
 	}
 }
--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -90,7 +90,7 @@
 func (v *vm) blocks(part string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	_, blocked := v.core.Poison.Find(v.clock.now(), poison.NewPrompt([]string{part}))
+	_, blocked := v.core.Poison.Find(v.clock.now(), poison.Subject{Prompt: poison.NewPrompt([]string{part})})
 	return blocked
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -69,6 +69,9 @@
 	presenceTryAt    time.Duration                  // the same for the calls of the VM's lease while the store is down
 
 	storedBlocks storedBlocks // guarded by mu
+	// turnUntil is the time on clock until which other suspects wait for the one that was sent
+	// last; guarded by mu.
+	turnUntil time.Duration
 
 	waitQueue    *dispatch.WaitQueue
 	streams      *streamTable
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -55,6 +55,7 @@
 	}
 	call.SetMaxIdleConns(x.maxIdleConns)
 	s := sendResult{choice: ch, sentAt: sentAt, call: call, outcome: verdict.Ran}
+	x.r.recordResponse(target.Instance, sentAt)
 	resp := call.Response
 	x.recordLoadReport(ch, resp.Header.Get(platform.HeaderLoad))
 	x.r.recordLimit(target.Instance, resp.Header.Get(platform.HeaderServerLimit))
@@ -95,8 +96,8 @@
 		return errDeadlinePassed
 	case stated-left > maxHeaderAge:
 		return errHeaderOutdated
-	case x.promptBlocked():
-		return errPromptBlocked
+	case x.blocked():
+		return errBlocked
 	}
 	return nil
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -100,6 +100,8 @@
 	CauseCallerGone      Cause = "caller-gone"
 	CauseBackendPaused   Cause = "backend-server-paused"
 	CausePromptBlocked   Cause = "prompt-blocked"
+	CauseRequestBlocked  Cause = "request-blocked"
+	CauseRequestSuspect  Cause = "request-suspect"
 	CauseInternalFailure Cause = "internal-failure"
 )
 
