--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -166,6 +166,9 @@
 		return nil, &Error{Kind: KindDial, Sent: NotSent, Err: errors.New("deadline passed before dialing")}
 	}
 	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: c.cfg.KeepAlive}
+	if c.cfg.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.cfg.LocalIP}
+	}
 	raw, err := dialer.Dial("tcp", addr)
 	if err != nil {
 		p.release()
--- a/internal/adapter/httpcall/config.go
+++ b/internal/adapter/httpcall/config.go
@@ -32,6 +32,9 @@
 	// permanently stopped delivering data. Default: first probe after 1 s idle, then
 	// every 500 ms, closed after 3 unanswered probes.
 	KeepAlive net.KeepAliveConfig
+	// LocalIP is the address that connections are opened from. Default nil: the system
+	// chooses it.
+	LocalIP net.IP
 }
 
 // DefaultConfig returns the defaults documented in Config.
--- a/internal/router/command.go
+++ b/internal/router/command.go
@@ -30,6 +30,7 @@
 	flagSet.String(&f.settingsFile, "settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file; default $"+platform.SettingsVariable, settings.Required)
 	flagSet.Int(&f.cfg.MetricsPort, "metrics-port", 0, "port of the metrics endpoint, 0 to disable it")
 	flagSet.String(&f.cfg.LogLevel, "log-level", f.cfg.LogLevel, "minimum level of log lines", settings.OneOf(obs.Levels...))
+	flagSet.Bool(&f.cfg.BindOutgoing, "bind-outgoing", f.cfg.BindOutgoing, "open connections from the VM's own address, on machines that have several")
 	flagSet.Duration(&f.cfg.WatchPause, "watch-pause", f.cfg.WatchPause, "pause between two watches of the store", settings.Positive)
 	flagSet.Duration(&f.cfg.StallTimeout, "stalled", f.cfg.StallTimeout, "silence of a stream after which its first server is asked for a report", settings.Positive)
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -82,6 +82,9 @@
 	SlowdownThreshold float64
 	// DialTimeout bounds a new connection to a backend server. Default 500 ms.
 	DialTimeout time.Duration
+	// BindOutgoing opens connections from the VM's own address, on machines that have
+	// several. Default false.
+	BindOutgoing bool
 	// ConnReuseTimeout is how long an idle connection may be reused for a retryable
 	// request; other requests get a new connection. Default 1 s.
 	ConnReuseTimeout time.Duration
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,13 +103,17 @@
 	if err != nil {
 		return nil, err
 	}
-	backendConfig := responseLimits(settings.MemoryMB)
+	controlConfig := responseLimits(settings.MemoryMB)
+	if cfg.BindOutgoing {
+		controlConfig.LocalIP = net.ParseIP(settings.IP)
+	}
+	backendConfig := controlConfig
 	backendConfig.DialTimeout = cfg.DialTimeout
 	backendClient, err := httpcall.New(backendConfig)
 	if err != nil {
 		return nil, err
 	}
-	controlClient, err := httpcall.New(responseLimits(settings.MemoryMB))
+	controlClient, err := httpcall.New(controlConfig)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/router/site_test.go
+++ b/internal/router/site_test.go
@@ -107,6 +107,18 @@
 }
 
 func (s *site) vm(name string) *vm {
+	s.t.Helper()
+	return s.vmWith(name, func(*Config) {})
+}
+
+// boundVM is a VM whose connections come from its own address, so that its links to the
+// servers can be cut.
+func (s *site) boundVM(name string) *vm {
+	s.t.Helper()
+	return s.vmWith(name, func(cfg *Config) { cfg.BindOutgoing = true })
+}
+
+func (s *site) vmWith(name string, tune func(*Config)) *vm {
 	s.t.Helper()
 	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, 2+hostCounter.Add(1))
 	text := fmt.Sprintf(`nodeName = %q
@@ -125,6 +137,7 @@
 	cfg.SettleTime, cfg.PlanInterval, cfg.WatchPause = 100*time.Millisecond, 20*time.Millisecond, 10*time.Millisecond
 	cfg.ListenAfterStop, cfg.LogLevel = 300*time.Millisecond, "error"
 	cfg.SettingsFile, cfg.SettingsInterval = filepath.Join(s.t.TempDir(), "node.toml"), 20*time.Millisecond
+	tune(&cfg)
 	require.NoError(s.t, os.WriteFile(cfg.SettingsFile, []byte(text), 0o600))
 	r, err := New(cfg, settings)
 	require.NoError(s.t, err)
