--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"strconv"
@@ -94,7 +95,7 @@
 	started := time.Now()
 	deadline := opt.deadline(started)
 	p := c.pool(addr)
-	cn, _, err := c.connectWithoutPendingData(p, addr, opt, deadline)
+	cn, _, err := c.connectWithoutPendingData(context.Background(), p, addr, opt, deadline)
 	if err != nil {
 		return setTarget(err, addr, req)
 	}
@@ -146,7 +147,7 @@
 }
 
 // connect returns an idle or a new connection that satisfies opt, without writing to it.
-func (c *Client) connect(p *pool, addr string, opt Options, deadline time.Time) (*conn, *Error) {
+func (c *Client) connect(ctx context.Context, p *pool, addr string, opt Options, deadline time.Time) (*conn, *Error) {
 	now := time.Now()
 	if !opt.NewConnection {
 		maxIdle := c.cfg.IdleTimeout
@@ -169,7 +170,7 @@
 	if c.cfg.LocalIP != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: c.cfg.LocalIP}
 	}
-	raw, err := dialer.Dial("tcp", addr)
+	raw, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.release()
 		return nil, &Error{Kind: KindDial, Sent: NotSent, Err: err}
--- a/internal/adapter/httpcall/exchange.go
+++ b/internal/adapter/httpcall/exchange.go
@@ -35,7 +35,7 @@
 func (c *Client) Open(ctx context.Context, addr, method string, head, body []byte, opt Options) (*Exchange, error) {
 	deadline := opt.deadline(time.Now())
 	p := c.pool(addr)
-	cn, reused, err := c.connectWithoutPendingData(p, addr, opt, deadline)
+	cn, reused, err := c.connectWithoutPendingData(ctx, p, addr, opt, deadline)
 	if err != nil {
 		err.Addr, err.Op = addr, method
 		return nil, err
@@ -59,9 +59,9 @@
 // connectWithoutPendingData returns a pooled connection only if no bytes have arrived on
 // it since its last response, because such bytes belong to no request. Otherwise it
 // closes that connection and tries the next one.
-func (c *Client) connectWithoutPendingData(p *pool, addr string, opt Options, deadline time.Time) (*conn, bool, *Error) {
+func (c *Client) connectWithoutPendingData(ctx context.Context, p *pool, addr string, opt Options, deadline time.Time) (*conn, bool, *Error) {
 	for {
-		cn, err := c.connect(p, addr, opt, deadline)
+		cn, err := c.connect(ctx, p, addr, opt, deadline)
 		if err != nil {
 			return nil, false, err
 		}
