leader: a VM that does not reach the servers resigns and claims nothing

Core.SetFit(false) ends its leadership at once and removes the claim. A resignation without an answer may have been executed, so the VM leads again only after it has claimed anew: without that, the exhaustive search of TestNeverTwoLeaders finds two leaders (seen failing with the check taken out).

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -53,6 +53,8 @@
 	// Claim writes the claim to leadership under the lease, provided that the key is
 	// still at Core.ClaimRevision.
 	Claim
+	// Resign removes the claim, under the same condition.
+	Resign
 )
 
 // Core holds the lease and leadership state of one VM. It is not safe for concurrent use.
@@ -73,6 +75,8 @@
 	vacantSince   time.Duration
 	claimKnown    bool // the claim has been read from the store
 	rank          int
+	unfit         bool
+	resigning     bool          // a Resign may have been executed since the last Claim
 	era           uint64        // of the store
 	holdUntil     time.Duration // no claim before, since a leader of an earlier era may still act
 }
@@ -119,7 +123,7 @@
 
 // IsLeader reports whether this VM may give orders now.
 func (c *Core) IsLeader(now time.Duration) bool {
-	return c.lease != 0 && c.leader == c.self && c.leaderLease == c.lease && now < c.leaseEnd-c.cfg.SafetyMargin
+	return !c.unfit && !c.resigning && c.lease != 0 && c.leader == c.self && c.leaderLease == c.lease && now < c.leaseEnd-c.cfg.SafetyMargin
 }
 
 // ClaimObserved handles the claim as read from the store; vm is "" if there is none.
@@ -129,6 +133,7 @@
 	}
 	c.claimKnown = true
 	c.leader, c.leaderLease, c.claimRevision = vm, lease, revision
+	c.resigning = c.resigning && vm == c.self
 }
 
 // Next returns the call to make now. The outcome of a call must be passed to one of the
@@ -144,6 +149,9 @@
 		return Renew
 	case !c.recordWritten:
 		return WriteRecord
+	case c.unfit && c.leader == c.self:
+		c.resigning = true
+		return Resign
 	case c.mayClaim(now):
 		return Claim
 	}
@@ -154,11 +162,11 @@
 // wait for the VM's rank has passed, or the claim is that of an earlier incarnation of this
 // VM. Two incarnations of a VM never run at the same time.
 func (c *Core) mayClaim(now time.Duration) bool {
-	if !c.claimKnown || now < c.holdUntil || now >= c.leaseEnd-c.cfg.SafetyMargin {
+	if c.unfit || !c.claimKnown || now < c.holdUntil || now >= c.leaseEnd-c.cfg.SafetyMargin {
 		return false
 	}
 	if c.leader == c.self {
-		return c.leaderLease != c.lease
+		return c.leaderLease != c.lease || c.resigning
 	}
 	return c.leader == "" && now >= c.vacantSince+time.Duration(c.rank)*c.cfg.RankDelay
 }
@@ -181,7 +189,16 @@
 
 // Claimed handles a successful Claim, written at revision.
 func (c *Core) Claimed(revision uint64) {
-	c.leader, c.leaderLease, c.claimRevision = c.self, c.lease, revision
+	c.leader, c.leaderLease, c.claimRevision, c.resigning = c.self, c.lease, revision, false
+}
+
+// SetFit records whether this VM reaches the servers that a leader orders. Otherwise it
+// gives no orders from now on, and leaves the leadership to others.
+func (c *Core) SetFit(fit bool) { c.unfit = !fit }
+
+// Resigned handles a successful Resign.
+func (c *Core) Resigned(now time.Duration) {
+	c.leader, c.leaderLease, c.claimRevision, c.vacantSince, c.resigning = "", 0, 0, now, false
 }
 
 // maxDoublings prevents an overflow of the doubled delay.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -224,6 +224,15 @@
 				return
 			}
 		}
+	case Resign:
+		if executed && w.store.leader != "" && c.ClaimRevision() == w.store.revision {
+			w.store.revision++
+			w.store.leader, w.store.claimLease = "", 0
+			if answered {
+				c.Resigned(w.time())
+				return
+			}
+		}
 	}
 	c.CallFailed(w.time(), false)
 }
@@ -294,6 +303,8 @@
 			func(w *world) { w.call(vm, true, false) },
 			func(w *world) { w.call(vm, false, false) },
 			func(w *world) { w.observe(vm) },
+			func(w *world) { w.vms[vm].SetFit(false) },
+			func(w *world) { w.vms[vm].SetFit(true) },
 			func(w *world) { w.restart(vm) })
 	}
 	return out
@@ -317,3 +328,28 @@
 	require.True(t, c.IsLeader(3500*time.Millisecond))
 	require.Greater(t, c.FencingToken(), token)
 }
+
+func TestLeaderThatReachesNoServersLeavesTheLeadership(t *testing.T) {
+	c := newLeader(t)
+	c.SetFit(false)
+	require.False(t, c.IsLeader(0))
+	require.Equal(t, Resign, c.Next(0))
+	c.Resigned(0)
+	require.Equal(t, None, c.Next(500*time.Millisecond), "unfit VMs claim nothing")
+	c.SetFit(true)
+	require.Equal(t, Claim, c.Next(500*time.Millisecond))
+}
+
+// Another VM may lead by then.
+func TestLeaderWhoseResignationHadNoAnswerClaimsAnew(t *testing.T) {
+	c := newLeader(t)
+	c.SetFit(false)
+	require.Equal(t, Resign, c.Next(0))
+	c.CallFailed(0, false)
+	c.SetFit(true)
+	require.False(t, c.IsLeader(300*time.Millisecond))
+	require.Equal(t, Claim, c.Next(300*time.Millisecond))
+	require.EqualValues(t, 41, c.ClaimRevision())
+	c.Claimed(42)
+	require.True(t, c.IsLeader(300*time.Millisecond))
+}
--- a/internal/router/presence.go
+++ b/internal/router/presence.go
@@ -61,6 +61,12 @@
 			Puts:          []platform.Put{{Key: leaderKey, Value: []byte(r.settings.VM), Lease: lease}},
 		}, opt)
 		onSuccess = func() { r.election.Claimed(claimRevision) }
+	case leader.Resign:
+		_, err = r.store.Commit(platform.Txn{Preconditions: []platform.Precondition{{Key: leaderKey, Revision: revision}}, Remove: []string{leaderKey}}, opt)
+		onSuccess = func() {
+			r.election.Resigned(r.clock.now())
+			r.log.Warn().Msg("this VM gave up leadership: it does not reach the backend servers")
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
