--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -26,6 +26,7 @@
 	"internal/placement",
 	"internal/poison",
 	"internal/relay",
+	"internal/reach",
 	"internal/retry",
 	"internal/routes",
 	"internal/routing",
