router: a VM that reaches no backend server passes its requests on to others

While it is cut off, requests go to another VM, in its failure domain first, with all that the caller sent; that VM serves them like its own callers' and refuses at once what it has no room for. One hop; what did not run may go to up to three VMs, at-most-once requests only then. Streams in progress go on in the same response. VMs tell each other of cuts in the load messages. The retry budget counts each send once. A server's failures are forgotten when the cut ends.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -246,6 +246,15 @@
 	}
 }
 
+// ForgetFailures drops what is recorded of failures of a service's servers.
+func (reg *Registry) ForgetFailures(service string) {
+	for _, s := range reg.servers {
+		if s.Service == service {
+			s.consecutiveFailures, s.suspectUntil, s.avoidUntil = 0, 0, 0
+		}
+	}
+}
+
 // AllowSlowdownRequest reports whether an incarnation of a server may be asked for its
 // slowdown factor now. If so, the next one is allowed after MinSlowdownRequestInterval.
 func (reg *Registry) AllowSlowdownRequest(now time.Duration, in Instance) bool {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/internal/poison"
+	"github.com/catkinstair/catkinstair/internal/reach"
 	"github.com/catkinstair/catkinstair/internal/retry"
 	"github.com/catkinstair/catkinstair/internal/routes"
 	"github.com/catkinstair/catkinstair/internal/verdict"
@@ -30,6 +31,8 @@
 	Backends backend.Config
 	Retry    retry.Config
 	Poison   poison.Config
+	// Reach holds the settings for judging this VM's own links.
+	Reach reach.Config
 	// Backpressure holds the settings for the limits that servers name.
 	Backpressure backpressure.Config
 	// SoftKVShare is the share, 0 to 1, of a server's KV cache that any request may fill.
@@ -71,7 +74,7 @@
 // DefaultConfig returns the defaults documented on Config. The caller sets VM,
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
-	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Backpressure: backpressure.DefaultConfig(),
+	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(),
 		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
 }
 
@@ -82,7 +85,11 @@
 	Backends        *backend.Registry
 	Loads           *loads.Core
 	Poison          *poison.Guard
+	Reach           *reach.Core
+	peerLinks       *reach.Peers
 	Backpressure    *backpressure.Core
+	peers           []Peer
+	peerRefusals    map[peerRefusal]time.Duration // until when
 	budgets         map[string]*retry.Budget
 	vmCount         int
 	crossDomainLink linkMeter
@@ -92,7 +99,7 @@
 // New returns a Core without a configuration.
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
-	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison),
+	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
 		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), budgets: map[string]*retry.Budget{}, vmCount: 1}
 }
 
@@ -145,8 +152,18 @@
 	SentTo map[backend.ID]bool
 	// Begun is set once the caller has received part of the answer.
 	Begun bool
-	// Avoid holds the backend servers that failed this request.
+	// Avoid holds the backend servers, and the VMs it was passed on to, that failed this
+	// request.
 	Avoid map[backend.ID]bool
+	// FromPeer is set if another VM has passed the request on. PeerSends counts the VMs that
+	// did not take it from this one.
+	FromPeer  bool
+	PeerSends int
+	// PeersOnly is set once this VM has tried enough servers that it could not reach.
+	PeersOnly bool
+	// CountedSends is the value of Sends up to which sends are counted against the retry
+	// budget, of this VM or of the one that passed the request on.
+	CountedSends int
 }
 
 // Choice is the path chosen for one send of a request. Its load is counted until
@@ -174,26 +191,48 @@
 	return b
 }
 
-// Choose picks the backend servers for the next send of r and adds its load to them, or
-// returns the refusal. Sends after the first are counted against the retry budget.
+// Choose picks the backend servers for the next send of r and adds its load to them, or the
+// VM to pass it on to, or returns the refusal. Sends after the first are counted against the
+// retry budget of the VM that decides on them.
 func (c *Core) Choose(now time.Duration, r *Request) (*Choice, *verdict.Refusal) {
 	if refusal := c.refuseBlocked(now, r); refusal != nil {
 		return nil, refusal
 	}
+	if ch, refusal := c.chooseReachable(now, r); ch != nil || refusal != nil {
+		return ch, refusal
+	}
 	ch, refusal := c.findChoice(now, r)
 	if refusal != nil {
+		if otherVMMayServe(refusal.Cause) {
+			if ch, _ := c.choosePeer(now, r); ch != nil {
+				return ch, nil
+			}
+		}
+		return nil, refusal
+	}
+	if refusal := c.spendRetry(now, r); refusal != nil {
 		return nil, refusal
 	}
+	c.addWork(now, ch)
+	c.Backpressure.Sent(limitKey(ch.Target().Instance))
+	return ch, nil
+}
+
+// spendRetry counts the next send of r against the retry budget, unless it is the first or the
+// one before it never left this VM, or returns the refusal.
+func (c *Core) spendRetry(now time.Duration, r *Request) *verdict.Refusal {
+	if r.Sends <= r.CountedSends {
+		return nil
+	}
 	purpose := retry.Retry
 	if r.Begun {
 		purpose = retry.Resume
 	}
-	if r.Sends > 0 && !c.budget(r.Service.Name).Spend(now, purpose, c.vmCount) {
-		return nil, c.notRun(verdict.CauseRetryBudget, "retry budget exhausted")
+	if !c.budget(r.Service.Name).Spend(now, purpose, c.vmCount) {
+		return c.notRun(verdict.CauseRetryBudget, "retry budget exhausted")
 	}
-	c.addWork(now, ch)
-	c.Backpressure.Sent(limitKey(ch.Target().Instance))
-	return ch, nil
+	r.CountedSends = r.Sends
+	return nil
 }
 
 // CanSendElsewhere reports whether r, which was sent to sentTo, could now be sent to
@@ -255,7 +294,7 @@
 		return nil, c.notRun(verdict.CauseNoCapacity, fmt.Sprintf("%.0f tokens fit nowhere in layers %d to %d; the pipe is at %.2f of its share",
 			r.PromptTokens+r.AnswerTokens, uncovered.From, uncovered.To, q.LinkUtilization))
 	default:
-		return nil, c.notRun(verdict.CauseLayersMissing, "some layers of "+r.Service.Name+" are not held by any server")
+		return nil, c.notRun(verdict.CauseLayersMissing, "some layers of "+r.Service.Name+" are held by no server that this VM may use")
 	}
 }
 
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -55,9 +55,9 @@
 func (c *Core) Tick(now time.Duration) []loads.Send {
 	sends := c.Loads.Tick(now, c.OwnLoads(now))
 	c.forgetLimits(now)
-	update, limits := c.Poison.Update(now), c.Backpressure.Update(now)
+	update, limits, cutOff := c.Poison.Update(now), c.Backpressure.Update(now), c.peerLinks.Share(now, c.cfg.VM, c.Reach)
 	for i := range sends {
-		sends[i].Message.Poison, sends[i].Message.Limits = update, limits
+		sends[i].Message.Poison, sends[i].Message.Limits, sends[i].Message.CutOff = update, limits, cutOff
 	}
 	return sends
 }
@@ -68,12 +68,13 @@
 	Lost, Failing, Slow, Leaving []*backend.Server
 	Poison                       poison.Result
 	LimitsChanged                bool // limits that servers named
+	CutsChanged                  bool // which VMs are cut off from backend servers
 }
 
 // Receive applies a message from another VM and returns its new findings.
 func (c *Core) Receive(now time.Duration, m loads.Message) Findings {
 	received := c.Loads.Receive(now, m)
-	findings := Findings{Poison: c.Poison.Receive(now, m.Poison), LimitsChanged: c.Backpressure.Receive(now, m.Limits)}
+	findings := Findings{Poison: c.Poison.Receive(now, m.Poison), LimitsChanged: c.Backpressure.Receive(now, m.Limits), CutsChanged: c.peerLinks.Receive(now, c.cfg.VM, m.CutOff)}
 	if len(received.Lost)+len(received.Failing)+len(received.Slow)+len(received.Leaving) == 0 {
 		return findings
 	}
--- /dev/null
+++ b/internal/dispatch/peers.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/paths"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+)
+
+// Peer is another VM, to which this one may pass requests on.
+type Peer struct {
+	VM, Domain string
+	// Addr is where it takes requests of other VMs.
+	Addr string
+}
+
+const (
+	// maxPeerSends bounds the VMs that a request is passed on to.
+	maxPeerSends = 3
+	// peerPrefix begins the IDs of VMs where those of backend servers are expected.
+	peerPrefix = "vm:"
+	// peerRefusalTTL is how long no request of a service is passed on to a VM that has just
+	// refused one, or could not be reached.
+	peerRefusalTTL = 500 * time.Millisecond
+)
+
+// peerRefusal identifies the refusals of one VM for one service.
+type peerRefusal struct{ vm, service string }
+
+// SetPeers sets the other VMs that take requests.
+func (c *Core) SetPeers(peers []Peer) { c.peers = peers }
+
+// PeerID returns the ID under which a VM stands in Choice.Stages and Request.Avoid.
+func PeerID(vm string) backend.ID { return backend.ID(peerPrefix + vm) }
+
+// IsPeer reports whether a choice passes the request on to another VM.
+func (ch *Choice) IsPeer() bool {
+	return strings.HasPrefix(string(ch.Target().Instance.ID), peerPrefix)
+}
+
+// choosePeer returns a VM to pass a request on to, or the refusal if the retry budget does
+// not allow it; nil for both if no VM is left. Requests spread over the VMs of this failure
+// domain first. A request is passed on once: none that came from another VM goes to a third.
+func (c *Core) choosePeer(now time.Duration, r *Request) (*Choice, *verdict.Refusal) {
+	p := c.bestPeer(now, r)
+	if p == nil {
+		return nil, nil
+	}
+	if refusal := c.spendRetry(now, r); refusal != nil {
+		return nil, refusal
+	}
+	return &Choice{Stages: []paths.Stage{{Instance: backend.Instance{ID: PeerID(p.VM)}, Addr: p.Addr}}}, nil
+}
+
+func (c *Core) bestPeer(now time.Duration, r *Request) *Peer {
+	if r.FromPeer || r.PeerSends >= maxPeerSends {
+		return nil
+	}
+	var best *Peer
+	bestRank := 0.0
+	for i := range c.peers {
+		p := &c.peers[i]
+		if r.Avoid[PeerID(p.VM)] || c.peerLinks.CutOff(now, p.VM, r.Service.Name) || now < c.peerRefusals[peerRefusal{p.VM, r.Service.Name}] {
+			continue
+		}
+		rank := pairFraction(r.ID, p.VM)
+		if p.Domain != c.cfg.Domain {
+			rank++
+		}
+		if best == nil || rank < bestRank {
+			best, bestRank = p, rank
+		}
+	}
+	return best
+}
+
+// RecordPeerRefused records that another VM did not serve a request that was passed on to it.
+// If it is unable to serve others of the service as well, it gets none for peerRefusalTTL.
+func (c *Core) RecordPeerRefused(now time.Duration, r *Request, ch *Choice, unable bool) {
+	id := ch.Target().Instance.ID
+	r.Avoid[id] = true
+	r.PeerSends++
+	if !unable {
+		return
+	}
+	for k, until := range c.peerRefusals {
+		if now >= until {
+			delete(c.peerRefusals, k)
+		}
+	}
+	c.peerRefusals[peerRefusal{strings.TrimPrefix(string(id), peerPrefix), r.Service.Name}] = now + peerRefusalTTL
+}
+
+// chooseReachable returns a VM to pass a request on to while this VM is cut off from the
+// servers of its service, or has tried enough of them, or the refusal if no other VM takes it and no server can be
+// reached. It returns nil for both if the request is to be sent by this VM.
+func (c *Core) chooseReachable(now time.Duration, r *Request) (*Choice, *verdict.Refusal) {
+	if !r.PeersOnly && !c.Reach.CutOff(r.Service.Name) {
+		return nil, nil
+	}
+	if ch, refusal := c.choosePeer(now, r); ch != nil || refusal != nil {
+		return ch, refusal
+	}
+	if !r.PeersOnly && !c.Reach.Unreachable(r.Service.Name) {
+		return nil, nil
+	}
+	detail := "no server of " + r.Service.Name + " can be reached from " + c.cfg.VM
+	if !r.FromPeer && len(c.peers) > 0 {
+		detail += ", and no other VM takes the request"
+	}
+	return nil, c.notRun(verdict.CauseUnreachable, detail)
+}
+
+// otherVMMayServe reports whether the cause of a refusal may hold for this VM alone.
+func otherVMMayServe(cause verdict.Cause) bool {
+	return cause == verdict.CauseLayersMissing || cause == verdict.CauseNoBackend
+}
--- a/internal/loads/message.go
+++ b/internal/loads/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/backpressure"
 	"github.com/catkinstair/catkinstair/internal/poison"
+	"github.com/catkinstair/catkinstair/internal/reach"
 )
 
 // Scope is the set of VMs whose work a Message contains.
@@ -39,6 +40,8 @@
 	Poison *poison.Update `cbor:"9,keyasint,omitempty"`
 	// Limits holds the limits of servers that began, changed or ended.
 	Limits map[backpressure.Key]backpressure.Shared `cbor:"10,keyasint,omitempty"`
+	// CutOff holds the VMs that do not reach the servers of some services.
+	CutOff map[string]reach.Cut `cbor:"12,keyasint,omitempty"`
 }
 
 // Slow is the slowdown that a server reported.
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -15,7 +15,7 @@
 // routerMetrics holds the metrics of the process.
 type routerMetrics struct {
 	storeErrors, loadSendErrors, watcherErrors, orders, reports, refused, resumed, repathed, retried, failed *metrics.Counter
-	served, logLinesDropped, panics, promptsBlocked, partsBlocked, storeEraChanges                           *metrics.Counter
+	served, logLinesDropped, panics, promptsBlocked, partsBlocked, storeEraChanges, passedOn, cutOff         *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 }
 
@@ -29,6 +29,7 @@
 		failed: c("catkin_router_failed_total"), served: c("catkin_router_served_total"),
 		promptsBlocked: c("catkin_router_blocked_requests_total"), partsBlocked: c("catkin_router_blocked_parts_total"),
 		storeEraChanges: c("catkin_router_store_era_changes_total"),
+		passedOn:        c("catkin_router_passed_on_total"), cutOff: c("catkin_router_cut_off_total"),
 		logLinesDropped: c("catkin_router_log_lines_lost_total"), panics: c("catkin_router_panics_total"),
 		plainDuration:   metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
 		firstEventDelay: metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -37,18 +37,23 @@
 
 // serveCallers starts the server for callers' requests.
 func (r *Router) serveCallers() (*fasthttp.Server, error) {
-	l, err := listen(r.settings.Listen.Callers)
+	return r.serveRequests(r.settings.Listen.Callers, func(ctx *fasthttp.RequestCtx) { r.handle(ctx, false) })
+}
+
+// serveRequests starts a server for requests to backend servers.
+func (r *Router) serveRequests(addr string, handler fasthttp.RequestHandler) (*fasthttp.Server, error) {
+	l, err := listen(addr)
 	if err != nil {
 		return nil, err
 	}
 	s := &fasthttp.Server{
-		Logger: httpLogger{r.log}, Handler: r.guarded(r.handle), NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
+		Logger: httpLogger{r.log}, Handler: r.guarded(handler), NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, IdleTimeout: callerIdleTimeout,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 	}
 	go func() {
 		if err := s.Serve(callerListener{l}); err != nil {
-			r.log.Error().Err(err).Msg("server for callers stopped")
+			r.log.Error().Err(err).Str("addr", addr).Msg("server for requests stopped")
 		}
 	}()
 	return s, nil
@@ -94,8 +99,8 @@
 	errDeadlinePassed = errors.New("the deadline has passed")
 )
 
-// handle serves one caller's request.
-func (r *Router) handle(ctx *fasthttp.RequestCtx) {
+// handle serves one caller's request, which another VM may have passed on.
+func (r *Router) handle(ctx *fasthttp.RequestCtx, fromPeer bool) {
 	if r.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -114,6 +119,7 @@
 		r.refuse(ctx, id, "", verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
 		return
 	}
+	x.setOrigin(fromPeer)
 	r.openRequests.Add(1)
 	if conn, ok := ctx.Conn().(*callerConn); ok {
 		conn.watch(func() { x.cancel(errCallerGone) })
@@ -153,7 +159,9 @@
 // serve forwards the request and sets the response.
 func (x *exchange) serve() {
 	x.r.locked(func() {
-		x.r.core.RequestArrived(x.r.clock.now(), x.req.Service.Name)
+		if !x.r.core.Reach.CutOff(x.req.Service.Name) { // otherwise counted where it is passed on to
+			x.r.core.RequestArrived(x.r.clock.now(), x.req.Service.Name)
+		}
 		x.maxIdleConns = x.r.core.IdleConnections(x.req.Service)
 	})
 	if x.req.Route.Kind == routes.Stream {
@@ -193,6 +201,9 @@
 	x.endTurn()
 	x.releaseAll()
 	x.r.openRequests.Add(-1)
+	if x.req.FromPeer {
+		x.r.passedOnRequests.Add(-1)
+	}
 }
 
 // accept resolves the request's route, team and service. It returns the HTTP status if
@@ -305,4 +316,7 @@
 func (x *exchange) refuseRequest(refusal verdict.Refusal) {
 	refusal.Verdict = verdict.Worse(refusal.Verdict, x.worstVerdict)
 	x.r.refuse(x.ctx, x.req.ID, x.fingerprint, refusal)
+	if x.req.FromPeer {
+		x.ctx.Response.Header.Set(platform.HeaderRefusalCause, string(refusal.Cause))
+	}
 }
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -83,6 +83,10 @@
 		}
 		r.log.Info().Str("server", string(s.ID)).Str("addr", s.Addr).Float64("slowX", s.SlowdownFactor(now)).Str("from", m.From).Msg("backend server's pace, another VM says")
 	}
+	if findings.CutsChanged {
+		r.log.Info().Str("from", m.From).Int("vms", len(m.CutOff)).Msg("VMs cut off from backend servers, or no longer")
+		r.sendFindingsNow()
+	}
 	if findings.LimitsChanged {
 		r.log.Info().Str("from", m.From).Msg("limits of backend servers, another VM says")
 		r.sendFindingsNow()
--- a/internal/router/partition_test.go
+++ b/internal/router/partition_test.go
@@ -18,7 +18,9 @@
 // firstTries counts the first attempts of callers and how many of them were served.
 type firstTries struct{ sent, served atomic.Int32 }
 
-func (f *firstTries) share() float64 { return float64(f.served.Load()) / float64(max(1, f.sent.Load())) }
+func (f *firstTries) share() float64 {
+	return float64(f.served.Load()) / float64(max(1, f.sent.Load()))
+}
 
 func (f *firstTries) String() string { return fmt.Sprintf("%d of %d", f.served.Load(), f.sent.Load()) }
 
--- /dev/null
+++ b/internal/router/passedon.go
@@ -0,0 +1,147 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
+	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+	"github.com/catkinstair/catkinstair/platform"
+)
+
+// maxPassedOn bounds the requests of other VMs in progress, each of which holds two
+// connections and their buffers.
+const maxPassedOn = 256
+
+// servePassedOn starts the server for requests that other VMs pass on. They are checked like
+// callers' own, so an address inside the deployment is all the right that a VM needs.
+func (r *Router) servePassedOn() error {
+	s, err := r.serveRequests(r.settings.Listen.PassedOn, r.handlePassedOn)
+	if err != nil {
+		return err
+	}
+	r.auxServers = append(r.auxServers, s)
+	return nil
+}
+
+// handlePassedOn serves a request of another VM, or refuses it at once while this VM has
+// enough to do, is stopping, or may not know the current state.
+func (r *Router) handlePassedOn(ctx *fasthttp.RequestCtx) {
+	cause := verdict.Cause("")
+	switch {
+	case r.stopping.Load():
+		cause = verdict.CauseLeaving
+	case !r.current.isOpen():
+		cause = verdict.CauseNoConfig
+	case r.passedOnRequests.Load() >= maxPassedOn:
+		cause = verdict.CauseQueueFull
+	default:
+		r.handle(ctx, true)
+		return
+	}
+	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
+	r.refuse(ctx, id, "", verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: noConfigRetryAfter, Detail: "another VM passed the request on"})
+	ctx.Response.Header.Set(platform.HeaderRefusalCause, string(cause))
+}
+
+// setOrigin takes from a request that another VM passed on how often it may have run before.
+// Those runs count against the attempts of its route.
+func (x *exchange) setOrigin(fromPeer bool) {
+	if !fromPeer {
+		return
+	}
+	x.req.FromPeer = true
+	x.r.passedOnRequests.Add(1)
+	h := &x.ctx.Request.Header
+	runs, err := strconv.Atoi(string(h.Peek(platform.HeaderPassedOn)))
+	if err != nil {
+		x.r.log.Warn().Str("request", x.req.ID).Bytes("value", h.Peek(platform.HeaderPassedOn)).Msg("passed on with an invalid number of runs; taken as 0")
+	}
+	h.Del(platform.HeaderPassedOn)
+	x.req.Sends = min(max(0, runs), maxSends-1)
+	x.req.CountedSends = x.req.Sends
+	x.req.Begun = x.req.Sends > 0 && len(h.Peek(platform.HeaderLastEventID)) > 0
+	for i := range min(x.req.Sends, x.req.Route.MaxAttempts-1) {
+		x.req.SentTo[backend.ID(fmt.Sprint("earlier run ", i))] = true
+	}
+}
+
+// requestPeers returns the VMs that take requests which this one passes on. The caller holds
+// mu.
+func (r *Router) requestPeers() []dispatch.Peer {
+	var peers []dispatch.Peer
+	for name, m := range r.members {
+		if name != r.settings.VM && m.PassedOnAddr != "" {
+			peers = append(peers, dispatch.Peer{VM: name, Domain: m.Domain, Addr: m.PassedOnAddr})
+		}
+	}
+	return peers
+}
+
+// passOn passes the request on to another VM and classifies the response by its header.
+// Responses of backend servers are signed; without a signature, the VM itself has responded.
+func (x *exchange) passOn(ctx context.Context, ch *dispatch.Choice, resumeAfter string) sendResult {
+	h := &x.ctx.Request.Header
+	body := x.ctx.Request.Body()
+	left := x.timeLeft()
+	header := platform.EncodePassedOnHeader(nil, h, len(body), platform.PassedOnHeaders{TimeLeft: left, ResumeAfter: resumeAfter, Runs: x.req.Sends})
+	opt := httpcall.Options{Deadline: time.Now().Add(left), MaxIdleTime: x.r.cfg.ConnReuseTimeout, NewConnection: !x.req.Route.Retryable(),
+		BeforeSend: func() error { return x.checkBeforeSend(left) }}
+	x.r.metrics.passedOn.Inc()
+	call, err := x.r.backendClient.Open(ctx, ch.Target().Addr, string(h.Method()), header, body, opt)
+	if err != nil {
+		return sendResult{choice: ch, err: err, cancelled: ctx.Err() != nil, outcome: httpcall.SentOf(err).Verdict()}
+	}
+	s := sendResult{choice: ch, call: call, outcome: verdict.Ran}
+	if call.Response.Header.Get(platform.HeaderSignature) != "" || call.Response.StatusCode < fasthttp.StatusBadRequest {
+		return s
+	}
+	s.outcome = verdict.MayHaveRun
+	if status := call.Response.StatusCode; status < fasthttp.StatusInternalServerError || status == fasthttp.StatusServiceUnavailable {
+		s.outcome = verdict.NotRun
+		s.refusedBy = verdict.Cause(call.Response.Header.Get(platform.HeaderRefusalCause))
+		s.retryAfter, _ = platform.ParseRetryAfter(call.Response.Header.Get(platform.HeaderRetryAfter)) // zero without one
+	}
+	return s
+}
+
+// peerUnable reports whether the failure of a send to another VM means that it can't serve other
+// requests of the service either for now.
+func peerUnable(s *sendResult) bool {
+	switch s.refusedBy {
+	case verdict.CauseUnreachable, verdict.CauseLayersMissing, verdict.CauseNoBackend, verdict.CauseBackendRefused, verdict.CauseNoCapacity,
+		verdict.CauseQueueFull, verdict.CauseLeaving, verdict.CauseNoConfig:
+		return true
+	default:
+		return s.err != nil && !s.cancelled && httpcall.KindOf(s.err) != httpcall.KindWithdrawn
+	}
+}
+
+// handleFailedPeer records that another VM did not serve the request and reports whether it
+// may be sent again.
+func (x *exchange) handleFailedPeer(s *sendResult) bool {
+	x.release(s.choice)
+	status := 0
+	if s.call != nil {
+		status = s.call.Response.StatusCode
+	}
+	x.logSend(x.r.log.Info(), s, status).Msg("passing the request on failed")
+	s.discard()
+	unable := !x.callerGone() && peerUnable(s)
+	x.r.locked(func() { x.r.core.RecordPeerRefused(x.r.clock.now(), &x.req, s.choice, unable) })
+	if x.callerGone() || x.timeLeft() <= 0 {
+		return false
+	}
+	if s.outcome == verdict.NotRun {
+		return true
+	}
+	x.worstVerdict = verdict.Worse(x.worstVerdict, s.outcome)
+	x.req.Sends++
+	return x.req.Route.Retryable() && x.req.Sends < maxSends
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -45,7 +45,7 @@
 			cause = verdict.CauseBackendRefused
 		}
 		retry := x.handleFailedSend(&s, &unsentAttempts)
-		last = &verdict.Refusal{Verdict: s.outcome, Cause: cause, RetryAfter: x.r.cfg.Dispatch.RetryAfter}
+		last = &verdict.Refusal{Verdict: s.outcome, Cause: cause, RetryAfter: max(x.r.cfg.Dispatch.RetryAfter, s.retryAfter)}
 		if !retry {
 			break
 		}
@@ -68,9 +68,13 @@
 // requests avoid it: it may be dead without closing its connections. This request keeps
 // waiting for it, since it may not be allowed to run on another replica.
 func (x *exchange) recordLate(ch *dispatch.Choice) {
+	if ch.IsPeer() {
+		return
+	}
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
 	x.r.core.RecordFailing(x.r.clock.now(), ch.Target().Instance)
+	x.r.core.Reach.Doubt(x.r.clock.now(), x.req.Service.Name)
 	x.r.log.Info().Str("request", x.req.ID).Str("server", string(ch.Target().Instance.ID)).Dur("after", time.Since(x.receivedAt)).Msg("replica is late")
 }
 
@@ -85,7 +89,7 @@
 		return false
 	}
 	x.recordProgress()
-	if resp.StatusCode >= 500 && x.req.Route.Retryable() && x.req.Sends+1 < x.req.Route.MaxAttempts && x.timeLeft() > 0 {
+	if resp.StatusCode >= 500 && !s.choice.IsPeer() && x.req.Route.Retryable() && x.req.Sends+1 < x.req.Route.MaxAttempts && x.timeLeft() > 0 {
 		return false
 	}
 	s.call.Close()
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -38,7 +38,12 @@
 // recordResponse records that a server responded to a request that was sent at sentAt.
 func (r *Router) recordResponse(in backend.Instance, sentAt time.Duration) {
 	var p poison.Progress
-	r.locked(func() { p = r.core.RecordResponse(r.clock.now(), sentAt, in) })
+	r.locked(func() {
+		p = r.core.RecordResponse(r.clock.now(), sentAt, in)
+		if s := r.core.Backends.Get(in.ID); s != nil {
+			r.core.Reach.Heard(r.clock.now(), s.Service)
+		}
+	})
 	r.applyBlocks(poison.Result{New: p.News, Unblocked: p.Unblocked}, r.settings.VM)
 }
 
--- a/internal/router/presence.go
+++ b/internal/router/presence.go
@@ -91,7 +91,7 @@
 
 // writeRecord writes the VM's record under the lease.
 func (r *Router) writeRecord(lease uint64, opt httpcall.Options) error {
-	value, err := json.Marshal(member{VM: r.settings.VM, Domain: r.settings.Domain, CallerAddr: r.settings.Listen.Callers, PeerAddr: r.settings.Listen.Datagrams})
+	value, err := json.Marshal(member{VM: r.settings.VM, Domain: r.settings.Domain, CallerAddr: r.settings.Listen.Callers, PeerAddr: r.settings.Listen.Datagrams, PassedOnAddr: r.settings.Listen.PassedOn})
 	if err != nil {
 		return err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,6 +77,7 @@
 	streams      *streamTable
 	reportCache  *reportCache
 	sendLoadsNow chan struct{} // signals a finding to send at once
+	probeNow     chan struct{} // signals a server that failed
 
 	current      *gate        // open while the state of this VM is current
 	heldRequests atomic.Int64 // requests that wait at the gate
@@ -86,6 +87,7 @@
 	dropMessagesUntil atomic.Int64
 	stopping          atomic.Bool
 	openRequests      atomic.Int64 // requests in progress
+	passedOnRequests  atomic.Int64 // those of them that other VMs passed on
 }
 
 // pendingOrder is an order in progress: the layers that a server will hold, and the time
@@ -130,7 +132,7 @@
 		core: dispatch.New(cfg.Dispatch), election: leader.New(cfg.Leader, settings.VM),
 		members: map[string]member{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
-		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1),
+		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1),
 		current: newGate(),
 	}
 	r.bounds.Store(&settings.Bounds)
@@ -181,6 +183,9 @@
 	if err := r.serveAux(); err != nil {
 		return err
 	}
+	if err := r.servePassedOn(); err != nil {
+		return err
+	}
 	if err := r.servePeerRequests(); err != nil {
 		return err
 	}
@@ -188,7 +193,7 @@
 		return errors.Wrap(err, "opening the socket for other VMs")
 	}
 	var workTasks, leaseTasks sync.WaitGroup
-	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses} {
+	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks} {
 		workTasks.Go(func() { task(workCtx) })
 	}
 	for _, task := range []func(context.Context){r.maintainPresence, r.runPlacement, r.storeBlockedParts} {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -33,11 +33,17 @@
 	events    int           // complete events of the response that have arrived
 	sentAt    time.Duration // on the router's clock
 	cancelled bool          // the router itself ended the send
+	// refusedBy and retryAfter are the cause and the Retry-After of another VM's refusal.
+	refusedBy  verdict.Cause
+	retryAfter time.Duration
 }
 
-// send sends the request to a chosen backend server and classifies the response by its
+// send sends the request to a chosen backend server, or to the VM to pass it on to, and classifies the response by its
 // header.
 func (x *exchange) send(ctx context.Context, ch *dispatch.Choice, resumeAfter string) sendResult {
+	if ch.IsPeer() {
+		return x.passOn(ctx, ch, resumeAfter)
+	}
 	h := &x.ctx.Request.Header
 	body := x.ctx.Request.Body()
 	headers := x.forwardHeaders(ch, resumeAfter)
@@ -167,6 +173,10 @@
 // handleFailedSend releases the choice of a failed send, records the failure and reports
 // whether the request may be sent again.
 func (x *exchange) handleFailedSend(s *sendResult, unsentAttempts *int) bool {
+	if s.choice.IsPeer() {
+		return x.handleFailedPeer(s)
+	}
+	x.recordUnreached(s)
 	x.recordFailure(s)
 	crashed := x.recordCrash(s)
 	x.release(s.choice)
@@ -187,7 +197,9 @@
 	}
 	if s.err != nil && s.outcome == verdict.NotRun {
 		*unsentAttempts++
-		return *unsentAttempts < maxUnsentAttempts
+		// Another VM may reach the servers.
+		x.req.PeersOnly = *unsentAttempts >= maxUnsentAttempts
+		return true
 	}
 	x.req.Sends++
 	x.req.SentTo[s.choice.Target().Instance.ID] = true
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -17,14 +17,18 @@
 func (st *stream) watchStall(ch *dispatch.Choice) {
 	limit := st.x.r.cfg.StallTimeout + ch.FirstToken
 	firstAddr := ch.Target().Addr
-	st.recordProgress()
+	check := st.checkStall
+	if ch.IsPeer() {
+		limit, check = st.x.r.cfg.PeerStallTimeout, st.checkPeerStall
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.lastRead = time.Now()
 	run := st.runCount
 	st.stallTimer = time.AfterFunc(limit, func() {
 		st.x.r.runGuarded("stall watch", st.x.req.ID, func() {
 			var next time.Duration
-			limit, next = st.checkStall(firstAddr, limit)
+			limit, next = check(firstAddr, limit)
 			st.resetStallTimer(run, next)
 		})
 	})
@@ -59,6 +63,20 @@
 	return limit, min(limit, r.cfg.PartialEventTimeout)
 }
 
+// checkPeerStall cancels a run through another VM that has sent no event for limit. That VM
+// handles stalled servers by itself, so it is stopped or cut off.
+func (st *stream) checkPeerStall(addr string, limit time.Duration) (nextLimit, next time.Duration) {
+	st.mu.Lock()
+	silent := time.Since(st.lastRead)
+	st.mu.Unlock()
+	if silent < limit {
+		return limit, limit - silent
+	}
+	st.x.r.log.Info().Str("request", st.x.req.ID).Str("addr", addr).Dur("silent", silent).Msg("run cancelled: the VM that it was passed on to is silent")
+	st.cancelCurrentRun(addr)
+	return limit, limit
+}
+
 // partialFor returns how long the stream has waited for the rest of an event, zero if it does
 // not. The caller holds st.mu.
 func (st *stream) partialFor(now time.Time) time.Duration {
@@ -255,6 +273,7 @@
 	rep, err := r.cachedReport(firstAddr)
 	if err != nil {
 		r.log.Info().Err(err).Str("addr", firstAddr).Msg("reading a server's report failed")
+		r.recordReportFailed(firstAddr, err)
 		return ""
 	}
 	r.recordSlowdown(firstAddr, rep.SlowdownFactor)
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -32,8 +32,10 @@
 	CallerAddr string `json:"callers"`
 	// PeerAddr receives other VMs' load messages (UDP) and requests for changes (TCP).
 	PeerAddr string `json:"peers"`
-	lease    uint64
-	era      uint64 // of the store when the record was read
+	// PassedOnAddr takes requests that other VMs pass on.
+	PassedOnAddr string `json:"passed_on,omitempty"`
+	lease        uint64
+	era          uint64 // of the store when the record was read
 }
 
 // watchStore reads all keys once and then follows their changes, from a watcher or from the
@@ -232,6 +234,7 @@
 	releasesLayers := old != nil && old.StartedMs == rec.StartedMs && !rec.Held.Contains(old.Held)
 	if r.core.Backends.Put(rec) {
 		r.lastServerAdded = now
+		r.core.Reach.ServerAdded(now, rec.Service)
 	}
 	if releasesLayers {
 		r.moveOffReleased(rec.Addr, rec.Held)
@@ -291,6 +294,7 @@
 	}
 	sort.Strings(names)
 	r.core.Loads.SetMembers(peers)
+	r.core.SetPeers(r.requestPeers())
 	r.election.SetRank(sort.SearchStrings(names, r.settings.VM))
 }
 
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -35,6 +35,8 @@
 	// result.choice, which a change of path replaces.
 	mu       sync.Mutex
 	lastRead time.Time // when the last complete event of the run arrived, or the run began
+	runBegun bool      // the run has sent a complete event
+	waiting  bool      // for bytes of the run
 	// partialSince is when the stream began to wait for the rest of an event, zero for none.
 	partialSince time.Time
 	repathing    bool // a change of the path is in progress
@@ -91,7 +93,7 @@
 			cause = verdict.CauseBackendRefused
 		}
 		retry := x.handleFailedSend(&st.result, &st.unsentAttempts)
-		last = &verdict.Refusal{Verdict: st.result.outcome, Cause: cause, RetryAfter: x.r.cfg.Dispatch.RetryAfter}
+		last = &verdict.Refusal{Verdict: st.result.outcome, Cause: cause, RetryAfter: max(x.r.cfg.Dispatch.RetryAfter, st.result.retryAfter)}
 		if !retry {
 			return last
 		}
@@ -139,7 +141,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.runCtx, st.cancelRun = context.WithCancelCause(st.x.callerCtx)
-	st.partialSince = time.Time{}
+	st.partialSince, st.runBegun = time.Time{}, false
 	st.result, st.runEnded = sendResult{choice: ch}, false
 	st.runCount++
 }
@@ -326,12 +328,12 @@
 	}
 }
 
-// recordProgress tells the stall watch that the run began or a complete event arrived. Other
+// recordProgress tells the stall watch that a complete event arrived. Other
 // bytes are no progress: a stalled server may still send one now and then.
 func (st *stream) recordProgress() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.lastRead, st.partialSince = time.Now(), time.Time{}
+	st.lastRead, st.partialSince, st.runBegun = time.Now(), time.Time{}, true
 }
 
 // beginWait tells the stall watch that the stream waits for more bytes, partial if an event
@@ -339,6 +341,7 @@
 func (st *stream) beginWait(partial bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.waiting = true
 	if partial && st.partialSince.IsZero() {
 		st.partialSince = time.Now()
 	}
@@ -347,5 +350,5 @@
 func (st *stream) endWait() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.partialSince = time.Time{}
+	st.waiting, st.partialSince = false, time.Time{}
 }
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -12,6 +12,9 @@
 // back.
 func (x *exchange) chooseOrWait() (*dispatch.Choice, *verdict.Refusal) {
 	ch, refusal := x.choose()
+	if x.req.FromPeer {
+		return ch, refusal // this VM's own callers go first
+	}
 	if refusal != nil && x.req.Sends == 0 && lacksServers(refusal.Cause) {
 		ch, refusal = x.awaitRecords(refusal)
 	}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -102,6 +102,7 @@
 	CausePromptBlocked   Cause = "prompt-blocked"
 	CauseRequestBlocked  Cause = "request-blocked"
 	CauseRequestSuspect  Cause = "request-suspect"
+	CauseUnreachable     Cause = "backend-servers-unreachable"
 	CauseInternalFailure Cause = "internal-failure"
 )
 
