dispatch: a server's failure counts for others only once another server has responded

A VM whose connections to all servers are reset took them for crashes: a request that all its callers repeat was blocked on every VM (seen in TestPassedOnRequestsAreAnsweredAsByOneVM while it was written), and other VMs avoided the servers that this one reported as failing.

A crash is confirmed as well when its server's record is gone. Until then the run makes its request suspect, for 250 ms, and convicts nothing. A cut VM passes no failures on. The fingerprint of a request includes its prompt, which for model requests may be all that differs.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -90,6 +90,7 @@
 	Backpressure    *backpressure.Core
 	peers           []Peer
 	peerRefusals    map[peerRefusal]time.Duration // until when
+	unconfirmed     unconfirmedFailures
 	budgets         map[string]*retry.Budget
 	vmCount         int
 	crossDomainLink linkMeter
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -53,6 +53,7 @@
 
 // Tick returns the messages to send to other VMs now.
 func (c *Core) Tick(now time.Duration) []loads.Send {
+	c.confirmFailures(now)
 	sends := c.Loads.Tick(now, c.OwnLoads(now))
 	c.forgetLimits(now)
 	update, limits, cutOff := c.Poison.Update(now), c.Backpressure.Update(now), c.peerLinks.Share(now, c.cfg.VM, c.Reach)
@@ -113,11 +114,13 @@
 }
 
 // RecordFailing records that a request failed because of a plain service's replica or
-// the network to it, and passes that on to the other VMs. With many VMs, each sends a
+// the network to it, and passes that on to the other VMs once it is confirmed. With many VMs, each sends a
 // replica less than one request per second and would detect the failure too late by itself.
 func (c *Core) RecordFailing(now time.Duration, in backend.Instance) {
 	c.Backends.RecordFailure(now, in, c.cfg.FailingSuspicion)
-	c.Loads.RecordFailing(now, LoadKey(in))
+	if s := c.Backends.Get(in.ID); s != nil {
+		c.unconfirmed.add(unconfirmedFailure{key: LoadKey(in), service: s.Service, at: now})
+	}
 }
 
 // RecordLeaving records that a server said in a response that it leaves. It reports whether
--- a/internal/dispatch/peers_test.go
+++ b/internal/dispatch/peers_test.go
@@ -138,3 +138,16 @@
 		require.Nil(t, refusal, "counted by the VM that passed it on")
 	}
 }
+
+func TestVMThatIsCutOffPassesNoFailuresOn(t *testing.T) {
+	c := newCutCore(t, plain, reach.NoConnection)
+	c.Loads.SetMembers([]loads.Member{{VM: "a1", Domain: "a"}, {VM: "a2", Domain: "a", Addr: "a2"}})
+	c.RecordFailing(10*time.Millisecond, c.Backends.Get("app0").Instance())
+	c.Reach.Heard(20*time.Millisecond, plain)
+	for _, now := range []time.Duration{100 * time.Millisecond, 2 * time.Second} {
+		for _, s := range c.Tick(now) {
+			require.Empty(t, s.Message.Failing)
+			require.Len(t, s.Message.CutOff, 1)
+		}
+	}
+}
--- a/internal/dispatch/poison.go
+++ b/internal/dispatch/poison.go
@@ -32,11 +32,33 @@
 	if s == nil || s.State != backend.Ready {
 		return nil
 	}
-	return c.Poison.RecordCrash(now, poison.CutRun{Server: uint32(LoadKey(in)), Subject: r.Subject, SentAt: sentAt, EndedAt: now})
+	c.unconfirmed.add(unconfirmedFailure{key: LoadKey(in), service: s.Service, at: now, crash: true})
+	return c.Poison.RecordCrash(now, poison.CutRun{Server: uint32(LoadKey(in)), Subject: r.Subject, SentAt: sentAt, EndedAt: now, Doubtful: true})
 }
 
 // RecordResponse records that a server responded to a request that was sent at sentAt, so
-// that it has not crashed before. It returns what is no longer blocked.
-func (c *Core) RecordResponse(now, sentAt time.Duration, in backend.Instance) poison.Progress {
-	return c.Poison.RecordResponse(now, sentAt, uint32(LoadKey(in)))
+// that it has not crashed before, and that its service can be reached. It returns what that
+// changes of the blocked requests.
+func (c *Core) RecordResponse(now, sentAt time.Duration, in backend.Instance) poison.Result {
+	p := c.Poison.RecordResponse(now, sentAt, uint32(LoadKey(in)))
+	if s := c.Backends.Get(in.ID); s != nil {
+		c.Reach.Heard(now, s.Service)
+	}
+	result := c.confirmFailures(now)
+	result.New, result.Unblocked = result.New || p.News, p.Unblocked
+	return result
+}
+
+// ConfirmCrashes removes the doubt about the crashes of servers whose records are gone, and of
+// those after which another server has responded.
+func (c *Core) ConfirmCrashes(now time.Duration) poison.Result {
+	result := c.confirmFailures(now)
+	exists := map[uint32]bool{}
+	for _, id := range c.Backends.IDs() {
+		exists[uint32(LoadKey(c.Backends.Get(id).Instance()))] = true
+	}
+	gone := c.Poison.Confirm(now, func(server uint32) bool { return !exists[server] })
+	result.New = result.New || gone.New
+	result.Blocked = append(append(result.Blocked, gone.Blocked...), c.Poison.Judge(now)...)
+	return result
 }
--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -14,7 +14,9 @@
 // crashes if no other request was cut in both. If one was, both are blocked for some seconds
 // after the third, and the next crash tells which of them it was. Plain requests that were cut
 // in one crash are suspects: they follow each other at an interval, so that most crashes have
-// one cause. A server that responds to a request sent after its crash has not crashed; only
+// one cause. A lost connection is evidence only once the VM has heard from another server of the
+// service, or the server's record is gone: until then it is doubtful whether the server crashed
+// or the VM's own links failed. A server that responds to a request sent after its crash has not crashed; only
 // its connections were lost.
 //
 // Repetitions come at any VM. The VMs exchange crashes, clearances and blocks in Updates, so
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -59,7 +59,7 @@
 	var lastCrash time.Duration
 	for _, r := range g.runs {
 		hasPart := slices.Contains(r.Prompt, part)
-		if len(r.Prompt) == 0 || r.EndedAt <= last || (e.crashes == 0 && !hasPart) || g.explained(r) {
+		if r.Doubtful || len(r.Prompt) == 0 || r.EndedAt <= last || (e.crashes == 0 && !hasPart) || g.explained(r) {
 			continue
 		}
 		e.servers[r.Server] = e.servers[r.Server] || hasPart
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -27,6 +27,8 @@
 	// SuspicionDelay is the time from a crash until the first of the plain requests cut in it
 	// may be sent again: the other VMs must know the crash by then. Default 40 ms.
 	SuspicionDelay time.Duration
+	// DoubtDelay is that time for a crash that is doubtful. Default 250 ms.
+	DoubtDelay time.Duration
 	// SuspectSpacing is the interval at which the others follow, so that at most one of them
 	// runs when the next server crashes. Default 100 ms.
 	SuspectSpacing time.Duration
@@ -39,7 +41,7 @@
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
 	return Config{EvidenceTTL: 10 * time.Minute, MaxRuns: 256, MaxBlocked: 256, BlockTTL: 15 * time.Minute,
-		AmbiguousTTL: 10 * time.Second, SuspicionDelay: 40 * time.Millisecond, SuspectSpacing: 100 * time.Millisecond,
+		AmbiguousTTL: 10 * time.Second, SuspicionDelay: 40 * time.Millisecond, DoubtDelay: 250 * time.Millisecond, SuspectSpacing: 100 * time.Millisecond,
 		MaxProgress: 4096, ShareTTL: 3 * time.Second}
 }
 
@@ -51,6 +53,9 @@
 	Subject
 	// SentAt and EndedAt are on the VM's clock.
 	SentAt, EndedAt time.Duration
+	// Doubtful is set while the connection may have been lost by the VM's own links: the run
+	// makes its request suspect, but convicts nothing.
+	Doubtful bool
 }
 
 // Block is a blocked part.
@@ -96,28 +101,47 @@
 	if run.isEmpty() || !g.addRun(now, run) {
 		return nil
 	}
-	return g.block(now, run.Subject)
+	return g.block(now, run)
 }
 
-// block blocks the parts of a subject's prompt that the known crashes convict. Its request is
+// block blocks the parts of a cut run's prompt that the known crashes convict. Its request is
 // judged when the other VMs have reported what they lost in the crash.
-func (g *Guard) block(now time.Duration, s Subject) []Block {
-	if s.Request != "" && len(g.judgeAt) < g.cfg.MaxRuns {
-		g.judgeAt[s.Request] = now + g.cfg.SuspicionDelay
+func (g *Guard) block(now time.Duration, run CutRun) []Block {
+	if run.Request != "" && len(g.judgeAt) < g.cfg.MaxRuns {
+		g.judgeAt[run.Request] = run.EndedAt + g.cfg.SuspicionDelay
 	}
-	if len(s.Prompt) == 0 {
+	if len(run.Prompt) == 0 {
 		return nil
 	}
-	return g.blockParts(now, s.Prompt)
+	return g.blockParts(now, run.Prompt)
 }
 
-// addRun adds a run to the evidence. It reports false for one that is known or too old.
+// Confirm removes the doubt about the runs that were cut in the crashes of some servers, and
+// returns what is blocked from now on.
+func (g *Guard) Confirm(now time.Duration, crashed func(server uint32) bool) Result {
+	var result Result
+	for i := range g.runs {
+		if r := &g.runs[i]; r.Doubtful && crashed(r.Server) {
+			r.Doubtful, result.New = false, true
+			result.Blocked = append(result.Blocked, g.block(now, *r)...)
+		}
+	}
+	return result
+}
+
+// addRun adds a run to the evidence, or removes the doubt about one. It reports false if that
+// changes nothing.
 func (g *Guard) addRun(now time.Duration, run CutRun) bool {
 	g.runs = slices.DeleteFunc(g.runs, func(r CutRun) bool { return now-r.EndedAt > g.cfg.EvidenceTTL })
 	heard, alive := g.heardFrom[run.Server]
-	if now-run.EndedAt > g.cfg.EvidenceTTL || (alive && heard > run.EndedAt) || slices.ContainsFunc(g.runs, run.sameAs) {
+	if now-run.EndedAt > g.cfg.EvidenceTTL || (alive && heard > run.EndedAt) {
 		return false
 	}
+	if i := slices.IndexFunc(g.runs, run.sameAs); i >= 0 {
+		confirmed := g.runs[i].Doubtful && !run.Doubtful
+		g.runs[i].Doubtful = g.runs[i].Doubtful && run.Doubtful
+		return confirmed
+	}
 	i, _ := slices.BinarySearchFunc(g.runs, run, func(a, b CutRun) int { return int(a.EndedAt - b.EndedAt) })
 	g.runs = slices.Insert(g.runs, i, run)
 	if len(g.runs) > g.cfg.MaxRuns {
--- a/internal/poison/requests.go
+++ b/internal/poison/requests.go
@@ -64,7 +64,7 @@
 	var servers []uint32
 	last, lastCrash := g.lastProgress(request), never
 	for _, r := range g.runs {
-		if r.Request != request || r.EndedAt <= last || r.SentAt <= lastCrash || slices.Contains(servers, r.Server) || g.serverExplained(r.Server, request) {
+		if r.Doubtful || r.Request != request || r.EndedAt <= last || r.SentAt <= lastCrash || slices.Contains(servers, r.Server) || g.serverExplained(r.Server, request) {
 			continue
 		}
 		servers, lastCrash = append(servers, r.Server), r.EndedAt
@@ -117,7 +117,11 @@
 		if r.Request != request || r.EndedAt <= last || g.serverExplained(r.Server, request) {
 			continue
 		}
-		return r.EndedAt + g.cfg.SuspicionDelay + time.Duration(g.rank(r))*g.cfg.SuspectSpacing, true
+		delay := g.cfg.SuspicionDelay
+		if r.Doubtful {
+			delay = g.cfg.DoubtDelay
+		}
+		return r.EndedAt + delay + time.Duration(g.rank(r))*g.cfg.SuspectSpacing, true
 	}
 	return 0, false
 }
--- a/internal/poison/requests_test.go
+++ b/internal/poison/requests_test.go
@@ -113,3 +113,24 @@
 func TestPromptPartsCannotNameRequests(t *testing.T) {
 	require.NotEqual(t, RequestPart("abc"), NewPrompt([]string{"request:abc"})[0])
 }
+
+// The connections of a VM whose links fail are lost at all servers, one after the other.
+func TestDoubtfulCrashesConvictNothingUntilConfirmed(t *testing.T) {
+	doubtful := func(server uint32, sentMs, endedMs int) CutRun {
+		r := cutRequest(server, sentMs, endedMs, "popular")
+		r.Doubtful = true
+		return r
+	}
+	g, peer := New(DefaultConfig()), New(DefaultConfig())
+	require.Empty(t, recordCrashes(g, doubtful(1, 0, 100)))
+	require.Empty(t, recordCrashes(g, doubtful(2, 150, 300)))
+	require.Empty(t, recordCrashes(g, doubtful(3, 350, 400)))
+	_, suspect := g.SendAfter("request:popular")
+	require.True(t, suspect)
+	peer.Receive(second/2, g.Update(second/2))
+	require.Empty(t, peer.Judge(second))
+	require.True(t, g.Confirm(second, func(server uint32) bool { return server < 3 }).New)
+	require.Len(t, g.Judge(2*second), 1)
+	require.True(t, peer.Receive(2*second, g.Update(2*second)).New)
+	require.True(t, requestBlocked(peer, 2*second, "popular"))
+}
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -27,6 +27,8 @@
 	Request Part          `cbor:"3,keyasint,omitempty"`
 	SentAge time.Duration `cbor:"4,keyasint"`
 	Age     time.Duration `cbor:"5,keyasint"`
+	// Doubtful is CutRun.Doubtful.
+	Doubtful bool `cbor:"6,keyasint,omitempty"`
 }
 
 // SharedBlock is a Block in an Update.
@@ -43,7 +45,7 @@
 	var u Update
 	for i := len(g.runs) - 1; i >= 0 && len(u.Runs) < maxSharedRuns; i-- {
 		if r := g.runs[i]; now-r.EndedAt <= g.cfg.ShareTTL {
-			u.Runs = append(u.Runs, SharedRun{Server: r.Server, Prompt: r.Prompt, Request: r.Request, SentAge: now - r.SentAt, Age: now - r.EndedAt})
+			u.Runs = append(u.Runs, SharedRun{Server: r.Server, Prompt: r.Prompt, Request: r.Request, SentAge: now - r.SentAt, Age: now - r.EndedAt, Doubtful: r.Doubtful})
 		}
 	}
 	for part, until := range g.shareUntil {
@@ -81,14 +83,15 @@
 	if u == nil {
 		return result
 	}
-	var added []Subject
+	var added []CutRun
 	for _, r := range u.Runs {
 		subject := Subject{Prompt: r.Prompt, Request: r.Request}
 		if r.Age < 0 || r.SentAge < r.Age || r.Age > g.cfg.ShareTTL || !subject.valid() {
 			continue
 		}
-		if g.addRun(now, CutRun{Server: r.Server, Subject: subject, SentAt: now - r.SentAge, EndedAt: now - r.Age}) {
-			added = append(added, subject)
+		run := CutRun{Server: r.Server, Subject: subject, SentAt: now - r.SentAge, EndedAt: now - r.Age, Doubtful: r.Doubtful}
+		if g.addRun(now, run) {
+			added = append(added, run)
 		}
 	}
 	result.New = len(added) > 0
@@ -106,8 +109,8 @@
 			result.Blocked = append(result.Blocked, block)
 		}
 	}
-	for _, subject := range added {
-		result.Blocked = append(result.Blocked, g.block(now, subject)...)
+	for _, run := range added {
+		result.Blocked = append(result.Blocked, g.block(now, run)...)
 	}
 	return result
 }
--- a/internal/router/fingerprint.go
+++ b/internal/router/fingerprint.go
@@ -8,12 +8,13 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/routes"
+	"github.com/catkinstair/catkinstair/platform"
 )
 
-// fingerprintOf returns a hash of the method, host, path, team and body of a request.
+// fingerprintOf returns a hash of the method, host, path, team, prompt and body of a request.
 func fingerprintOf(h *fasthttp.RequestHeader, team *routes.Team, body []byte) string {
 	d := xxhash.New()
-	fields := [][]byte{h.Method(), h.Host(), h.RequestURI(), nil, body}
+	fields := [][]byte{h.Method(), h.Host(), h.RequestURI(), nil, h.Peek(platform.HeaderPromptParts), body}
 	if team != nil {
 		fields[3] = []byte(team.Name)
 	}
--- a/internal/router/fingerprint_test.go
+++ b/internal/router/fingerprint_test.go
@@ -20,6 +20,12 @@
 	}
 	first := fingerprint("GET", "host", "/a/b", "team", "body", "1")
 	require.Equal(t, first, fingerprint("GET", "host", "/a/b", "team", "body", "2"))
+	var h fasthttp.RequestHeader
+	h.SetMethod("GET")
+	h.SetHost("host")
+	h.SetRequestURI("/a/b")
+	h.Set("X-Prompt-Prefix", "part:10")
+	require.NotEqual(t, first, fingerprintOf(&h, &routes.Team{Name: "team"}, []byte("body")), "another prompt")
 	seen := map[string]bool{first: true}
 	for _, other := range []string{fingerprint("POST", "host", "/a/b", "team", "body", "1"), fingerprint("GET", "other", "/a/b", "team", "body", "1"),
 		fingerprint("GET", "host", "/a/c", "team", "body", "1"), fingerprint("GET", "host", "/a/b", "other", "body", "1"),
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -167,12 +167,13 @@
 		r.waitToSendLoads(ctx, wait)
 		r.runGuarded("loads", "send", func() {
 			var sends []loads.Send
-			var blocked []poison.Block
+			var found poison.Result
 			r.locked(func() {
+				found = r.core.ConfirmCrashes(r.clock.now())
 				sends = r.core.Tick(r.clock.now())
-				blocked = r.core.Poison.Judge(r.clock.now())
 			})
-			r.applyBlocks(poison.Result{New: len(blocked) > 0, Blocked: blocked}, r.settings.VM)
+			found.New = found.New || len(found.Blocked) > 0
+			r.applyBlocks(found, r.settings.VM)
 			for _, s := range sends {
 				r.sendMessage(s)
 			}
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -11,6 +11,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/poison"
 	"github.com/catkinstair/catkinstair/internal/reach"
 	"github.com/catkinstair/catkinstair/platform"
 )
@@ -119,12 +120,15 @@
 	}
 	r.recordControlResponse(p.addr, &resp.Header)
 	restored := false
+	var found poison.Result
 	r.locked(func() {
 		if restored = r.core.Reach.ProbeSucceeded(r.clock.now(), p.service); restored {
 			r.core.Backends.ForgetFailures(p.service)
 			r.updateFitness()
 		}
+		found = r.core.ConfirmCrashes(r.clock.now())
 	})
+	r.applyBlocks(found, r.settings.VM)
 	if restored {
 		r.log.Warn().Str("service", p.service).Str("server", string(p.server)).Msg("backend servers reached again")
 	}
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -37,14 +37,9 @@
 
 // recordResponse records that a server responded to a request that was sent at sentAt.
 func (r *Router) recordResponse(in backend.Instance, sentAt time.Duration) {
-	var p poison.Progress
-	r.locked(func() {
-		p = r.core.RecordResponse(r.clock.now(), sentAt, in)
-		if s := r.core.Backends.Get(in.ID); s != nil {
-			r.core.Reach.Heard(r.clock.now(), s.Service)
-		}
-	})
-	r.applyBlocks(poison.Result{New: p.News, Unblocked: p.Unblocked}, r.settings.VM)
+	var found poison.Result
+	r.locked(func() { found = r.core.RecordResponse(r.clock.now(), sentAt, in) })
+	r.applyBlocks(found, r.settings.VM)
 }
 
 // recordProgress records that a run of the request has written enough events, or its whole
