poison: requests sent to a server that is dead already are no evidence

A run that was sent after the crash of its server, as another VM reported it, no longer counts.

A plain request that is cut within 20 ms on a reused connection does count now: one that crashes its replica at once was sent on to the next within 2 ms and left no evidence. If the server had only closed the connection, its next response refutes the crash.

--- a/internal/poison/requests.go
+++ b/internal/poison/requests.go
@@ -46,11 +46,11 @@
 
 // judge returns the block of a request if the known crashes convict it.
 func (g *Guard) judge(now time.Duration, request Part) (Block, bool) {
+	servers := g.crashesWith(request)
+	lone := g.loneSuspect(request, servers)
 	if _, known := g.blocked[request]; known {
 		return Block{}, false
 	}
-	servers := g.crashesWith(request)
-	lone := g.loneSuspect(request, servers)
 	if len(servers) < crashesOfLoneRequest || (!lone && len(servers) < crashesOfRequest) {
 		return Block{}, false
 	}
@@ -64,7 +64,7 @@
 	var servers []uint32
 	last, lastCrash := g.lastProgress(request), never
 	for _, r := range g.runs {
-		if r.Doubtful || r.Request != request || r.EndedAt <= last || r.SentAt <= lastCrash || slices.Contains(servers, r.Server) || g.serverExplained(r.Server, request) {
+		if r.Doubtful || r.Request != request || r.EndedAt <= last || r.SentAt <= lastCrash || slices.Contains(servers, r.Server) || g.sentToDead(r) || g.serverExplained(r.Server, request) {
 			continue
 		}
 		servers, lastCrash = append(servers, r.Server), r.EndedAt
@@ -72,6 +72,12 @@
 	return servers
 }
 
+// sentToDead reports whether a run was sent after the crash of its server, over a connection
+// that showed it late.
+func (g *Guard) sentToDead(run CutRun) bool {
+	return slices.ContainsFunc(g.runs, func(r CutRun) bool { return r.Server == run.Server && r.EndedAt < run.SentAt })
+}
+
 // serverExplained reports whether a run with a part that is blocked beyond doubt, other than
 // the given one, was cut in the crash of a server.
 func (g *Guard) serverExplained(server uint32, other Part) bool {
@@ -91,7 +97,7 @@
 func (g *Guard) loneSuspect(request Part, servers []uint32) bool {
 	cutAt := map[Part]map[uint32]bool{}
 	for _, r := range g.runs {
-		if r.Request == request || r.Request == "" || !slices.Contains(servers, r.Server) || r.EndedAt <= g.lastProgress(r.Request) {
+		if r.Request == request || r.Request == "" || g.sentToDead(r) || !slices.Contains(servers, r.Server) || r.EndedAt <= g.lastProgress(r.Request) {
 			continue
 		}
 		if cutAt[r.Request] == nil {
@@ -114,7 +120,7 @@
 func (g *Guard) SendAfter(request Part) (at time.Duration, suspect bool) {
 	last := g.lastProgress(request)
 	for _, r := range slices.Backward(g.runs) {
-		if r.Request != request || r.EndedAt <= last || g.serverExplained(r.Server, request) {
+		if r.Request != request || r.EndedAt <= last || g.sentToDead(r) || g.serverExplained(r.Server, request) {
 			continue
 		}
 		delay := g.cfg.SuspicionDelay
--- a/internal/poison/requests_test.go
+++ b/internal/poison/requests_test.go
@@ -134,3 +134,15 @@
 	require.True(t, peer.Receive(2*second, g.Update(2*second)).New)
 	require.True(t, requestBlocked(peer, 2*second, "popular"))
 }
+
+// A VM may notice the crash of a server only when it uses an old connection.
+func TestRunSentToADeadServerIsNoEvidence(t *testing.T) {
+	g := New(DefaultConfig())
+	require.Empty(t, recordCrashes(g, cutRequest(1, 0, 100, "deadly")))
+	require.Empty(t, recordCrashes(g, cutRequest(1, 150, 151, "sound")))
+	_, suspect := g.SendAfter("request:sound")
+	require.False(t, suspect)
+	require.Equal(t, []Part{"request:deadly"}, recordCrashes(g, cutRequest(2, 300, 400, "deadly")))
+	require.Empty(t, recordCrashes(g, cutRequest(2, 450, 451, "sound")))
+	require.False(t, requestBlocked(g, second, "sound"))
+}
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -10,6 +10,7 @@
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/poison"
+	"github.com/catkinstair/catkinstair/internal/routes"
 )
 
 var errBlocked = errors.New("the request, or a part of its prompt, crashes backend servers")
@@ -20,8 +21,9 @@
 	minEventsOfSoundRun = 2
 	// maxCrashesPerRequest bounds the servers that may end on one request.
 	maxCrashesPerRequest = 2
-	// idleCloseWindow is the time after a send within which a reused connection shows that
-	// the server had closed it while it was idle.
+	// idleCloseWindow is the time after a send within which a reused connection of a stream
+	// shows that the server had closed it while it was idle. Plain requests may crash a server
+	// as soon.
 	idleCloseWindow = 20 * time.Millisecond
 	// clearanceInterval is the interval at which a request looks for its clearance.
 	clearanceInterval = 20 * time.Millisecond
@@ -56,7 +58,7 @@
 func (x *exchange) recordCrash(s *sendResult) bool {
 	now := x.r.clock.now()
 	otherFault := s.faultAddr != "" && s.faultAddr != s.choice.Target().Addr
-	if x.sound || s.cancelled || otherFault || !isReset(s.err, now-s.sentAt) {
+	if x.sound || s.cancelled || otherFault || !x.isReset(s.err, now-s.sentAt) {
 		return false
 	}
 	x.crashes++
@@ -68,10 +70,10 @@
 
 // isReset reports whether a send failed, some time after it began, because the server closed
 // the connection. A connection that was idle before may have been closed earlier.
-func isReset(err error, after time.Duration) bool {
+func (x *exchange) isReset(err error, after time.Duration) bool {
 	var e *httpcall.Error
 	if errors.As(err, &e) {
-		return e.Kind == httpcall.KindClosed && e.Sent == httpcall.MayHaveArrived && (!e.Reused || after > idleCloseWindow)
+		return e.Kind == httpcall.KindClosed && e.Sent == httpcall.MayHaveArrived && (!e.Reused || x.req.Route.Kind != routes.Stream || after > idleCloseWindow)
 	}
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
