poison: blocked requests are tried again a few times

The block of a request lasted as long as the request came, since nothing could run it to show that it is sound: a false one never ended. One VM, the same for all, now lets the request through 10 s after the block and 100 s after that, without retries. The blocks that ended after 10 s by themselves are gone.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,8 +66,8 @@
 	// RetryAfter is the Retry-After time of a refusal. By then, other servers have loaded
 	// the layers of a dead backend server. Default 1.2 s.
 	RetryAfter time.Duration
-	// BlockedRetryAfter is the longest Retry-After time of a request that is blocked, or whose
-	// prompt is. Default 30 s.
+	// BlockedRetryAfter is the Retry-After time of a request that is blocked, or whose prompt
+	// is. Default 30 s.
 	BlockedRetryAfter time.Duration
 }
 
@@ -147,6 +147,9 @@
 	PromptTokens, AnswerTokens float64
 	// Subject is what may crash a server in the request.
 	Subject poison.Subject
+	// Trial is set if the request is blocked, and let through to see whether it still crashes
+	// servers.
+	Trial bool
 	// Sends counts the sends so far. SentTo holds the backend servers that they went to;
 	// Route.MaxAttempts limits their number.
 	Sends  int
--- a/internal/dispatch/poison.go
+++ b/internal/dispatch/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
@@ -13,17 +14,28 @@
 // blocked part, or nil.
 func (c *Core) refuseBlocked(now time.Duration, r *Request) *verdict.Refusal {
 	b, blocked := c.Poison.Find(now, r.Subject)
-	if !blocked {
+	if !blocked || r.Trial {
+		return nil
+	}
+	if r.Sends == 0 && c.runsTrialsOf(b.Part) && c.Poison.BeginTrial(now, b.Part) {
+		r.Trial = true
 		return nil
 	}
 	cause, what := verdict.CausePromptBlocked, fmt.Sprintf("part %s of the prompt", b.Part)
 	if b.Part.IsRequest() {
 		cause, what = verdict.CauseRequestBlocked, "this request"
 	}
-	return &verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: min(c.cfg.BlockedRetryAfter, c.Poison.EndsAt(b)-now),
+	return &verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: c.cfg.BlockedRetryAfter,
 		Detail: fmt.Sprintf("%s crashes backend servers, blocked for %.1f s after %d crashes", what, (now - b.Since).Seconds(), b.Crashes)}
 }
 
+// runsTrialsOf reports whether this VM is the one that lets a blocked request through: the VMs
+// share few trials.
+func (c *Core) runsTrialsOf(part poison.Part) bool {
+	own := pairFraction(string(part), c.cfg.VM)
+	return !slices.ContainsFunc(c.peers, func(p Peer) bool { return pairFraction(string(part), p.VM) < own })
+}
+
 // RecordCrash records that the first server of a path reset the run of r, which was sent at
 // sentAt, before its second event if it is a stream. It returns what is blocked from now on.
 // A server that is leaving ends by plan.
--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -11,8 +11,8 @@
 // one crash.
 //
 // A request is known by its fingerprint, which its repetitions share. It is blocked after two
-// crashes if no other request was cut in both. If one was, both are blocked for some seconds
-// after the third, and the next crash tells which of them it was. Plain requests that were cut
+// crashes if no other request was cut in both, otherwise after three. A few trials, at growing
+// intervals, end the blocks of requests that were convicted by chance. Plain requests that were cut
 // in one crash are suspects: they follow each other at an interval, so that most crashes have
 // one cause. A lost connection is evidence only once the VM has heard from another server of the
 // service, or the server's record is gone: until then it is doubtful whether the server crashed
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -21,9 +21,12 @@
 	// BlockTTL is how long a part stays blocked after the last request with it at any VM.
 	// Default 15 min.
 	BlockTTL time.Duration
-	// AmbiguousTTL is how long a request stays blocked for crashes in which others were cut as
-	// well. Default 10 s.
-	AmbiguousTTL time.Duration
+	// TrialInterval is the time from the block of a request to its first trial. It grows
+	// tenfold with each trial. Default 10 s.
+	TrialInterval time.Duration
+	// MaxTrials bounds the trials of a blocked request, on all VMs together as far as they
+	// know of each other. Default 2.
+	MaxTrials int
 	// SuspicionDelay is the time from a crash until the first of the plain requests cut in it
 	// may be sent again: the other VMs must know the crash by then. Default 40 ms.
 	SuspicionDelay time.Duration
@@ -41,7 +44,7 @@
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
 	return Config{EvidenceTTL: 10 * time.Minute, MaxRuns: 256, MaxBlocked: 256, BlockTTL: 15 * time.Minute,
-		AmbiguousTTL: 10 * time.Second, SuspicionDelay: 40 * time.Millisecond, DoubtDelay: 250 * time.Millisecond, SuspectSpacing: 100 * time.Millisecond,
+		TrialInterval: 10 * time.Second, MaxTrials: 2, SuspicionDelay: 40 * time.Millisecond, DoubtDelay: 250 * time.Millisecond, SuspectSpacing: 100 * time.Millisecond,
 		MaxProgress: 4096, ShareTTL: 3 * time.Second}
 }
 
@@ -66,9 +69,13 @@
 	Since, Seen time.Duration
 	// Crashes is the number of crashes that led to the block; 0 if another VM found it.
 	Crashes int
-	// Ambiguous is set if other requests were cut in the same crashes. The block ends after
-	// Config.AmbiguousTTL, and one more crash decides.
+	// Ambiguous is set if other requests were cut in the same crashes: the block explains none
+	// of them.
 	Ambiguous bool
+	// Trials is how often the request has been let through since, to see whether it still
+	// crashes servers, and NextTrial when it may be again, on the VM's clock.
+	Trials    int
+	NextTrial time.Duration
 }
 
 // Guard holds what one VM knows of cut runs and blocked parts.
@@ -273,12 +280,26 @@
 	return b, blocked
 }
 
-// EndsAt returns when a block ends if no further request comes.
-func (g *Guard) EndsAt(b Block) time.Duration {
-	if b.Ambiguous {
-		return b.Since + g.cfg.AmbiguousTTL
+// BeginTrial reports whether a blocked request is let through now: one that was convicted by
+// chance would otherwise stay blocked as long as it comes.
+func (g *Guard) BeginTrial(now time.Duration, request Part) bool {
+	b, blocked := g.blocked[request]
+	if !blocked || !request.IsRequest() || b.Trials >= g.cfg.MaxTrials || now < b.NextTrial {
+		return false
 	}
-	return b.Seen + g.cfg.BlockTTL
+	b.Trials++
+	b.NextTrial = now + g.trialInterval(b.Trials)
+	g.blocked[request] = b
+	g.version++
+	return true
+}
+
+func (g *Guard) trialInterval(trials int) time.Duration {
+	interval := g.cfg.TrialInterval
+	for range trials {
+		interval *= 10
+	}
+	return interval
 }
 
 // Lift ends the block of a part, as an operator orders. It reports false if there is none.
@@ -309,7 +330,7 @@
 
 func (g *Guard) expire(now time.Duration) {
 	for part, b := range g.blocked {
-		if now > g.EndsAt(b) {
+		if now-b.Seen > g.cfg.BlockTTL {
 			delete(g.blocked, part)
 			g.version++
 		}
@@ -324,6 +345,10 @@
 // with the part has made progress since. It reports whether the block is new.
 func (g *Guard) Restore(now time.Duration, b Block) bool {
 	known, exists := g.blocked[b.Part]
+	if exists && b.Trials > known.Trials {
+		known.Trials, known.NextTrial = b.Trials, max(known.NextTrial, now+g.trialInterval(b.Trials))
+		g.blocked[b.Part] = known
+	}
 	if exists {
 		// Ages grow by the delay of each message, so small differences are ignored: two VMs
 		// would otherwise renew each other's blocks for ever.
@@ -333,9 +358,10 @@
 		}
 		return false
 	}
-	if g.lastProgress(b.Part) > b.Since || now > g.EndsAt(b) {
+	if g.lastProgress(b.Part) > b.Since || now-b.Seen > g.cfg.BlockTTL {
 		return false
 	}
+	b.NextTrial = max(b.NextTrial, b.Since+g.trialInterval(b.Trials))
 	g.addBlock(b)
 	return true
 }
--- a/internal/poison/requests.go
+++ b/internal/poison/requests.go
@@ -48,13 +48,17 @@
 func (g *Guard) judge(now time.Duration, request Part) (Block, bool) {
 	servers := g.crashesWith(request)
 	lone := g.loneSuspect(request, servers)
-	if _, known := g.blocked[request]; known {
+	if b, known := g.blocked[request]; known {
+		if b.Ambiguous && lone && len(servers) > b.Crashes {
+			b.Ambiguous = false // a trial has told it from the others
+			g.blocked[request] = b
+		}
 		return Block{}, false
 	}
 	if len(servers) < crashesOfLoneRequest || (!lone && len(servers) < crashesOfRequest) {
 		return Block{}, false
 	}
-	return Block{Part: request, Since: now, Seen: now, Crashes: len(servers), Ambiguous: !lone}, true
+	return Block{Part: request, Since: now, Seen: now, Crashes: len(servers), Ambiguous: !lone, NextTrial: now + g.cfg.TrialInterval}, true
 }
 
 // crashesWith returns the servers whose crashes cut the request, since its last progress and
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -37,6 +37,7 @@
 	Age       time.Duration `cbor:"2,keyasint"`
 	SeenAge   time.Duration `cbor:"3,keyasint"`
 	Ambiguous bool          `cbor:"4,keyasint,omitempty"`
+	Trials    int           `cbor:"5,keyasint,omitempty"`
 }
 
 // Update returns what to send to the other VMs now, nil if there is nothing. Blocked parts
@@ -58,7 +59,7 @@
 	}
 	for _, b := range g.Blocked(now) {
 		if len(u.Blocked) < maxSharedBlocks {
-			u.Blocked = append(u.Blocked, SharedBlock{Part: b.Part, Age: now - b.Since, SeenAge: now - b.Seen, Ambiguous: b.Ambiguous})
+			u.Blocked = append(u.Blocked, SharedBlock{Part: b.Part, Age: now - b.Since, SeenAge: now - b.Seen, Ambiguous: b.Ambiguous, Trials: b.Trials})
 		}
 	}
 	if len(u.Runs)+len(u.Progress)+len(u.Blocked) == 0 {
@@ -103,7 +104,7 @@
 	}
 	result.New, result.Unblocked = result.New || p.News, p.Unblocked
 	for _, b := range u.Blocked {
-		block := Block{Part: b.Part, Since: now - b.Age, Seen: now - b.SeenAge, Ambiguous: b.Ambiguous}
+		block := Block{Part: b.Part, Since: now - b.Age, Seen: now - b.SeenAge, Ambiguous: b.Ambiguous, Trials: b.Trials}
 		if b.Age >= 0 && b.SeenAge >= 0 && len(b.Part) <= maxPartBytes && g.Restore(now, block) {
 			result.New = true
 			result.Blocked = append(result.Blocked, block)
--- a/internal/router/blockedparts.go
+++ b/internal/router/blockedparts.go
@@ -30,11 +30,11 @@
 	Part poison.Part `json:"part"`
 	// SinceMs and SeenMs are when the part was blocked and when a request with it last
 	// arrived, in Unix milliseconds.
-	SinceMs int64 `json:"since_ms"`
-	SeenMs  int64 `json:"seen_ms"`
-	Crashes int   `json:"crashes,omitempty"`
-	// Ambiguous blocks end by themselves after some seconds.
-	Ambiguous bool `json:"ambiguous,omitempty"`
+	SinceMs   int64 `json:"since_ms"`
+	SeenMs    int64 `json:"seen_ms"`
+	Crashes   int   `json:"crashes,omitempty"`
+	Ambiguous bool  `json:"ambiguous,omitempty"`
+	Trials    int   `json:"trials,omitempty"`
 }
 
 // storedBlocks is what is known of the list in the store, from which VMs that start after
@@ -62,7 +62,7 @@
 	now, wall := r.clock.now(), time.Now()
 	age := func(ms int64) time.Duration { return max(0, wall.Sub(time.UnixMilli(ms))) }
 	for _, b := range list[:min(len(list), maxStoredBlocks)] {
-		restored := poison.Block{Part: b.Part, Since: now - age(b.SinceMs), Seen: now - age(b.SeenMs), Crashes: b.Crashes, Ambiguous: b.Ambiguous}
+		restored := poison.Block{Part: b.Part, Since: now - age(b.SinceMs), Seen: now - age(b.SeenMs), Crashes: b.Crashes, Ambiguous: b.Ambiguous, Trials: b.Trials}
 		if r.core.Poison.Restore(now, restored) {
 			r.logBlock(restored, "store")
 		}
@@ -76,7 +76,7 @@
 	now, wall := r.clock.now(), time.Now()
 	list = []blockedPart{}
 	for _, b := range r.core.Poison.Blocked(now) {
-		list = append(list, blockedPart{Part: b.Part, SinceMs: wall.Add(b.Since - now).UnixMilli(), SeenMs: wall.Add(b.Seen - now).UnixMilli(), Crashes: b.Crashes, Ambiguous: b.Ambiguous})
+		list = append(list, blockedPart{Part: b.Part, SinceMs: wall.Add(b.Since - now).UnixMilli(), SeenMs: wall.Add(b.Seen - now).UnixMilli(), Crashes: b.Crashes, Ambiguous: b.Ambiguous, Trials: b.Trials})
 	}
 	return list, r.core.Poison.Version()
 }
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -34,7 +34,7 @@
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
 	_, blocked := x.r.core.Poison.Find(x.r.clock.now(), x.req.Subject)
-	return blocked
+	return blocked && !x.req.Trial
 }
 
 // recordResponse records that a server responded to a request that was sent at sentAt.
@@ -84,7 +84,7 @@
 	if !crashed {
 		return true
 	}
-	if x.crashes >= maxCrashesPerRequest {
+	if x.crashes >= maxCrashesPerRequest || x.req.Trial {
 		return false
 	}
 	cutAt := x.r.clock.now()
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -215,10 +215,14 @@
 func (x *exchange) choose() (*dispatch.Choice, *verdict.Refusal) {
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
+	wasTrial := x.req.Trial
 	ch, refusal := x.r.core.Choose(x.r.clock.now(), &x.req)
 	if ch != nil {
 		x.held[ch] = struct{}{}
 	}
+	if x.req.Trial && !wasTrial {
+		x.r.log.Warn().Str("request", x.req.ID).Str("fingerprint", x.fingerprint).Msg("blocked request sent to see whether it still crashes backend servers")
+	}
 	return ch, refusal
 }
 
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -42,7 +42,7 @@
 	defer r.mu.Unlock()
 	now := r.clock.now()
 	if _, blocked := r.core.Poison.Find(now, x.req.Subject); blocked {
-		return true // to be refused
+		return true // to be refused, or tried
 	}
 	at, suspect := r.core.Poison.SendAfter(x.req.Subject.Request)
 	switch {
