--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -161,9 +161,10 @@
 }
 
 const (
-	// deadlyPart is a part of prompts that crashes servers.
+	// deadlyPart is a part of prompts that crashes servers, deadlyURI a request that does.
 	deadlyPart = "deadly"
-	// deadlyInterval is the interval of requests with it.
+	deadlyURI  = "/idempotent/deadly"
+	// deadlyInterval is the interval of requests with either.
 	deadlyInterval = 250 * time.Millisecond
 )
 
@@ -173,7 +174,11 @@
 		c.requests++
 		id := fmt.Sprintf("%s-%d", c.name, c.requests)
 		requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
-		if resp := c.post(requestCtx, id, "/pufi791/x", fmt.Sprintf("s%dc0:40,%s:100,own-%s:20", c.run.seed, deadlyPart, id)); resp != nil {
+		uri, parts := "/pufi791/x", fmt.Sprintf("s%dc0:40,%s:100,own-%s:20", c.run.seed, deadlyPart, id)
+		if c.requests%2 == 0 {
+			uri, parts = deadlyURI, ""
+		}
+		if resp := c.post(requestCtx, id, uri, parts); resp != nil {
 			resp.Body.Close()
 		}
 		cancel()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -28,7 +28,7 @@
 	for range faultsPerRun {
 		at := time.Duration(r.rng.Int64N(int64(faultWindow)))
 		duration := 200*time.Millisecond + time.Duration(r.rng.Int64N(int64(maxExtraDuration)))
-		kinds := []func(time.Duration) fault{r.vmFault, r.serverFault, r.linkFault, r.storeFault}
+		kinds := []func(time.Duration) fault{r.vmFault, r.serverFault, r.linkFault, r.storeFault, r.partitionFault}
 		f := kinds[r.rng.IntN(len(kinds))](duration)
 		f.at = at
 		f.name = fmt.Sprintf("%v %s for %v", at.Round(time.Millisecond), f.name, duration.Round(time.Millisecond))
@@ -149,6 +149,24 @@
 	return fault{name: name + ": " + []string{"reset", "delayed", "blocked in one direction", "silent"}[kind], inject: inject}
 }
 
+// partitionFault cuts some VMs, but not all, off from all servers.
+func (r *run) partitionFault(duration time.Duration) fault {
+	first, count := r.rng.IntN(len(r.vms)), 1+r.rng.IntN(len(r.vms)-1)
+	kind := r.rng.IntN(3)
+	inject := func() {
+		r.setLinks(first, count, []standin.Link{standin.LinkSilent, standin.LinkReset, standin.LinkRefuse}[kind])
+		time.Sleep(2 * duration)
+		r.setLinks(first, count, standin.LinkUp)
+	}
+	return fault{name: fmt.Sprintf("%d VMs from %s on cut off from all servers (%s, twice the time)", count, r.vms[first].name, []string{"silent", "reset", "refused"}[kind]), inject: inject}
+}
+
+func (r *run) setLinks(first, count int, link standin.Link) {
+	for i := range count {
+		r.backends.SetLink(r.vms[(first+i)%len(r.vms)].host, link)
+	}
+}
+
 func (r *run) storeFault(duration time.Duration) fault {
 	switch r.rng.IntN(4) {
 	case 3:
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -52,7 +52,9 @@
 		in.Close()
 		return
 	}
-	c, err := net.Dial("tcp4", p.target)
+	// The target sees the address of the VM, which has links of its own.
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: in.RemoteAddr().(*net.TCPAddr).IP}}
+	c, err := dialer.Dial("tcp4", p.target)
 	if err != nil {
 		_ = in.SetLinger(0) // resets, as a port without a listener does
 		in.Close()
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -213,7 +213,7 @@
 	log, err := os.OpenFile(filepath.Join(v.run.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(v.run.t, err)
 	cmd := exec.Command(binary)
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settingsFile)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settingsFile, "CATKIN_BIND_OUTGOING=true")
 	cmd.Stdout, cmd.Stderr = log, log
 	require.NoError(v.run.t, startOnOneThread(cmd))
 	done := make(chan struct{})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -76,9 +76,11 @@
 	}
 	deadlyCtx, stopDeadly := context.WithCancel(ctx)
 	r.backends.CrashOnPart(deadlyPart, func(s *standin.Server) { go r.replaceCrashed(s) })
+	r.backends.CrashOnPath(deadlyURI, standin.CrashReset, func(s *standin.Server) { go r.replaceCrashed(s) })
 	callers.Go(func() { newCaller(r, callersPerRun).sendDeadlyRequests(deadlyCtx) })
 	r.injectFaults()
-	r.checkCrashes()
+	r.checkCrashes("prompts with one part", r.backends.CrashTimes(false), blockingCrashes)
+	r.checkCrashes("one plain request", r.backends.CrashTimes(true), blockingCrashesOfRequest)
 	stopDeadly()
 	shareDuringFaults := r.results.resetCounts()
 	time.Sleep(settleTime)
@@ -177,28 +179,29 @@
 }
 
 const (
-	// blockingCrashes is the number of crashes after which the requests that cause them must
-	// reach no server any more, contactBound later and but for lateDeadlyRequests.
-	blockingCrashes    = 5
-	contactBound       = 3 * time.Second
-	lateDeadlyRequests = 3
+	// blockingCrashes and blockingCrashesOfRequest are the numbers of crashes after which the
+	// requests that cause them must reach no server any more, contactBound later and but for
+	// lateDeadlyRequests.
+	blockingCrashes          = 5
+	blockingCrashesOfRequest = 3
+	contactBound             = 3 * time.Second
+	lateDeadlyRequests       = 3
 )
 
-// checkCrashes checks that requests with one part have crashed few servers.
-func (r *run) checkCrashes() {
-	crashes := r.backends.CrashTimes()
-	r.t.Logf("%d servers crashed by requests", len(crashes))
-	if len(crashes) < blockingCrashes {
+// checkCrashes checks that requests that cause crashes reach few servers after a number of them.
+func (r *run) checkCrashes(cause string, crashes []time.Time, blocking int) {
+	r.t.Logf("%d servers crashed by %s", len(crashes), cause)
+	if len(crashes) < blocking {
 		return
 	}
 	late := 0
-	for _, at := range crashes[blockingCrashes:] {
-		if at.Sub(crashes[blockingCrashes-1]) > contactBound {
+	for _, at := range crashes[blocking:] {
+		if at.Sub(crashes[blocking-1]) > contactBound {
 			late++
 		}
 	}
 	if late > lateDeadlyRequests {
-		r.results.addViolation("%d servers crashed later than %v after the fifth crash", late, contactBound)
+		r.results.addViolation("%d servers crashed by %s later than %v after crash %d", late, cause, contactBound, blocking)
 	}
 }
 
