poison: a request that makes replicas die silently is stopped

A replica that a request ends without a sign only lets it time out, which was no evidence: six of six repetitions ended a replica each in the new test. A plain request without a response until its deadline is now doubtful evidence, and confirmed if the store drops the server's record within 6 s, or has dropped it meanwhile. A replica that hangs and goes on convicts nothing.

--- a/internal/dispatch/poison.go
+++ b/internal/dispatch/poison.go
@@ -38,14 +38,18 @@
 
 // RecordCrash records that the first server of a path reset the run of r, which was sent at
 // sentAt, before its second event if it is a stream. It returns what is blocked from now on.
-// A server that is leaving ends by plan.
-func (c *Core) RecordCrash(now, sentAt time.Duration, r *Request, in backend.Instance) []poison.Block {
+// A server that is leaving ends by plan. A server that was only silent has crashed if its
+// record is gone by now, or soon is.
+func (c *Core) RecordCrash(now, sentAt time.Duration, r *Request, in backend.Instance, silent bool) []poison.Block {
 	s := c.Backends.Get(in.ID)
-	if s == nil || s.State != backend.Ready {
+	gone := s == nil
+	if (gone && !silent) || (!gone && s.State != backend.Ready) {
 		return nil
 	}
-	c.unconfirmed.add(unconfirmedFailure{key: LoadKey(in), service: s.Service, at: now, crash: true})
-	return c.Poison.RecordCrash(now, poison.CutRun{Server: uint32(LoadKey(in)), Subject: r.Subject, SentAt: sentAt, EndedAt: now, Doubtful: true})
+	if !silent {
+		c.unconfirmed.add(unconfirmedFailure{key: LoadKey(in), service: s.Service, at: now, crash: true})
+	}
+	return c.Poison.RecordCrash(now, poison.CutRun{Server: uint32(LoadKey(in)), Subject: r.Subject, SentAt: sentAt, EndedAt: now, Doubtful: !gone})
 }
 
 // RecordResponse records that a server responded to a request that was sent at sentAt, so
--- a/internal/dispatch/unconfirmed_test.go
+++ b/internal/dispatch/unconfirmed_test.go
@@ -37,7 +37,7 @@
 	r.Subject.Request = poison.RequestPart("popular")
 	crash := func(at time.Duration, id string) {
 		s := c.Backends.Get(backend.ID(id))
-		c.RecordCrash(at, at-10*time.Millisecond, r, s.Instance())
+		c.RecordCrash(at, at-10*time.Millisecond, r, s.Instance(), false)
 	}
 	blocked := func(now time.Duration) bool {
 		c.ConfirmCrashes(now)
@@ -59,7 +59,7 @@
 	r.Subject.Request = poison.RequestPart("deadly")
 	for i, id := range []string{"app0", "app1"} {
 		at := time.Duration(i+1) * 100 * time.Millisecond
-		c.RecordCrash(at, at-10*time.Millisecond, r, c.Backends.Get(backend.ID(id)).Instance())
+		c.RecordCrash(at, at-10*time.Millisecond, r, c.Backends.Get(backend.ID(id)).Instance(), i == 0)
 	}
 	c.Backends.Remove(time.Second, "app0", false)
 	c.Backends.Remove(time.Second, "app1", false)
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -32,6 +32,9 @@
 	SuspicionDelay time.Duration
 	// DoubtDelay is that time for a crash that is doubtful. Default 250 ms.
 	DoubtDelay time.Duration
+	// ConfirmTTL is how long after a crash it can be confirmed. It covers the time until the
+	// record of a server that has died without a sign expires. Default 6 s.
+	ConfirmTTL time.Duration
 	// SuspectSpacing is the interval at which the others follow, so that at most one of them
 	// runs when the next server crashes. Default 100 ms.
 	SuspectSpacing time.Duration
@@ -44,7 +47,7 @@
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
 	return Config{EvidenceTTL: 10 * time.Minute, MaxRuns: 256, MaxBlocked: 256, BlockTTL: 15 * time.Minute,
-		TrialInterval: 10 * time.Second, MaxTrials: 2, SuspicionDelay: 40 * time.Millisecond, DoubtDelay: 250 * time.Millisecond, SuspectSpacing: 100 * time.Millisecond,
+		TrialInterval: 10 * time.Second, MaxTrials: 2, SuspicionDelay: 40 * time.Millisecond, DoubtDelay: 250 * time.Millisecond, ConfirmTTL: 6 * time.Second, SuspectSpacing: 100 * time.Millisecond,
 		MaxProgress: 4096, ShareTTL: 3 * time.Second}
 }
 
@@ -123,12 +126,12 @@
 	return g.blockParts(now, run.Prompt)
 }
 
-// Confirm removes the doubt about the runs that were cut in the crashes of some servers, and
-// returns what is blocked from now on.
+// Confirm removes the doubt about the runs that were cut in the crashes of some servers within
+// Config.ConfirmTTL, and returns what is blocked from now on.
 func (g *Guard) Confirm(now time.Duration, crashed func(server uint32) bool) Result {
 	var result Result
 	for i := range g.runs {
-		if r := &g.runs[i]; r.Doubtful && crashed(r.Server) {
+		if r := &g.runs[i]; r.Doubtful && now-r.EndedAt <= g.cfg.ConfirmTTL && crashed(r.Server) {
 			r.Doubtful, result.New = false, true
 			result.Blocked = append(result.Blocked, g.block(now, *r)...)
 		}
--- a/internal/router/crashing_request_test.go
+++ b/internal/router/crashing_request_test.go
@@ -148,3 +148,13 @@
 	}
 	require.Equal(t, http.StatusOK, repeat())
 }
+
+func TestRequestThatMakesReplicasDieSilentlyIsStopped(t *testing.T) {
+	t.Parallel()
+	s, _, repeat := deadlySite(t, "GET", "/idempotent/deadly", standin.CrashSilent)
+	for range 6 {
+		repeat()
+	}
+	require.LessOrEqual(t, s.backends.Crashes(), maxCrashes)
+	require.Equal(t, http.StatusServiceUnavailable, repeat())
+}
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -53,17 +53,18 @@
 	x.r.applyBlocks(poison.Result{New: p.News, Unblocked: p.Unblocked}, x.r.settings.VM)
 }
 
-// recordCrash records a send that failed because its server reset the connection, if the
-// request may be the cause. It reports whether it may.
+// recordCrash records a send that failed because its server reset the connection or did not
+// respond at all, if the request may be the cause. It reports whether it may.
 func (x *exchange) recordCrash(s *sendResult) bool {
 	now := x.r.clock.now()
 	otherFault := s.faultAddr != "" && s.faultAddr != s.choice.Target().Addr
-	if x.sound || s.cancelled || otherFault || !x.isReset(s.err, now-s.sentAt) {
+	silent := x.isSilent(s.err)
+	if x.sound || s.cancelled || otherFault || !(silent || x.isReset(s.err, now-s.sentAt)) {
 		return false
 	}
 	x.crashes++
 	var blocked []poison.Block
-	x.r.locked(func() { blocked = x.r.core.RecordCrash(now, s.sentAt, &x.req, s.choice.Target().Instance) })
+	x.r.locked(func() { blocked = x.r.core.RecordCrash(now, s.sentAt, &x.req, s.choice.Target().Instance, silent) })
 	x.r.applyBlocks(poison.Result{New: true, Blocked: blocked}, x.r.settings.VM)
 	return true
 }
@@ -78,6 +79,12 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// isSilent reports whether a plain request was sent and had no response until its deadline.
+func (x *exchange) isSilent(err error) bool {
+	var e *httpcall.Error
+	return x.req.Route.Kind != routes.Stream && errors.As(err, &e) && e.Kind == httpcall.KindTimeout && e.Sent == httpcall.MayHaveArrived
+}
+
 // mayRepeatAfterCrash reports whether a request may be sent once more. After a crash that it
 // may have caused, it waits until other requests with its shared parts have made progress.
 func (x *exchange) mayRepeatAfterCrash(crashed bool) bool {
