--- a/internal/reach/peers.go
+++ b/internal/reach/peers.go
@@ -82,7 +82,7 @@
 	return isNew
 }
 
-// cutServices returns the hashes of the services whose servers this VM does not reach.
+// cutServices returns the hashes of the services whose servers this VM does not reach, sorted.
 func (c *Core) cutServices() []uint32 {
 	var out []uint32
 	for name, s := range c.services {
@@ -90,6 +90,7 @@
 			out = append(out, serviceHash(name))
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
--- a/internal/reach/peers_test.go
+++ b/internal/reach/peers_test.go
@@ -30,6 +30,22 @@
 	require.Empty(t, own.Share(3*time.Second, "cut", cutVM))
 }
 
+// The order of the services changed with each message, and each change was passed on at once.
+func TestUnchangedCutsAreNoNews(t *testing.T) {
+	cutVM := New(DefaultConfig())
+	for i := range 8 {
+		service := fmt.Sprint("service-", i)
+		cutVM.Probes(0, service, []backend.ID{"a"}, 0)
+		cutVM.Failed(0, service, "a", NoConnection)
+	}
+	own, other := NewPeers(), NewPeers()
+	require.True(t, other.Receive(0, "other", own.Share(0, "cut", cutVM)))
+	for i := range 100 {
+		now := time.Duration(i+1) * 10 * ms
+		require.False(t, other.Receive(now, "other", own.Share(now, "cut", cutVM)))
+	}
+}
+
 func TestCutOfSilentVMIsForgotten(t *testing.T) {
 	p := NewPeers()
 	require.True(t, p.Receive(0, "self", map[string]Cut{"cut": {Services: []uint32{serviceHash(name)}}}))
