poison: blocked prompt parts are tried again as blocked requests are

With two trials a part that crashes servers ends at most two more, of the five and three that the platform allows.

--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -11,14 +11,15 @@
 // one crash.
 //
 // A request is known by its fingerprint, which its repetitions share. It is blocked after two
-// crashes if no other request was cut in both, otherwise after three. A few trials, at growing
-// intervals, end the blocks of requests that were convicted by chance. Plain requests that were cut
+// crashes if no other request was cut in both, otherwise after three. Plain requests that were cut
 // in one crash are suspects: they follow each other at an interval, so that most crashes have
 // one cause. A lost connection is evidence only once the VM has heard from another server of the
 // service, or the server's record is gone: until then it is doubtful whether the server crashed
 // or the VM's own links failed. A server that responds to a request sent after its crash has not crashed; only
 // its connections were lost.
 //
+// A few trials, at growing intervals, end the blocks of what was convicted by chance.
+//
 // Repetitions come at any VM. The VMs exchange crashes, clearances and blocks in Updates, so
 // that all of them decide on the same evidence.
 //
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -16,7 +16,7 @@
 		e := g.evidence(part)
 		needCrashes, needPrompts := prompt.crashesToBlock(part, g.lastProgress(part) != never)
 		if e.crashes >= needCrashes && len(e.prompts) >= needPrompts && e.explainsMost() {
-			b := Block{Part: part, Since: now, Seen: now, Crashes: e.crashes}
+			b := Block{Part: part, Since: now, Seen: now, Crashes: e.crashes, NextTrial: now + g.cfg.TrialInterval}
 			g.addBlock(b)
 			out = append(out, b)
 		}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -21,10 +21,10 @@
 	// BlockTTL is how long a part stays blocked after the last request with it at any VM.
 	// Default 15 min.
 	BlockTTL time.Duration
-	// TrialInterval is the time from the block of a request to its first trial. It grows
+	// TrialInterval is the time from a block to its first trial. It grows
 	// tenfold with each trial. Default 10 s.
 	TrialInterval time.Duration
-	// MaxTrials bounds the trials of a blocked request, on all VMs together as far as they
+	// MaxTrials bounds the trials of a block, on all VMs together as far as they
 	// know of each other. Default 2.
 	MaxTrials int
 	// SuspicionDelay is the time from a crash until the first of the plain requests cut in it
@@ -75,8 +75,8 @@
 	// Ambiguous is set if other requests were cut in the same crashes: the block explains none
 	// of them.
 	Ambiguous bool
-	// Trials is how often the request has been let through since, to see whether it still
-	// crashes servers, and NextTrial when it may be again, on the VM's clock.
+	// Trials is how often a request with the part has been let through since, to see whether it
+	// still crashes servers, and NextTrial when one may be again, on the VM's clock.
 	Trials    int
 	NextTrial time.Duration
 }
@@ -283,16 +283,16 @@
 	return b, blocked
 }
 
-// BeginTrial reports whether a blocked request is let through now: one that was convicted by
-// chance would otherwise stay blocked as long as it comes.
-func (g *Guard) BeginTrial(now time.Duration, request Part) bool {
-	b, blocked := g.blocked[request]
-	if !blocked || !request.IsRequest() || b.Trials >= g.cfg.MaxTrials || now < b.NextTrial {
+// BeginTrial reports whether a request with a blocked part is let through now: a part that was
+// convicted by chance would otherwise stay blocked as long as requests with it come.
+func (g *Guard) BeginTrial(now time.Duration, part Part) bool {
+	b, blocked := g.blocked[part]
+	if !blocked || b.Trials >= g.cfg.MaxTrials || now < b.NextTrial {
 		return false
 	}
 	b.Trials++
 	b.NextTrial = now + g.trialInterval(b.Trials)
-	g.blocked[request] = b
+	g.blocked[part] = b
 	g.version++
 	return true
 }
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -204,3 +204,17 @@
 	require.False(t, result.New)
 	require.Empty(t, result.Blocked)
 }
+
+// A caller's first part was blocked for good after crashes that other requests caused.
+func TestPartThatWasConvictedByChanceIsUnblockedByATrial(t *testing.T) {
+	g := New(DefaultConfig())
+	for i := range 3 {
+		recordAll(g, cut(uint32(i), 200*i, 200*i+100, "first", fmt.Sprint("topic", i), fmt.Sprint("own", i)))
+	}
+	_, blocked := g.Find(second, subject("first", "topic", "own"))
+	require.True(t, blocked)
+	require.False(t, g.BeginTrial(second, "first"))
+	now := second + DefaultConfig().TrialInterval
+	require.True(t, g.BeginTrial(now, "first"))
+	require.Equal(t, []Part{"first"}, g.RecordProgress(now+second, subject("first", "topic", "own")).Unblocked)
+}
