--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -18,6 +18,7 @@
 
 const (
 	faultsPerRun     = 7
+	partitionsPerRun = 2
 	faultWindow      = 7 * time.Second
 	maxExtraDuration = 2500 * time.Millisecond
 )
@@ -28,15 +29,24 @@
 	for range faultsPerRun {
 		at := time.Duration(r.rng.Int64N(int64(faultWindow)))
 		duration := 200*time.Millisecond + time.Duration(r.rng.Int64N(int64(maxExtraDuration)))
-		kinds := []func(time.Duration) fault{r.vmFault, r.serverFault, r.linkFault, r.storeFault, r.partitionFault}
-		f := kinds[r.rng.IntN(len(kinds))](duration)
-		f.at = at
-		f.name = fmt.Sprintf("%v %s for %v", at.Round(time.Millisecond), f.name, duration.Round(time.Millisecond))
-		out = append(out, f)
+		kinds := []func(time.Duration) fault{r.vmFault, r.serverFault, r.linkFault, r.storeFault}
+		out = append(out, r.drawn(kinds[r.rng.IntN(len(kinds))], at, duration))
+	}
+	for range partitionsPerRun { // drawn last, so that the others of a seed stay the same
+		at := time.Duration(r.rng.Int64N(int64(faultWindow)))
+		duration := 200*time.Millisecond + time.Duration(r.rng.Int64N(int64(maxExtraDuration)))
+		out = append(out, r.drawn(r.partitionFault, at, duration))
 	}
 	return out
 }
 
+func (r *run) drawn(kind func(time.Duration) fault, at, duration time.Duration) fault {
+	f := kind(duration)
+	f.at = at
+	f.name = fmt.Sprintf("%v %s for %v", at.Round(time.Millisecond), f.name, duration.Round(time.Millisecond))
+	return f
+}
+
 func (r *run) vmFault(duration time.Duration) fault {
 	v := r.vms[r.rng.IntN(len(r.vms))]
 	switch r.rng.IntN(5) {
