--- a/internal/dispatch/peers_test.go
+++ b/internal/dispatch/peers_test.go
@@ -28,7 +28,7 @@
 	for _, s := range c.Backends.ByService(service) {
 		ids = append(ids, s.ID)
 	}
-	c.Reach.Probes(0, service, ids, 0)
+	c.Reach.SetServers(0, service, len(ids))
 	for _, id := range ids[:3] {
 		c.Reach.Failed(0, service, id, how)
 	}
--- a/internal/reach/peers_test.go
+++ b/internal/reach/peers_test.go
@@ -6,13 +6,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/catkinstair/catkinstair/internal/backend"
 )
 
 func TestCutReachesOtherVMsAndEnds(t *testing.T) {
 	cutVM := New(DefaultConfig())
-	cutVM.Probes(0, name, []backend.ID{"a"}, 0)
+	cutVM.SetServers(0, name, 1)
 	cutVM.Failed(0, name, "a", NoConnection)
 	own, aggregator, other := NewPeers(), NewPeers(), NewPeers()
 	sound := New(DefaultConfig())
@@ -35,7 +33,7 @@
 	cutVM := New(DefaultConfig())
 	for i := range 8 {
 		service := fmt.Sprint("service-", i)
-		cutVM.Probes(0, service, []backend.ID{"a"}, 0)
+		cutVM.SetServers(0, service, 1)
 		cutVM.Failed(0, service, "a", NoConnection)
 	}
 	own, other := NewPeers(), NewPeers()
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -119,6 +119,11 @@
 	s.doubted = false
 }
 
+// SetServers sets how many servers of a service are known.
+func (c *Core) SetServers(now time.Duration, name string, servers int) {
+	c.service(now, name).servers = servers
+}
+
 // Failed records that a server failed, and reports whether the VM counts as cut off from now
 // on.
 func (c *Core) Failed(now time.Duration, name string, server backend.ID, how Failure) bool {
@@ -161,25 +166,26 @@
 	}
 }
 
-// Probes returns the servers of a service to probe now. servers are all of them, in a fixed
-// order; runs is how many runs of this VM they have that have begun to answer.
-func (c *Core) Probes(now time.Duration, name string, servers []backend.ID, runs int) []backend.ID {
+// Probes returns the servers of a service to probe now. list returns all of them, in a fixed
+// order, and is called only if some may have to be; runs is how many runs of this VM they have
+// that have begun to answer.
+func (c *Core) Probes(now time.Duration, name string, list func() []backend.ID, runs int) []backend.ID {
 	s := c.service(now, name)
+	if s.cutOff && now < s.probeAt || !s.cutOff && !c.inDoubt(now, s, runs) {
+		return nil
+	}
+	servers := list()
 	s.servers = len(servers)
 	switch {
 	case len(servers) == 0:
 		return nil
 	case s.cutOff:
-		if now < s.probeAt {
-			return nil
-		}
 		s.probeAt = now + c.cfg.ProbeInterval
 		s.next = (s.next + 1) % len(servers)
 		return servers[s.next : s.next+1]
-	case c.inDoubt(now, s, runs):
+	default:
 		return c.unprobed(now, s, servers)
 	}
-	return nil
 }
 
 func (c *Core) inDoubt(now time.Duration, s *service, runs int) bool {
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -87,7 +87,7 @@
 		if svc.Engine != nil {
 			uri = platform.ReportURI
 		}
-		for _, id := range r.core.Reach.Probes(now, name, r.readyServers(name), a.runs) {
+		for _, id := range r.core.Reach.Probes(now, name, func() []backend.ID { return r.readyServers(name) }, a.runs) {
 			out = append(out, probe{name, id, r.core.Backends.Get(id).Addr, uri})
 		}
 	}
@@ -155,6 +155,7 @@
 	}
 	cutOff := false
 	r.locked(func() {
+		r.core.Reach.SetServers(r.clock.now(), service, len(r.core.Backends.ByService(service)))
 		if cutOff = r.core.Reach.Failed(r.clock.now(), service, server, how); cutOff {
 			r.updateFitness()
 		}
