--- a/internal/router/crashing_request_test.go
+++ b/internal/router/crashing_request_test.go
@@ -103,26 +103,34 @@
 	}
 }
 
-func TestRequestThatCrashesReplicasInTheMiddleOfAnswersIsStopped(t *testing.T) {
-	t.Parallel()
-	s, _, repeat := deadlySite(t, "GET", "/idempotent/deadly", standin.CrashHalfway)
-	for range 8 {
+// requireStopped repeats a request that crashes replicas and requires that few of them end.
+func requireStopped(t *testing.T, s *site, repetitions int, repeat func() int) {
+	t.Helper()
+	for range repetitions {
 		repeat()
 	}
 	require.LessOrEqual(t, s.backends.Crashes(), maxCrashes)
 	require.Equal(t, http.StatusServiceUnavailable, repeat())
 }
 
+func TestRequestThatCrashesReplicasInTheMiddleOfAnswersIsStopped(t *testing.T) {
+	t.Parallel()
+	s, _, repeat := deadlySite(t, "GET", "/idempotent/deadly", standin.CrashHalfway)
+	requireStopped(t, s, 8, repeat)
+}
+
 func TestAtMostOnceRequestThatCrashesReplicasIsStoppedWithoutRetries(t *testing.T) {
 	t.Parallel()
 	s, _, repeat := deadlySite(t, "POST", "/non_idempotent/deadly", standin.CrashReset)
 	require.Equal(t, http.StatusBadGateway, repeat())
 	require.Equal(t, 1, s.backends.Runs("deadly-1"))
-	for range 8 {
-		repeat()
-	}
-	require.LessOrEqual(t, s.backends.Crashes(), maxCrashes)
-	require.Equal(t, http.StatusServiceUnavailable, repeat())
+	requireStopped(t, s, 8, repeat)
+}
+
+func TestRequestThatMakesReplicasDieSilentlyIsStopped(t *testing.T) {
+	t.Parallel()
+	s, _, repeat := deadlySite(t, "GET", "/idempotent/deadly", standin.CrashSilent)
+	requireStopped(t, s, 6, repeat)
 }
 
 func TestOperatorLiftsBlockOnAllVMs(t *testing.T) {
@@ -148,13 +156,3 @@
 	}
 	require.Equal(t, http.StatusOK, repeat())
 }
-
-func TestRequestThatMakesReplicasDieSilentlyIsStopped(t *testing.T) {
-	t.Parallel()
-	s, _, repeat := deadlySite(t, "GET", "/idempotent/deadly", standin.CrashSilent)
-	for range 6 {
-		repeat()
-	}
-	require.LessOrEqual(t, s.backends.Crashes(), maxCrashes)
-	require.Equal(t, http.StatusServiceUnavailable, repeat())
-}
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -115,6 +115,7 @@
 	r.recordControlCall(p.addr)
 	err := r.controlClient.Do(p.addr, req, resp, httpcall.Within(r.cfg.Dispatch.Reach.ProbeTimeout).WithNewConnection())
 	if err != nil {
+		r.log.Info().Err(err).Str("service", p.service).Str("server", string(p.server)).Msg("server does not respond to a probe")
 		r.recordServerFailed(p.service, p.server, err)
 		return
 	}
