--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -135,7 +135,7 @@
 	if s.cutOff || s.servers == 0 || len(s.failed) < min(c.cfg.MinServers, s.servers) {
 		return false
 	}
-	s.cutOff, s.probeAt = true, now+c.cfg.ProbeInterval
+	s.cutOff, s.probeAt = true, now // failures that a pause of the VM has caused are over
 	return true
 }
 
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -173,8 +173,14 @@
 	})
 }
 
-// moveSilentStreams resumes the silent streams of a service through other VMs.
+// moveSilentStreams resumes the silent streams of a service through other VMs if this VM is
+// still cut off.
 func (r *Router) moveSilentStreams(service string) {
+	cutOff := false
+	r.locked(func() { cutOff = r.core.Reach.CutOff(service) })
+	if !cutOff {
+		return
+	}
 	for _, st := range r.streams.silent(service, r.cfg.Dispatch.Reach.MaxSilence) {
 		st.cancelCurrentRun(st.choice().Target().Addr)
 	}
