poison: the first trial of a block that is beyond doubt waits for 2 min

Ambiguous blocks are tried after 10 s as before. Runs that were sent to a dead server are no evidence against parts of prompts either.

--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -16,7 +16,7 @@
 		e := g.evidence(part)
 		needCrashes, needPrompts := prompt.crashesToBlock(part, g.lastProgress(part) != never)
 		if e.crashes >= needCrashes && len(e.prompts) >= needPrompts && e.explainsMost() {
-			b := Block{Part: part, Since: now, Seen: now, Crashes: e.crashes, NextTrial: now + g.cfg.TrialInterval}
+			b := Block{Part: part, Since: now, Seen: now, Crashes: e.crashes}
 			g.addBlock(b)
 			out = append(out, b)
 		}
@@ -59,7 +59,7 @@
 	var lastCrash time.Duration
 	for _, r := range g.runs {
 		hasPart := slices.Contains(r.Prompt, part)
-		if r.Doubtful || len(r.Prompt) == 0 || r.EndedAt <= last || (e.crashes == 0 && !hasPart) || g.explained(r) {
+		if r.Doubtful || len(r.Prompt) == 0 || g.sentToDead(r) || r.EndedAt <= last || (e.crashes == 0 && !hasPart) || g.explained(r) {
 			continue
 		}
 		e.servers[r.Server] = e.servers[r.Server] || hasPart
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -21,9 +21,11 @@
 	// BlockTTL is how long a part stays blocked after the last request with it at any VM.
 	// Default 15 min.
 	BlockTTL time.Duration
-	// TrialInterval is the time from a block to its first trial. It grows
-	// tenfold with each trial. Default 10 s.
+	// TrialInterval is the time from a block to its first trial. It grows tenfold with each
+	// trial. Default 2 min.
 	TrialInterval time.Duration
+	// AmbiguousTrialInterval is that time for an ambiguous block. Default 10 s.
+	AmbiguousTrialInterval time.Duration
 	// MaxTrials bounds the trials of a block, on all VMs together as far as they
 	// know of each other. Default 2.
 	MaxTrials int
@@ -47,7 +49,7 @@
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
 	return Config{EvidenceTTL: 10 * time.Minute, MaxRuns: 256, MaxBlocked: 256, BlockTTL: 15 * time.Minute,
-		TrialInterval: 10 * time.Second, MaxTrials: 2, SuspicionDelay: 40 * time.Millisecond, DoubtDelay: 250 * time.Millisecond, ConfirmTTL: 6 * time.Second, SuspectSpacing: 100 * time.Millisecond,
+		TrialInterval: 2 * time.Minute, AmbiguousTrialInterval: 10 * time.Second, MaxTrials: 2, SuspicionDelay: 40 * time.Millisecond, DoubtDelay: 250 * time.Millisecond, ConfirmTTL: 6 * time.Second, SuspectSpacing: 100 * time.Millisecond,
 		MaxProgress: 4096, ShareTTL: 3 * time.Second}
 }
 
@@ -291,15 +293,19 @@
 		return false
 	}
 	b.Trials++
-	b.NextTrial = now + g.trialInterval(b.Trials)
+	b.NextTrial = now + g.trialInterval(b)
 	g.blocked[part] = b
 	g.version++
 	return true
 }
 
-func (g *Guard) trialInterval(trials int) time.Duration {
+// trialInterval returns the time from a block, or its last trial, to the next one.
+func (g *Guard) trialInterval(b Block) time.Duration {
 	interval := g.cfg.TrialInterval
-	for range trials {
+	if b.Ambiguous {
+		interval = g.cfg.AmbiguousTrialInterval
+	}
+	for range b.Trials {
 		interval *= 10
 	}
 	return interval
@@ -349,7 +355,7 @@
 func (g *Guard) Restore(now time.Duration, b Block) bool {
 	known, exists := g.blocked[b.Part]
 	if exists && b.Trials > known.Trials {
-		known.Trials, known.NextTrial = b.Trials, max(known.NextTrial, now+g.trialInterval(b.Trials))
+		known.Trials, known.NextTrial = b.Trials, max(known.NextTrial, now+g.trialInterval(b))
 		g.blocked[b.Part] = known
 	}
 	if exists {
@@ -364,12 +370,12 @@
 	if g.lastProgress(b.Part) > b.Since || now-b.Seen > g.cfg.BlockTTL {
 		return false
 	}
-	b.NextTrial = max(b.NextTrial, b.Since+g.trialInterval(b.Trials))
 	g.addBlock(b)
 	return true
 }
 
 func (g *Guard) addBlock(b Block) {
+	b.NextTrial = b.Since + g.trialInterval(b)
 	if len(g.blocked) >= g.cfg.MaxBlocked {
 		oldest := slices.MinFunc(slices.Collect(maps.Values(g.blocked)), func(a, b Block) int { return int(a.Seen - b.Seen) })
 		delete(g.blocked, oldest.Part)
--- a/internal/poison/requests.go
+++ b/internal/poison/requests.go
@@ -58,7 +58,7 @@
 	if len(servers) < crashesOfLoneRequest || (!lone && len(servers) < crashesOfRequest) {
 		return Block{}, false
 	}
-	return Block{Part: request, Since: now, Seen: now, Crashes: len(servers), Ambiguous: !lone, NextTrial: now + g.cfg.TrialInterval}, true
+	return Block{Part: request, Since: now, Seen: now, Crashes: len(servers), Ambiguous: !lone}, true
 }
 
 // crashesWith returns the servers whose crashes cut the request, since its last progress and
