--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -94,8 +94,8 @@
 }
 
 // chooseReachable returns a VM to pass a request on to while this VM is cut off from the
-// servers of its service, or has tried enough of them, or the refusal if no other VM takes it and no server can be
-// reached. It returns nil for both if the request is to be sent by this VM.
+// servers of its service, or has tried enough of them. It returns the refusal if no other VM
+// takes the request and no server can be reached, and nil for both if this VM is to send it.
 func (c *Core) chooseReachable(now time.Duration, r *Request) (*Choice, *verdict.Refusal) {
 	if !r.PeersOnly && !c.Reach.CutOff(r.Service.Name) {
 		return nil, nil
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -38,8 +38,8 @@
 	retryAfter time.Duration
 }
 
-// send sends the request to a chosen backend server, or to the VM to pass it on to, and classifies the response by its
-// header.
+// send sends the request to a chosen backend server, or to the VM to pass it on to, and
+// classifies the response by its header.
 func (x *exchange) send(ctx context.Context, ch *dispatch.Choice, resumeAfter string) sendResult {
 	if ch.IsPeer() {
 		return x.passOn(ctx, ch, resumeAfter)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -328,8 +328,8 @@
 	}
 }
 
-// recordProgress tells the stall watch that a complete event arrived. Other
-// bytes are no progress: a stalled server may still send one now and then.
+// recordProgress tells the stall watch that a complete event arrived. Other bytes are no
+// progress: a stalled server may still send one now and then.
 func (st *stream) recordProgress() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
