--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -13,10 +13,10 @@
 // A request is known by its fingerprint, which its repetitions share. It is blocked after two
 // crashes if no other request was cut in both, otherwise after three. Plain requests that were cut
 // in one crash are suspects: they follow each other at an interval, so that most crashes have
-// one cause. A lost connection is evidence only once the VM has heard from another server of the
-// service, or the server's record is gone: until then it is doubtful whether the server crashed
-// or the VM's own links failed. A server that responds to a request sent after its crash has not crashed; only
-// its connections were lost.
+// one cause. A lost connection is evidence only once another server of the service has
+// responded, or the server's record is gone: until then the VM's own links may have failed. A
+// server that responds to a request sent after its crash has not crashed; only its connections
+// were lost.
 //
 // A few trials, at growing intervals, end the blocks of what was convicted by chance.
 //
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -91,17 +91,17 @@
 	// shareUntil is when the progress of a part is no longer news for the other VMs.
 	shareUntil map[Part]time.Duration
 	blocked    map[Part]Block
-	// heardFrom holds when a server that was thought to have crashed responded to a request
-	// that was sent after the crash; the value is the time of the sending.
-	heardFrom map[uint32]time.Duration
-	judgeAt   map[Part]time.Duration // when to judge a request that was cut in a crash
-	judged    []Block                // requests blocked since the last call of Judge
-	version   uint64
+	// respondedAt holds, by server whose crash was refuted by a response, when the request of
+	// that response was sent.
+	respondedAt map[uint32]time.Duration
+	judgeAt     map[Part]time.Duration // when to judge a request that was cut in a crash
+	judged      []Block                // requests blocked since the last call of Judge
+	version     uint64
 }
 
 // New returns a Guard that blocks nothing.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, progress: map[Part]time.Duration{}, shareUntil: map[Part]time.Duration{}, blocked: map[Part]Block{}, heardFrom: map[uint32]time.Duration{}, judgeAt: map[Part]time.Duration{}}
+	return &Guard{cfg: cfg, progress: map[Part]time.Duration{}, shareUntil: map[Part]time.Duration{}, blocked: map[Part]Block{}, respondedAt: map[uint32]time.Duration{}, judgeAt: map[Part]time.Duration{}}
 }
 
 // Version increases with each change of the set of blocked parts.
@@ -145,8 +145,8 @@
 // changes nothing.
 func (g *Guard) addRun(now time.Duration, run CutRun) bool {
 	g.runs = slices.DeleteFunc(g.runs, func(r CutRun) bool { return now-r.EndedAt > g.cfg.EvidenceTTL })
-	heard, alive := g.heardFrom[run.Server]
-	if now-run.EndedAt > g.cfg.EvidenceTTL || (alive && heard > run.EndedAt) {
+	sentAt, responded := g.respondedAt[run.Server]
+	if now-run.EndedAt > g.cfg.EvidenceTTL || (responded && sentAt > run.EndedAt) {
 		return false
 	}
 	if i := slices.IndexFunc(g.runs, run.sameAs); i >= 0 {
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -184,7 +184,7 @@
 			require.LessOrEqual(t, len(x.blocked), cfg.MaxBlocked)
 			require.LessOrEqual(t, len(x.progress), cfg.MaxProgress)
 			require.LessOrEqual(t, len(x.shareUntil), maxSharedParts)
-			require.LessOrEqual(t, len(x.heardFrom), cfg.MaxRuns)
+			require.LessOrEqual(t, len(x.respondedAt), cfg.MaxRuns)
 		}
 		u := g.Update(now)
 		require.LessOrEqual(t, len(u.Runs), maxSharedRuns)
--- a/internal/poison/requests.go
+++ b/internal/poison/requests.go
@@ -157,9 +157,9 @@
 		return p
 	}
 	g.runs = slices.DeleteFunc(g.runs, refuted)
-	maps.DeleteFunc(g.heardFrom, func(_ uint32, at time.Duration) bool { return now-at > g.cfg.EvidenceTTL })
-	if len(g.heardFrom) < g.cfg.MaxRuns {
-		g.heardFrom[server] = sentAt // otherwise another VM's report may bring the run back
+	maps.DeleteFunc(g.respondedAt, func(_ uint32, at time.Duration) bool { return now-at > g.cfg.EvidenceTTL })
+	if len(g.respondedAt) < g.cfg.MaxRuns {
+		g.respondedAt[server] = sentAt // otherwise another VM's report may bring the run back
 	}
 	for part, b := range g.blocked {
 		if part.IsRequest() && b.Crashes > 0 && len(g.crashesWith(part)) < crashesOfLoneRequest {
--- a/internal/reach/peers.go
+++ b/internal/reach/peers.go
@@ -19,7 +19,7 @@
 	maxCutServices = 32
 )
 
-// Cut is what a VM that is cut off tells the others.
+// Cut is a VM's cut in a message.
 type Cut struct {
 	// Services holds the hashes of the services whose servers it does not reach.
 	Services []uint32      `cbor:"1,keyasint"`
@@ -44,8 +44,7 @@
 	return known && now-cut.at <= cutTTL && slices.Contains(cut.services, serviceHash(service))
 }
 
-// Share returns what to tell the other VMs: the cuts that are known of others, and that of
-// this VM, self.
+// Share returns the cuts to send to the other VMs: those received, and that of the VM self.
 func (p *Peers) Share(now time.Duration, self string, c *Core) map[string]Cut {
 	if own := c.cutServices(); len(own) > 0 || len(p.cuts[self].services) > 0 {
 		p.cuts[self] = peerCut{own, now} // without services: the end of the cut
@@ -67,8 +66,8 @@
 	return out
 }
 
-// Receive takes over what another VM has told this one, self, and reports whether that
-// changes what is known. Entries out of bounds are ignored.
+// Receive applies the cuts in a message to the VM self and reports whether it changed a known
+// cut. Entries out of bounds are ignored.
 func (p *Peers) Receive(now time.Duration, self string, cuts map[string]Cut) (isNew bool) {
 	for vm, cut := range cuts {
 		known, exists := p.cuts[vm]
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -16,8 +16,8 @@
 	MaxSilence time.Duration
 	// MinRuns is the number of runs whose silence leads to probes. Default 3.
 	MinRuns int
-	// DoubtDelay is how long after a failure the service is probed if nothing was heard from
-	// it since. Default 10 ms.
+	// DoubtDelay is how long after a failure the service is probed if no server of it has
+	// responded since. Default 10 ms.
 	DoubtDelay time.Duration
 	// ProbeTimeout bounds a probe. Default 300 ms.
 	ProbeTimeout time.Duration
