entry: a test waits until the outcome of a keyed call is recorded

Cause: TestKeyedCallRunsOnceAcrossEntries sent the same key through a second entry right after the first answer. The outcome is recorded after the answer, so the second entry may find the claim without it and answers 409, as documented. The test now repeats the request while an attempt is in progress, at most 5 s; the number of runs and the final answers are checked as before.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -198,3 +198,16 @@
 	return response{status: resp.StatusCode(), verdict: string(resp.Header.Peek(headerVerdict)),
 		header: &resp.Header, body: append([]byte(nil), resp.Body()...)}
 }
+
+// requestUntilRecorded repeats a request while an attempt with the same key is in progress, for
+// at most 5 s. The outcome of a call is recorded after its answer has been sent, so a repetition
+// through another entry may find the claim without it.
+func (env *testEnv) requestUntilRecorded(entry int, method, path, key string, body any) response {
+	env.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		got := env.request(entry, method, path, key, body)
+		if got.status != fasthttp.StatusConflict || time.Now().After(deadline) {
+			return got
+		}
+	}
+}
--- a/internal/entry/shell_test.go
+++ b/internal/entry/shell_test.go
@@ -80,7 +80,7 @@
 	require.NotEmpty(t, addresses.KeyPrefix)
 	for _, key := range []string{addresses.KeyPrefix + "glove-7", "callers-own-key"} {
 		for entry := range 2 {
-			got := env.request(entry, "POST", "/services/ordrebok/reservations", key, map[string]any{"pallets": 2})
+			got := env.requestUntilRecorded(entry, "POST", "/services/ordrebok/reservations", key, map[string]any{"pallets": 2})
 			require.Equal(t, 200, got.status, "%s through %d: %s", key, entry, got.body)
 		}
 		other := env.request(1, "POST", "/services/ordrebok/reservations", key, map[string]any{"pallets": 3})
