loads, router: findings between the regular messages carry only what is new, within a budget

Its calls to the store timed out from 8 to 13 s, so the read that it needed after the store had dropped its history could not end. Ruled out: a change lost between list and watch, a stale watcher.

Change: messages in between carry findings only, evidence since the last message, are at least 15 ms apart, and use at most a twentieth of the VM's link. Older builds ignore the scope and read the findings.

A second fault of the same path: a watcher that failed counted as a successful read of the store, so a VM without the store called it regained and could answer others that nothing had changed. Test failed before (store regained within a second).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -95,6 +95,7 @@
 	vmCount         int
 	crossDomainLink linkMeter
 	loadsUnknownAt  time.Duration // last time at which the load of the other VMs was unknown
+	poisonSent      poison.Mark   // of the last messages to other VMs
 }
 
 // New returns a Core without a configuration.
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -51,12 +51,24 @@
 	return used < fullKVShare*spec.KVCapacity(spec.Accelerators[s.Accelerator], s.Held.Len())
 }
 
-// Tick returns the messages to send to other VMs now.
+// Tick returns the regular messages to send to other VMs now.
 func (c *Core) Tick(now time.Duration) []loads.Send {
 	c.confirmFailures(now)
 	sends := c.Loads.Tick(now, c.OwnLoads(now))
 	c.forgetLimits(now)
-	update, limits, cutOff := c.Poison.Update(now), c.Backpressure.Update(now), c.peerLinks.Share(now, c.cfg.VM, c.Reach)
+	return c.withFindings(now, sends, c.Poison.Update(now))
+}
+
+// TickFindings returns the messages with what was found since the last messages. They carry no
+// loads, and of the evidence against requests only what is new.
+func (c *Core) TickFindings(now time.Duration) []loads.Send {
+	c.confirmFailures(now)
+	return c.withFindings(now, c.Loads.TickFindings(now), c.Poison.UpdateSince(now, c.poisonSent))
+}
+
+func (c *Core) withFindings(now time.Duration, sends []loads.Send, update *poison.Update) []loads.Send {
+	c.poisonSent = c.Poison.Mark(now)
+	limits, cutOff := c.Backpressure.Update(now), c.peerLinks.Share(now, c.cfg.VM, c.Reach)
 	for i := range sends {
 		sends[i].Message.Poison, sends[i].Message.Limits, sends[i].Message.CutOff = update, limits, cutOff
 	}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -30,6 +30,13 @@
 	MaxAge time.Duration
 	// FindingTTL is how long a finding is passed on. Default 1 s.
 	FindingTTL time.Duration
+	// FindingSpacing is the least time between two messages that carry findings only. A plain
+	// request that may have crashed a server waits 40 ms for the findings of the others, which
+	// pass two VMs. Default 15 ms.
+	FindingSpacing time.Duration
+	// FindingBytesPerSecond bounds the bytes of these messages; beyond it findings wait for the
+	// next regular message. Default 100,000.
+	FindingBytesPerSecond float64
 	// PeerGain is the change assumed for each other VM of the failure domain since the
 	// last total, as a fraction of this VM's own change. The VMs see the same loads and
 	// make similar choices. Default 1.
@@ -38,7 +45,7 @@
 
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{MinInterval: 100 * time.Millisecond, IntervalPerVM: 2 * time.Millisecond, MaxAge: 3 * time.Second, FindingTTL: time.Second, PeerGain: 1}
+	return Config{MinInterval: 100 * time.Millisecond, IntervalPerVM: 2 * time.Millisecond, MaxAge: 3 * time.Second, FindingTTL: time.Second, FindingSpacing: 15 * time.Millisecond, FindingBytesPerSecond: 100_000, PeerGain: 1}
 }
 
 // receivedLoads holds the loads of the last message from one sender, or a sum that this VM
@@ -65,12 +72,13 @@
 	failing    findingTimes
 	leaving    findingTimes
 	slow       map[Key]slowFinding
+	findings   findingBudget
 }
 
 // New returns the Core of the VM self. firstSeq must increase with each restart, so that a
 // new incarnation's messages are not ignored as older.
 func New(cfg Config, self Member, firstSeq uint64) *Core {
-	return &Core{cfg: cfg, self: self, seq: firstSeq, vmLoads: map[string]receivedLoads{}, domainSums: map[string]receivedLoads{}, lost: findingTimes{}, failing: findingTimes{}, leaving: findingTimes{}, slow: map[Key]slowFinding{}}
+	return &Core{cfg: cfg, self: self, seq: firstSeq, vmLoads: map[string]receivedLoads{}, domainSums: map[string]receivedLoads{}, lost: findingTimes{}, failing: findingTimes{}, leaving: findingTimes{}, slow: map[Key]slowFinding{}, findings: newFindingBudget(cfg)}
 }
 
 // SetMembers replaces the list of VMs.
@@ -125,8 +133,7 @@
 	c.seq++
 	c.lastSent = own
 	if aggregator.VM != c.self.VM {
-		m := Message{From: c.self.VM, Domain: c.self.Domain, Scope: ScopeVM, Seq: c.seq, Loads: pack(own), Lost: c.lost.fresh(now, c.cfg.FindingTTL), Failing: c.failing.fresh(now, c.cfg.FindingTTL), Leaving: c.leaving.fresh(now, c.cfg.FindingTTL), Slow: c.freshSlow(now)}
-		return []Send{{Addr: aggregator.Addr, Message: m}}
+		return []Send{{Addr: aggregator.Addr, Message: c.message(now, ScopeVM, own)}}
 	}
 	sum := c.sumDomain(now, own)
 	c.domainSums[c.self.Domain] = receivedLoads{seq: c.seq, at: now, loads: sum}
@@ -202,10 +209,32 @@
 // aggregatorMessages returns messages with the domain's sum for the other aggregators and
 // the total for the members of this domain.
 func (c *Core) aggregatorMessages(now time.Duration, sum map[Key]Load) []Send {
-	message := func(scope Scope, loads map[Key]Load) Message {
-		return Message{From: c.self.VM, Domain: c.self.Domain, Scope: scope, Seq: c.seq, Loads: pack(loads), Lost: c.lost.fresh(now, c.cfg.FindingTTL), Failing: c.failing.fresh(now, c.cfg.FindingTTL), Leaving: c.leaving.fresh(now, c.cfg.FindingTTL), Slow: c.freshSlow(now)}
+	return c.fromAggregator(c.message(now, ScopeDomain, sum), c.message(now, ScopeAll, c.total.loads))
+}
+
+// TickFindings returns the messages that carry findings only, to the VMs that Tick would send
+// to.
+func (c *Core) TickFindings(now time.Duration) []Send {
+	aggregator := c.aggregator(c.self.Domain)
+	if aggregator == nil {
+		return nil
 	}
-	toAggregators, toMembers := message(ScopeDomain, sum), message(ScopeAll, c.total.loads)
+	m := c.message(now, ScopeFindings, nil)
+	if aggregator.VM != c.self.VM {
+		return []Send{{Addr: aggregator.Addr, Message: m}}
+	}
+	return c.fromAggregator(m, m)
+}
+
+// message returns a message with the given loads and the findings.
+func (c *Core) message(now time.Duration, scope Scope, loads map[Key]Load) Message {
+	return Message{From: c.self.VM, Domain: c.self.Domain, Scope: scope, Seq: c.seq, Loads: pack(loads), Lost: c.lost.fresh(now, c.cfg.FindingTTL),
+		Failing: c.failing.fresh(now, c.cfg.FindingTTL), Leaving: c.leaving.fresh(now, c.cfg.FindingTTL), Slow: c.freshSlow(now)}
+}
+
+// fromAggregator addresses a message to the other aggregators and one to the members of this
+// domain.
+func (c *Core) fromAggregator(toAggregators, toMembers Message) []Send {
 	var out []Send
 	for i := range c.members {
 		m := &c.members[i]
--- a/internal/loads/message.go
+++ b/internal/loads/message.go
@@ -19,6 +19,9 @@
 	ScopeDomain
 	// ScopeAll is the sum of all failure domains, for the members of the sender's domain.
 	ScopeAll
+	// ScopeFindings marks a message that carries findings and no work. Builds that do not know
+	// it read the findings and ignore the rest.
+	ScopeFindings
 )
 
 // Message carries work in progress and findings.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -64,6 +64,8 @@
 	// Doubtful is set while the connection may have been lost by the VM's own links: the run
 	// makes its request suspect, but convicts nothing.
 	Doubtful bool
+	// changedAt is when this VM learned of the run, or that it is not doubtful.
+	changedAt time.Duration
 }
 
 // Block is a blocked part.
@@ -134,7 +136,7 @@
 	var result Result
 	for i := range g.runs {
 		if r := &g.runs[i]; r.Doubtful && now-r.EndedAt <= g.cfg.ConfirmTTL && crashed(r.Server) {
-			r.Doubtful, result.New = false, true
+			r.Doubtful, r.changedAt, result.New = false, now, true
 			result.Blocked = append(result.Blocked, g.block(now, *r)...)
 		}
 	}
@@ -151,9 +153,12 @@
 	}
 	if i := slices.IndexFunc(g.runs, run.sameAs); i >= 0 {
 		confirmed := g.runs[i].Doubtful && !run.Doubtful
-		g.runs[i].Doubtful = g.runs[i].Doubtful && run.Doubtful
+		if confirmed {
+			g.runs[i].Doubtful, g.runs[i].changedAt = false, now
+		}
 		return confirmed
 	}
+	run.changedAt = now
 	i, _ := slices.BinarySearchFunc(g.runs, run, func(a, b CutRun) int { return int(a.EndedAt - b.EndedAt) })
 	g.runs = slices.Insert(g.runs, i, run)
 	if len(g.runs) > g.cfg.MaxRuns {
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -40,17 +40,35 @@
 	Trials    int           `cbor:"5,keyasint,omitempty"`
 }
 
+// Mark is a point in time and what a Guard knew then.
+type Mark struct {
+	at      time.Duration
+	version uint64
+}
+
+// Mark returns the mark of what is known now.
+func (g *Guard) Mark(now time.Duration) Mark { return Mark{at: now, version: g.version} }
+
 // Update returns what to send to the other VMs now, nil if there is nothing. Blocked parts
 // are sent each time, for VMs that have just started.
 func (g *Guard) Update(now time.Duration) *Update {
+	return g.update(now, never, true)
+}
+
+// UpdateSince returns the part of an Update that was learned after a mark.
+func (g *Guard) UpdateSince(now time.Duration, m Mark) *Update {
+	return g.update(now, m.at, g.version != m.version)
+}
+
+func (g *Guard) update(now, since time.Duration, withBlocks bool) *Update {
 	var u Update
 	for i := len(g.runs) - 1; i >= 0 && len(u.Runs) < maxSharedRuns; i-- {
-		if r := g.runs[i]; now-r.EndedAt <= g.cfg.ShareTTL {
+		if r := g.runs[i]; now-r.EndedAt <= g.cfg.ShareTTL && r.changedAt >= since {
 			u.Runs = append(u.Runs, SharedRun{Server: r.Server, Prompt: r.Prompt, Request: r.Request, SentAge: now - r.SentAt, Age: now - r.EndedAt, Doubtful: r.Doubtful})
 		}
 	}
 	for part, until := range g.shareUntil {
-		if at, known := g.progress[part]; known && now <= until {
+		if at, known := g.progress[part]; known && now <= until && until-g.cfg.ShareTTL >= since {
 			if u.Progress == nil {
 				u.Progress = make(map[Part]time.Duration, len(g.shareUntil))
 			}
@@ -58,7 +76,7 @@
 		}
 	}
 	for _, b := range g.Blocked(now) {
-		if len(u.Blocked) < maxSharedBlocks {
+		if withBlocks && len(u.Blocked) < maxSharedBlocks {
 			u.Blocked = append(u.Blocked, SharedBlock{Part: b.Part, Age: now - b.Since, SeenAge: now - b.Seen, Ambiguous: b.Ambiguous, Trials: b.Trials})
 		}
 	}
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -143,6 +143,10 @@
 	return ""
 }
 
+// errWatcherFailed means that a watcher gave no changes and this VM watches the store itself
+// next. Nothing was read, but the store has not failed either.
+var errWatcherFailed = errors.New("watcher failed, asking the store")
+
 // fetchChanges asks a watcher for the changes after a revision and returns the revision
 // reached. If the watcher fails, it is not asked again until another one fails, and this
 // VM watches the store itself for watchStoreFor.
@@ -166,8 +170,8 @@
 
 // watcherFailed makes this VM watch the store itself for a while, unless it could not reach
 // the store a moment ago either. Then it asks the watchers again: in an outage, few VMs
-// need to find out when the store is back. It returns the error in that case. The caller
-// holds mu.
+// need to find out when the store is back. It returns err in that case, else
+// errWatcherFailed. The caller holds mu.
 func (r *Router) watcherFailed(addr string, err error) error {
 	r.failedWatcher = addr
 	r.metrics.watcherErrors.Inc()
@@ -177,7 +181,7 @@
 	}
 	r.watchStoreUntil = now + watchStoreFor
 	r.log.Info().Err(err).Str("reader", addr).Msg("changes: asking the store itself")
-	return nil // not a failure of the store
+	return errWatcherFailed
 }
 
 // ownReadFailed records that this VM could not reach the store. A VM with watchers leaves the
--- /dev/null
+++ b/internal/router/changefeed_test.go
@@ -0,0 +1,32 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinstair/catkinstair/platform/standin"
+)
+
+// A watcher that cannot be reached is no sign that the store is back. A VM that took it for
+// one told others that they had missed nothing, while it could not read the store itself.
+func TestFailedWatcherIsNoReadOfTheStore(t *testing.T) {
+	s := newSite(t)
+	s.configure(7)
+	v := s.vmWith("z1", func(cfg *Config) { cfg.Changefeed.MinVMs = 1 })
+	v.awaitReady(t)
+	s.store.SetFaults(standin.StoreFaults{Unavailable: true})
+	v.locked(func() {
+		for _, vm := range []string{"a1", "a2"} {
+			v.members[vm] = member{VM: vm, Domain: "bergen-a", PeerAddr: "127.0.0.1:1"}
+		}
+	})
+	storeDown := func() (down bool) {
+		v.locked(func() { down = v.storeDown })
+		return down
+	}
+	require.Eventually(t, storeDown, waitTimeout, time.Millisecond)
+	require.Never(t, func() bool { return !storeDown() }, 2*time.Second, time.Millisecond)
+	v.locked(func() { require.NotEmpty(t, v.failedWatcher, "no watcher was asked") })
+}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -159,44 +159,83 @@
 	}
 }
 
-// sendLoads sends this VM's loads or, as the aggregator, the sum of its failure domain.
+// sendLoads sends this VM's loads or, as the aggregator, the sum of its failure domain, at
+// regular intervals, and findings in between.
 func (r *Router) sendLoads(ctx context.Context) {
+	regularAt := r.clock.now()
 	for ctx.Err() == nil {
-		var wait time.Duration
-		r.locked(func() { wait = r.core.Loads.Interval() })
-		r.waitToSendLoads(ctx, wait)
-		r.runGuarded("loads", "send", func() {
-			var sends []loads.Send
-			var found poison.Result
-			r.locked(func() {
-				found = r.core.ConfirmCrashes(r.clock.now())
-				sends = r.core.Tick(r.clock.now())
-			})
-			found.New = found.New || len(found.Blocked) > 0
-			r.applyBlocks(found, r.settings.VM)
-			for _, s := range sends {
-				r.sendMessage(s)
-			}
-		})
+		isRegular := r.waitToSendLoads(ctx, regularAt)
+		if ctx.Err() != nil {
+			return
+		}
+		r.runGuarded("loads", "send", func() { r.sendToPeers(isRegular) })
+		if isRegular {
+			r.locked(func() { regularAt = r.clock.now() + r.core.Loads.Interval() })
+		}
 	}
 }
 
-// waitToSendLoads waits until the next message is due or a finding has to be sent at once.
-func (r *Router) waitToSendLoads(ctx context.Context, wait time.Duration) {
-	t := time.NewTimer(wait)
-	defer t.Stop()
+// waitToSendLoads waits until the next messages are due and reports whether they are the
+// regular ones. Findings are sent before, as far as their budget allows.
+func (r *Router) waitToSendLoads(ctx context.Context, regularAt time.Duration) (isRegular bool) {
+	regular := time.NewTimer(regularAt - r.clock.now())
+	defer regular.Stop()
 	select {
 	case <-ctx.Done():
-	case <-t.C:
+		return false
+	case <-regular.C:
+		return true
 	case <-r.sendLoadsNow:
 	}
+	var delay time.Duration
+	allowed := false
+	r.locked(func() { delay, allowed = r.core.Loads.FindingsDelay(r.clock.now()) })
+	if !allowed {
+		r.metrics.findingsDelayed.Inc()
+		delay = regularAt - r.clock.now() // the regular messages carry them too
+	}
+	spacing := time.NewTimer(delay)
+	defer spacing.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-regular.C:
+		return true
+	case <-spacing.C:
+		return !allowed
+	}
 }
 
-func (r *Router) sendMessage(s loads.Send) {
+// sendToPeers sends the regular messages, or those that carry findings only.
+func (r *Router) sendToPeers(isRegular bool) {
+	var sends []loads.Send
+	var found poison.Result
+	r.locked(func() {
+		now := r.clock.now()
+		found = r.core.ConfirmCrashes(now)
+		if isRegular {
+			sends = r.core.Tick(now)
+		} else {
+			sends = r.core.TickFindings(now)
+		}
+	})
+	found.New = found.New || len(found.Blocked) > 0
+	r.applyBlocks(found, r.settings.VM)
+	bytes := 0
+	for _, s := range sends {
+		bytes += r.sendMessage(s)
+	}
+	if !isRegular {
+		r.locked(func() { r.core.Loads.FindingsSent(r.clock.now(), bytes) })
+	}
+}
+
+// sendMessage sends a message and returns its size in bytes.
+func (r *Router) sendMessage(s loads.Send) int {
 	body, err := cbor.Marshal(s.Message)
 	if err == nil && len(body) > maxDatagram {
 		r.log.Warn().Int("bytes", len(body)).Msg("loads: message exceeds the size of a datagram")
-		return
+		return 0
 	}
 	var to *net.UDPAddr
 	if err == nil {
@@ -208,4 +247,6 @@
 	if err != nil {
 		r.metrics.loadSendErrors.Inc() // the next message carries the same loads
 	}
+	r.metrics.peerBytes.Add(len(body))
+	return len(body)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,6 +126,9 @@
 	cfg.Dispatch.VM, cfg.Dispatch.Domain = settings.VM, settings.Domain
 	cfg.Dispatch.Incarnation = uint64(time.Now().UnixMilli())
 	cfg.Dispatch.Retry = retryConfig(settings.Bounds)
+	if settings.LinkMbps > 0 {
+		cfg.Dispatch.Loads.FindingBytesPerSecond = findingLinkShare * settings.LinkMbps * bitsPerMbit / 8
+	}
 	r := &Router{
 		cfg: cfg, settings: settings, log: log.With().Str("vm", settings.VM).Logger(), clock: newClock(), metrics: metrics, logWriter: logWriter,
 		backendClient: backendClient, controlClient: controlClient, store: platform.NewStore(controlClient, settings.Store.Addr), workers: workers,
@@ -148,6 +151,9 @@
 	// often.
 	softMemoryShare = 0.75
 	bytesPerMB      = 1e6
+	// findingLinkShare is the share of the VM's link that messages with findings only may use.
+	findingLinkShare = 0.05
+	bitsPerMbit      = 1e6
 )
 
 // responseLimits returns the default settings of an HTTP client with limits for a VM with
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -59,6 +59,10 @@
 		default:
 			since, err = r.watchOnce(since, r.cfg.WatchTimeout)
 		}
+		if errors.Is(err, errWatcherFailed) {
+			pause(ctx, r.cfg.WatchPause)
+			continue
+		}
 		if err != nil {
 			r.recordStoreFailure(err)
 			pause(ctx, retryDelay)
