router: the test of failed watchers uses two addresses

Both VMs had the same address, so only one was asked and the test did not fail with the fault put back (fetchChanges returning nil).

--- a/internal/router/changefeed_test.go
+++ b/internal/router/changefeed_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -18,8 +19,8 @@
 	v.awaitReady(t)
 	s.store.SetFaults(standin.StoreFaults{Unavailable: true})
 	v.locked(func() {
-		for _, vm := range []string{"a1", "a2"} {
-			v.members[vm] = member{VM: vm, Domain: "bergen-a", PeerAddr: "127.0.0.1:1"}
+		for i, vm := range []string{"a1", "a2"} {
+			v.members[vm] = member{VM: vm, Domain: "bergen-a", PeerAddr: fmt.Sprintf("127.0.0.1:%d", 1+i)}
 		}
 	})
 	storeDown := func() (down bool) {
