--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -37,7 +37,8 @@
 		duration := 200*time.Millisecond + time.Duration(r.rng.Int64N(int64(maxExtraDuration)))
 		out = append(out, r.drawn(r.partitionFault, at, duration))
 	}
-	return out
+	at := time.Duration(r.rng.Int64N(int64(faultWindow)))
+	return append(out, r.drawn(r.changeDuringCutFault, at, time.Second))
 }
 
 func (r *run) drawn(kind func(time.Duration) fault, at, duration time.Duration) fault {
@@ -190,6 +191,26 @@
 	}
 }
 
+// changeDuringCutFault writes a configuration while some VMs are cut off from the store, and then
+// drops the history, so that those VMs and all that follow them have to read everything again.
+func (r *run) changeDuringCutFault(duration time.Duration) fault {
+	first, count := r.rng.IntN(len(r.vms)), 1+r.rng.IntN(len(r.vms)-1)
+	setLinks := func(l linkState) {
+		for i := range count {
+			r.vms[(first+i)%len(r.vms)].storeProxy.setLink(l)
+		}
+	}
+	inject := func() {
+		setLinks(linkState{holdToTarget: true, holdToClient: true})
+		time.Sleep(duration / 2)
+		r.putConfig(versionDuringCut, []string{routeDuringCut})
+		r.store.CompactHistory()
+		time.Sleep(duration / 2)
+		setLinks(linkState{})
+	}
+	return fault{name: fmt.Sprintf("%d VMs from %s on cut off from the store; a configuration is written and the history dropped", count, r.vms[first].name), inject: inject}
+}
+
 // goBack makes the store unavailable for a moment and come back from a copy of the state
 // before it, as old as duration. Servers and the operator write again what they wrote.
 func (r *run) goBack(duration time.Duration) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -148,14 +148,26 @@
 	}
 }
 
-// checkConfig stores a version that adds a route, and checks that each VM applies it in
-// time.
+// Versions of the configuration after the first one, and the routes that they add.
+const (
+	versionDuringCut, routeDuringCut     = 8, "new_non_idempotent"
+	versionAfterFaults, routeAfterFaults = 9, "new_idempotent"
+)
+
+// checkConfig checks that each VM has applied the version that was written during the faults,
+// stores one that adds another route, and checks that each VM applies it in time.
 func (r *run) checkConfig() {
-	r.putConfig(8, []string{"new_idempotent"})
+	r.checkRoute(routeDuringCut, settleTime+calmTime)
+	r.putConfig(versionAfterFaults, []string{routeDuringCut, routeAfterFaults})
 	time.Sleep(configBound)
+	r.checkRoute(routeAfterFaults, configBound)
+}
+
+// checkRoute checks that each VM serves a route some time after it was added.
+func (r *run) checkRoute(route string, after time.Duration) {
 	for _, v := range r.vms {
-		if status := r.probe(v, "/new_idempotent/x"); status != http.StatusOK {
-			r.results.addViolation("%s: status %d for a route of the newest version after %v", v.name, status, configBound)
+		if status := r.probe(v, "/"+route+"/x"); status != http.StatusOK {
+			r.results.addViolation("%s: status %d for the route %s %v after it was added", v.name, status, route, after)
 		}
 	}
 }
