--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/internal/poison"
+	"github.com/catkinstair/catkinstair/internal/prefixcache"
 	"github.com/catkinstair/catkinstair/internal/reach"
 	"github.com/catkinstair/catkinstair/internal/retry"
 	"github.com/catkinstair/catkinstair/internal/routes"
@@ -35,6 +36,8 @@
 	Reach reach.Config
 	// Backpressure holds the settings for the limits that servers name.
 	Backpressure backpressure.Config
+	// Prompts holds the settings for prompts that servers still hold. Default off.
+	Prompts prefixcache.Config
 	// SoftKVShare is the share, 0 to 1, of a server's KV cache that any request may fill.
 	// Each send of a request gets a random limit between SoftKVShare and the maximum
 	// share; the maximum is used only if no path exists within that limit. Without random
@@ -74,7 +77,7 @@
 // DefaultConfig returns the defaults documented on Config. The caller sets VM,
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
-	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(),
+	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(), Prompts: prefixcache.DefaultConfig(),
 		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
 }
 
@@ -88,6 +91,7 @@
 	Reach           *reach.Core
 	peerLinks       *reach.Peers
 	Backpressure    *backpressure.Core
+	Prompts         *prefixcache.Core
 	peers           []Peer
 	peerRefusals    map[peerRefusal]time.Duration // until when
 	unconfirmed     unconfirmedFailures
@@ -101,7 +105,7 @@
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), budgets: map[string]*retry.Budget{}, vmCount: 1}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), budgets: map[string]*retry.Budget{}, vmCount: 1}
 }
 
 // Table returns the configuration in force, or nil.
@@ -145,6 +149,9 @@
 	Service routes.Service
 	// PromptTokens and AnswerTokens are predicted sizes; zero for plain services.
 	PromptTokens, AnswerTokens float64
+	// Prompt is the prompt's parts, of which servers may hold some; nil if unknown or if
+	// that is disabled.
+	Prompt prefixcache.Prompt
 	// Subject is what may crash a server in the request.
 	Subject poison.Subject
 	// Trial is set if the request is blocked, and let through to see whether it still crashes
@@ -177,7 +184,12 @@
 	Stages []paths.Stage
 	// FirstToken is the predicted time to the first token; zero for plain services.
 	FirstToken time.Duration
-	tokens     float64 // predicted tokens of prompt and answer
+	// HolderKnown reports that a server that could have taken a stage was expected to hold a
+	// part of the prompt. HeldTokens is the predicted number of prompt tokens that the chosen
+	// servers need not read, as a mean over the layers.
+	HolderKnown bool
+	HeldTokens  float64
+	tokens      float64 // predicted tokens of prompt and answer
 }
 
 // Target returns the first stage, to which the request is sent.
@@ -276,6 +288,7 @@
 		return nil, c.notRun(verdict.CauseNoBackend, "no ready replica of "+r.Service.Name+" left to try")
 	}
 	candidates := c.candidates(now, r)
+	holderKnown := c.lookUpPrompt(now, r, candidates)
 	q := paths.Request{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Domain: c.cfg.Domain}
 	if len(r.SentTo) >= r.Route.MaxAttempts {
 		q.AllowedFirst = r.SentTo
@@ -289,7 +302,7 @@
 	}
 	switch {
 	case ok:
-		return &Choice{Stages: path.Stages, FirstToken: path.FirstToken, tokens: r.PromptTokens + r.AnswerTokens}, nil
+		return &Choice{Stages: path.Stages, FirstToken: path.FirstToken, tokens: r.PromptTokens + r.AnswerTokens, HolderKnown: holderKnown, HeldTokens: path.HeldTokens}, nil
 	case paths.Covered(r.Service.Engine, candidates):
 		if refusal := c.refuseWithoutFirst(now, r); refusal != nil {
 			return nil, refusal
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -15,6 +15,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/engine"
+	"github.com/catkinstair/catkinstair/internal/prefixcache"
 )
 
 // MaxStages is the longest path that a backend server accepts.
@@ -47,6 +48,9 @@
 	Slowdown float64
 	// Penalty is added once per stage; it marks a server of last resort.
 	Penalty time.Duration
+	// HeldPrompt lists the tokens from the start of the prompt that the server still holds.
+	// The cost counts the prefill of the others only.
+	HeldPrompt []prefixcache.Held
 }
 
 // Request describes the request to find a path for.
@@ -92,8 +96,12 @@
 	Stages []Stage
 	// Cost is the predicted time of the request in all stages plus the costs of Config.
 	Cost time.Duration
-	// FirstToken is the predicted time to the first token.
+	// FirstToken is the predicted time to the first token. It counts the whole prompt, because
+	// timeouts depend on it and what a server still holds is only an estimate.
 	FirstToken time.Duration
+	// HeldTokens is the number of prompt tokens that the servers need not read, as a mean
+	// over the layers.
+	HeldTokens float64
 }
 
 // partialPath is the cheapest path found from the first layer to a boundary, for one
@@ -117,6 +125,13 @@
 	bounds := boundaries(r.Layers, candidates)
 	domains := domainIndex(candidates)
 	extraStageCost := 0.0
+	if anyHolds(candidates) {
+		if p, ok := shortestPath(cfg, spec, candidates, bounds, domains, r, extraStageCost); ok && len(p.Stages) <= MaxStages {
+			return p, true
+		}
+		// What servers hold must not be the reason for a path that is too long.
+		forgetHeld(candidates)
+	}
 	// If the path has too many stages, search again with a higher cost per stage.
 	for range 4 {
 		p, ok := shortestPath(cfg, spec, candidates, bounds, domains, r, extraStageCost)
@@ -235,6 +250,9 @@
 			domain := domains[c.Domain]
 			for j := i + 1; j < len(bounds) && bounds[j] <= c.Held.To; j++ {
 				total, firstToken := stageCost(cfg, spec, c, bounds[j]-start, r)
+				if len(c.HeldPrompt) > 0 {
+					total -= savedPrefill(spec, c, backend.Layers{From: start, To: bounds[j]}, r)
+				}
 				next := partialPath{cost: prefix.cost + total + extraStageCost, firstToken: prefix.firstToken + firstToken, prevDomain: prefix.prevDomain, candidate: ci, start: start}
 				if next.cost < best[j*numDomains+domain].cost {
 					best[j*numDomains+domain] = next
@@ -310,6 +328,40 @@
 	return firstToken + stepTime*r.AnswerTokens + float64(cfg.StageCost) + float64(c.Penalty), firstToken
 }
 
+// savedPrefill predicts how much sooner c has read the prompt in the given layers because of
+// what it still holds, in nanoseconds.
+func savedPrefill(spec *engine.Spec, c *Candidate, layers backend.Layers, r Request) float64 {
+	return c.Slowdown * float64(spec.PrefillTime(c.Accelerator, 1, heldTokenLayers(c, layers, r)))
+}
+
+// heldTokenLayers returns what c holds of the prompt in the given layers, in tokens x layers.
+func heldTokenLayers(c *Candidate, layers backend.Layers, r Request) float64 {
+	sum, unread := 0.0, r.PromptTokens
+	for _, h := range c.HeldPrompt {
+		tokens := min(h.Tokens, unread)
+		unread -= tokens
+		overlap := backend.Layers{From: max(h.Layers.From, layers.From), To: min(h.Layers.To, layers.To)}
+		sum += tokens * float64(overlap.Len())
+	}
+	return sum
+}
+
+// anyHolds reports whether a candidate holds a part of the prompt.
+func anyHolds(candidates []Candidate) bool {
+	for i := range candidates {
+		if len(candidates[i].HeldPrompt) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func forgetHeld(candidates []Candidate) {
+	for i := range candidates {
+		candidates[i].HeldPrompt = nil
+	}
+}
+
 // buildPath selects the cheapest partial path that ends at the last boundary and
 // follows it back to the first stage.
 func buildPath(cfg Config, best []partialPath, bounds []int, candidates []Candidate, numDomains int, boundIndex map[int]int, r Request) (Path, bool) {
@@ -331,7 +383,9 @@
 	for i := last; i > 0; {
 		partial := best[i*numDomains+domain]
 		c := candidates[partial.candidate]
-		p.Stages = append(p.Stages, Stage{Instance: c.Instance, Addr: c.Addr, Layers: backend.Layers{From: partial.start, To: bounds[i]}})
+		layers := backend.Layers{From: partial.start, To: bounds[i]}
+		p.Stages = append(p.Stages, Stage{Instance: c.Instance, Addr: c.Addr, Layers: layers})
+		p.HeldTokens += heldTokenLayers(&c, layers, r) / float64(r.Layers.Len())
 		i, domain = boundIndex[partial.start], partial.prevDomain
 	}
 	for a, b := 0, len(p.Stages)-1; a < b; a, b = a+1, b-1 {
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -25,6 +25,7 @@
 	"internal/paths",
 	"internal/placement",
 	"internal/poison",
+	"internal/prefixcache",
 	"internal/reach",
 	"internal/relay",
 	"internal/retry",
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -256,6 +256,7 @@
 	h := &x.ctx.Request.Header
 	x.promptParts = platform.ParsePromptParts(string(h.Peek(platform.HeaderPromptParts)))
 	x.req.Subject.Prompt = poison.NewPrompt(x.promptParts)
+	x.setPrompt(spec.Model)
 	x.req.PromptTokens, x.req.AnswerTokens = spec.PromptTokens, spec.AnswerTokens
 	prompt, maxAnswer, ok := platform.ParseTokens(string(h.Peek(platform.HeaderTokens)))
 	if !ok {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -219,6 +219,7 @@
 	ch, refusal := x.r.core.Choose(x.r.clock.now(), &x.req)
 	if ch != nil {
 		x.held[ch] = struct{}{}
+		x.r.metrics.countHeldPrompt(ch)
 	}
 	if x.req.Trial && !wasTrial {
 		x.r.log.Warn().Str("request", x.req.ID).Str("fingerprint", x.fingerprint).Msg("blocked request sent to see whether it still crashes backend servers")
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -192,6 +192,7 @@
 			st.x.req.Begun = true
 			if st.result.events == minEventsOfSoundRun {
 				st.x.recordProgress()
+				st.x.recordPromptRead(st.choice())
 			}
 		}
 		if len(events) > 0 {
