Prompts that servers hold: tests in virtual time, benchmark, metrics

Engines of the simulation keep prompts.

Seen failing: without the search that ignores holders when a path has too many stages (TestHeldPromptNeverRefusesOrCostsMore), with ten times the saving (busy holder chosen), and without the team in the hash (other team).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -288,8 +288,7 @@
 		return nil, c.notRun(verdict.CauseNoBackend, "no ready replica of "+r.Service.Name+" left to try")
 	}
 	candidates := c.candidates(now, r)
-	holderKnown := c.lookUpPrompt(now, r, candidates)
-	q := paths.Request{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Domain: c.cfg.Domain}
+	q := paths.Request{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Domain: c.cfg.Domain, HeldPrompt: c.heldPrompt(now, r, candidates)}
 	if len(r.SentTo) >= r.Route.MaxAttempts {
 		q.AllowedFirst = r.SentTo
 	}
@@ -302,7 +301,7 @@
 	}
 	switch {
 	case ok:
-		return &Choice{Stages: path.Stages, FirstToken: path.FirstToken, tokens: r.PromptTokens + r.AnswerTokens, HolderKnown: holderKnown, HeldTokens: path.HeldTokens}, nil
+		return &Choice{Stages: path.Stages, FirstToken: path.FirstToken, tokens: r.PromptTokens + r.AnswerTokens, HolderKnown: len(q.HeldPrompt) > 0, HeldTokens: path.HeldTokens}, nil
 	case paths.Covered(r.Service.Engine, candidates):
 		if refusal := c.refuseWithoutFirst(now, r); refusal != nil {
 			return nil, refusal
--- a/internal/dispatch/prompts.go
+++ b/internal/dispatch/prompts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/internal/prefixcache"
 )
@@ -21,21 +22,25 @@
 	}
 }
 
-// lookUpPrompt sets what the candidates still hold of the prompt of r, and reports whether one
-// holds any. Only new paths count it: streams that move off a lost server are spread by the
-// servers' capacity alone.
-func (c *Core) lookUpPrompt(now time.Duration, r *Request, candidates []paths.Candidate) bool {
+// heldPrompt returns what the candidates still hold of the prompt of r; nil if none holds any.
+// Only new paths count it: streams that move off a lost server are spread by the servers'
+// capacity alone.
+func (c *Core) heldPrompt(now time.Duration, r *Request, candidates []paths.Candidate) map[backend.ID][]prefixcache.Held {
 	if len(r.Prompt) == 0 || c.Prompts.Len() == 0 {
-		return false
+		return nil
 	}
-	found := false
-	spec := r.Service.Engine
+	var out map[backend.ID][]prefixcache.Held
 	for i := range candidates {
 		candidate := &candidates[i]
-		info := prefixcache.Server{Instance: candidate.Instance, Layers: candidate.Held,
-			FreeKV: spec.KVCapacity(candidate.Accelerator, candidate.Held.Len()) - candidate.TokenLayers}
-		candidate.HeldPrompt = c.Prompts.Lookup(now, info, c.vmCount, r.Prompt)
-		found = found || len(candidate.HeldPrompt) > 0
+		held := c.Prompts.Lookup(now, prefixcache.Server{Instance: candidate.Instance, Layers: candidate.Held,
+			FreeKV: r.Service.Engine.KVCapacity(candidate.Accelerator, candidate.Held.Len()) - candidate.TokenLayers}, r.Prompt)
+		if len(held) == 0 {
+			continue
+		}
+		if out == nil {
+			out = map[backend.ID][]prefixcache.Held{}
+		}
+		out[candidate.Instance.ID] = held
 	}
-	return found
+	return out
 }
--- a/internal/dispatch/sim_engines_test.go
+++ b/internal/dispatch/sim_engines_test.go
@@ -42,7 +42,7 @@
 		e := s.engines[stage.Instance.ID]
 		e.active[c] = stage.Layers
 		e.usedKV += (c.req.PromptTokens + c.generated) * float64(stage.Layers.Len())
-		e.prefillFreeAt = max(e.prefillFreeAt, ready) + s.spec.PrefillTime(e.accelerator, stage.Layers.Len(), c.req.PromptTokens)
+		e.prefillFreeAt = max(e.prefillFreeAt, ready) + s.spec.PrefillTime(e.accelerator, stage.Layers.Len(), s.tokensToRead(e, c, stage.Layers))
 		ready = e.prefillFreeAt
 	}
 	c.lastStep = ready
@@ -133,6 +133,7 @@
 	}
 	if c.firstToken == 0 {
 		c.firstToken = c.lastStep + 4*perToken - c.arrived
+		c.vm.core.RecordPromptRead(s.now, c.req, c.choice)
 	} else {
 		c.maxGap = max(c.maxGap, 4*perToken)
 	}
@@ -151,6 +152,10 @@
 	c.vm.core.RecordSuccess(c.choice)
 	c.vm.core.Release(c.choice)
 	c.done = true
+	if s.prompts != nil {
+		s.prompts.firstTokens += c.firstToken
+		s.prompts.served++
+	}
 	if c.firstToken <= 500*time.Millisecond && c.maxGap <= 250*time.Millisecond && !c.retried {
 		s.tally.inTime++
 	} else {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -40,6 +40,7 @@
 	// waiting requests; nil means by arrival.
 	maxWait   time.Duration
 	waitOrder func(a, b *call) bool
+	prompts   *promptModel // nil: engines keep no prompts
 }
 
 // vm is one Core with its waiting calls.
@@ -101,6 +102,8 @@
 	active        map[*call]backend.Layers
 	usedKV        float64 // tokens x layers
 	prefillFreeAt time.Duration
+	kept          map[string]*keptPart
+	keptKV        float64 // tokens x layers
 }
 
 // call is one caller's request.
@@ -118,6 +121,7 @@
 	stalled      bool // on a dead server
 	sends        int
 	done         bool
+	parts        []promptPart
 }
 
 // tally counts the outcomes of calls. retried calls are sent again by the caller after a
@@ -308,6 +312,7 @@
 	c.req = &dispatch.Request{ID: fmt.Sprint("r", s.tally.total), Route: &cfg.Routes[0], Service: cfg.Services[model], PromptTokens: prompt,
 		AnswerTokens: predicted, SentTo: map[backend.ID]bool{}, Avoid: map[backend.ID]bool{}}
 	s.tally.total++
+	s.drawPrompt(c)
 	v.core.RequestArrived(s.now, model)
 	s.send(c)
 }
@@ -360,9 +365,9 @@
 		s.tally.refused++
 	default:
 		s.tally.retried++
-		retryCall := &call{vm: c.vm, arrived: c.arrived, answerTokens: c.answerTokens, retried: true}
+		retryCall := &call{vm: c.vm, arrived: c.arrived, answerTokens: c.answerTokens, retried: true, parts: c.parts}
 		retryCall.req = &dispatch.Request{ID: c.req.ID + "b", Route: c.req.Route, Service: c.req.Service, PromptTokens: c.req.PromptTokens,
-			AnswerTokens: c.req.AnswerTokens, SentTo: map[backend.ID]bool{}, Avoid: map[backend.ID]bool{}}
+			AnswerTokens: c.req.AnswerTokens, Prompt: c.req.Prompt, SentTo: map[backend.ID]bool{}, Avoid: map[backend.ID]bool{}}
 		s.after(refusal.RetryAfter, func() { s.send(retryCall) })
 	}
 }
@@ -390,6 +395,7 @@
 			e.dead, e.held, e.usedKV, e.prefillFreeAt, e.loadingUntil = false, backend.Layers{}, 0, s.now, 0
 			e.StartedMs = int64(s.now) + 1
 			e.running, e.active = map[*call]bool{}, map[*call]backend.Layers{}
+			e.kept, e.keptKV = nil, 0
 			s.publishRecord(e)
 		})
 	}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -48,9 +48,6 @@
 	Slowdown float64
 	// Penalty is added once per stage; it marks a server of last resort.
 	Penalty time.Duration
-	// HeldPrompt lists the tokens from the start of the prompt that the server still holds.
-	// The cost counts the prefill of the others only.
-	HeldPrompt []prefixcache.Held
 }
 
 // Request describes the request to find a path for.
@@ -70,6 +67,10 @@
 	MaxUtilization float64
 	// AllowedFirst lists the only servers allowed as first stage; empty allows all.
 	AllowedFirst map[backend.ID]bool
+	// HeldPrompt lists the tokens from the start of the prompt that servers still hold. The
+	// cost counts the prefill of the others only. It is here and not in Candidate so that it
+	// costs nothing while it is nil.
+	HeldPrompt map[backend.ID][]prefixcache.Held
 }
 
 // Config holds the settings of the search.
@@ -125,12 +126,12 @@
 	bounds := boundaries(r.Layers, candidates)
 	domains := domainIndex(candidates)
 	extraStageCost := 0.0
-	if anyHolds(candidates) {
+	if len(r.HeldPrompt) > 0 {
 		if p, ok := shortestPath(cfg, spec, candidates, bounds, domains, r, extraStageCost); ok && len(p.Stages) <= MaxStages {
 			return p, true
 		}
 		// What servers hold must not be the reason for a path that is too long.
-		forgetHeld(candidates)
+		r.HeldPrompt = nil
 	}
 	// If the path has too many stages, search again with a higher cost per stage.
 	for range 4 {
@@ -248,10 +249,11 @@
 				continue
 			}
 			domain := domains[c.Domain]
+			held := r.HeldPrompt[c.Instance.ID]
 			for j := i + 1; j < len(bounds) && bounds[j] <= c.Held.To; j++ {
 				total, firstToken := stageCost(cfg, spec, c, bounds[j]-start, r)
-				if len(c.HeldPrompt) > 0 {
-					total -= savedPrefill(spec, c, backend.Layers{From: start, To: bounds[j]}, r)
+				if len(held) > 0 {
+					total -= savedPrefill(spec, c, held, backend.Layers{From: start, To: bounds[j]}, r)
 				}
 				next := partialPath{cost: prefix.cost + total + extraStageCost, firstToken: prefix.firstToken + firstToken, prevDomain: prefix.prevDomain, candidate: ci, start: start}
 				if next.cost < best[j*numDomains+domain].cost {
@@ -330,14 +332,15 @@
 
 // savedPrefill predicts how much sooner c has read the prompt in the given layers because of
 // what it still holds, in nanoseconds.
-func savedPrefill(spec *engine.Spec, c *Candidate, layers backend.Layers, r Request) float64 {
-	return c.Slowdown * float64(spec.PrefillTime(c.Accelerator, 1, heldTokenLayers(c, layers, r)))
+func savedPrefill(spec *engine.Spec, c *Candidate, held []prefixcache.Held, layers backend.Layers, r Request) float64 {
+	return c.Slowdown * float64(spec.PrefillTime(c.Accelerator, 1, heldTokenLayers(held, layers, r.PromptTokens)))
 }
 
-// heldTokenLayers returns what c holds of the prompt in the given layers, in tokens x layers.
-func heldTokenLayers(c *Candidate, layers backend.Layers, r Request) float64 {
-	sum, unread := 0.0, r.PromptTokens
-	for _, h := range c.HeldPrompt {
+// heldTokenLayers returns what a server holds of a prompt in the given layers, in tokens x
+// layers.
+func heldTokenLayers(held []prefixcache.Held, layers backend.Layers, promptTokens float64) float64 {
+	sum, unread := 0.0, promptTokens
+	for _, h := range held {
 		tokens := min(h.Tokens, unread)
 		unread -= tokens
 		overlap := backend.Layers{From: max(h.Layers.From, layers.From), To: min(h.Layers.To, layers.To)}
@@ -346,22 +349,6 @@
 	return sum
 }
 
-// anyHolds reports whether a candidate holds a part of the prompt.
-func anyHolds(candidates []Candidate) bool {
-	for i := range candidates {
-		if len(candidates[i].HeldPrompt) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-func forgetHeld(candidates []Candidate) {
-	for i := range candidates {
-		candidates[i].HeldPrompt = nil
-	}
-}
-
 // buildPath selects the cheapest partial path that ends at the last boundary and
 // follows it back to the first stage.
 func buildPath(cfg Config, best []partialPath, bounds []int, candidates []Candidate, numDomains int, boundIndex map[int]int, r Request) (Path, bool) {
@@ -385,7 +372,7 @@
 		c := candidates[partial.candidate]
 		layers := backend.Layers{From: partial.start, To: bounds[i]}
 		p.Stages = append(p.Stages, Stage{Instance: c.Instance, Addr: c.Addr, Layers: layers})
-		p.HeldTokens += heldTokenLayers(&c, layers, r) / float64(r.Layers.Len())
+		p.HeldTokens += heldTokenLayers(r.HeldPrompt[c.Instance.ID], layers, r.PromptTokens) / float64(r.Layers.Len())
 		i, domain = boundIndex[partial.start], partial.prevDomain
 	}
 	for a, b := 0, len(p.Stages)-1; a < b; a, b = a+1, b-1 {
--- a/internal/prefixcache/prefixcache.go
+++ b/internal/prefixcache/prefixcache.go
@@ -62,8 +62,7 @@
 	byUse    *list.List
 	lastUse  time.Duration
 	position *list.Element // in Core.byUse
-	// sharedKV and ownKV are the KV cache that shared and last parts take, in tokens x layers.
-	sharedKV, ownKV float64
+	kv       float64       // KV cache of the entries, in tokens x layers
 }
 
 // entry is a part that a server has read.
@@ -120,18 +119,18 @@
 func (c *Core) put(now time.Duration, s *server, layers backend.Layers, l link) {
 	if element := s.entries[l.key]; element != nil {
 		e := element.Value.(*entry)
-		s.count(e, -1)
+		s.kv -= e.kv()
 		if e.tokens == l.tokens {
 			layers = join(e.layers, layers)
 		}
 		*e = entry{link: l, layers: layers, usedAt: now}
-		s.count(e, 1)
+		s.kv += e.kv()
 		s.byUse.MoveToFront(element)
 		return
 	}
 	e := &entry{link: l, layers: layers, usedAt: now}
 	s.entries[l.key] = s.byUse.PushFront(e)
-	s.count(e, 1)
+	s.kv += e.kv()
 	c.parts++
 }
 
@@ -147,21 +146,13 @@
 	return backend.Layers{From: max(a.From, b.From), To: min(a.To, b.To)}
 }
 
-// count adds the KV cache of e, times sign, to that of s.
-func (s *server) count(e *entry, sign float64) {
-	kv := sign * e.tokens * float64(e.layers.Len())
-	if e.shared {
-		s.sharedKV += kv
-	} else {
-		s.ownKV += kv
-	}
-}
+// kv returns the KV cache that the part takes, in tokens x layers.
+func (e *entry) kv() float64 { return e.tokens * float64(e.layers.Len()) }
 
 // Lookup returns which tokens from the start of p a server still holds, and forgets what it
-// cannot hold anymore. The number of VMs stands for what others have sent: parts shared
-// between requests are taken to be those that this VM knows, and of last parts each VM is
-// taken to have sent as many as this one.
-func (c *Core) Lookup(now time.Duration, info Server, vms int, p Prompt) []Held {
+// cannot hold anymore. What other VMs' requests have left there is not known and not counted;
+// a part that was dropped because of them costs a preference that saves nothing.
+func (c *Core) Lookup(now time.Duration, info Server, p Prompt) []Held {
 	s := c.servers[info.Instance.ID]
 	if s == nil || len(p) == 0 {
 		return nil
@@ -173,7 +164,7 @@
 		return nil
 	}
 	c.releaseLayers(s, info.Layers)
-	for len(s.entries) > 0 && (now-s.oldest().usedAt >= c.cfg.Retention || s.sharedKV+float64(vms)*s.ownKV > info.FreeKV) {
+	for len(s.entries) > 0 && (now-s.oldest().usedAt >= c.cfg.Retention || s.kv > info.FreeKV) {
 		c.evictOldest(s)
 	}
 	return s.run(p)
@@ -215,9 +206,9 @@
 	for element := s.byUse.Front(); element != nil; element = next {
 		next = element.Next()
 		e := element.Value.(*entry)
-		s.count(e, -1)
+		s.kv -= e.kv()
 		e.layers = intersect(e.layers, layers)
-		s.count(e, 1)
+		s.kv += e.kv()
 		if e.layers.Len() == 0 {
 			c.remove(s, element)
 		}
@@ -242,7 +233,7 @@
 // remove forgets an entry, and its server with the last one.
 func (c *Core) remove(s *server, element *list.Element) {
 	e := element.Value.(*entry)
-	s.count(e, -1)
+	s.kv -= e.kv()
 	s.byUse.Remove(element)
 	delete(s.entries, e.key)
 	c.parts--
--- a/internal/prefixcache/prefixcache_test.go
+++ b/internal/prefixcache/prefixcache_test.go
@@ -66,7 +66,7 @@
 		"other model":           {prefixcache.NewPrompt("n", "t", parts), 0},
 		"names joined the same": {prefixcache.NewPrompt("", "mt", parts), 0},
 	} {
-		require.Equal(t, test.want, tokens(c.Lookup(0, server, 1, test.prompt)), name)
+		require.Equal(t, test.want, tokens(c.Lookup(0, server, test.prompt)), name)
 	}
 }
 
@@ -99,9 +99,9 @@
 		c := newCore()
 		c.Record(0, instance, layers, p)
 		for _, s := range test.seen {
-			c.Lookup(test.at, s, 1, p)
+			c.Lookup(test.at, s, p)
 		}
-		require.Equal(t, test.want, c.Lookup(test.at, test.now, 1, p), name)
+		require.Equal(t, test.want, c.Lookup(test.at, test.now, p), name)
 	}
 }
 
@@ -110,8 +110,8 @@
 	c := newCore()
 	c.Record(0, instance, layers, prompt("a"))
 	c.Record(0, backend.Instance{ID: "s", StartedMs: 4}, layers, prompt("b"))
-	require.Empty(t, c.Lookup(0, server, 1, prompt("b")))
-	require.NotEmpty(t, c.Lookup(0, server, 1, prompt("a")))
+	require.Empty(t, c.Lookup(0, server, prompt("b")))
+	require.NotEmpty(t, c.Lookup(0, server, prompt("a")))
 }
 
 // Guards against a part that counts in layers through which only shorter prompts have passed.
@@ -120,20 +120,20 @@
 	c.Record(0, instance, backend.Layers{From: 10, To: 15}, prompt("a", "b"))
 	c.Record(0, instance, backend.Layers{From: 15, To: 20}, prompt("a"))
 	require.Equal(t, []prefixcache.Held{{Layers: layers, Tokens: 100}, {Layers: backend.Layers{From: 10, To: 15}, Tokens: 100}},
-		c.Lookup(0, server, 1, prompt("a", "b")))
+		c.Lookup(0, server, prompt("a", "b")))
 }
 
 // Guards against forgetting a shared part, which is used often, before last parts of single
-// requests. Of those each VM is taken to have sent as many.
+// requests.
 func TestShortMemoryDropsLeastRecentlyUsed(t *testing.T) {
 	c := newCore()
 	for i := range 5 {
 		c.Record(time.Duration(i), instance, layers, prompt("a", fmt.Sprint("own", i)))
 	}
 	s := server
-	s.FreeKV = 100*10 + 2*4*100*10 // the shared part, and two last parts of each of four VMs
-	require.Equal(t, 200.0, tokens(c.Lookup(5, s, 4, prompt("a", "own3"))))
-	require.Equal(t, 100.0, tokens(c.Lookup(5, s, 4, prompt("a", "own2"))))
+	s.FreeKV = 100*10 + 2*100*10 // the shared part and two last parts
+	require.Equal(t, 200.0, tokens(c.Lookup(5, s, prompt("a", "own3"))))
+	require.Equal(t, 100.0, tokens(c.Lookup(5, s, prompt("a", "own2"))))
 }
 
 // Guards against unbounded memory.
@@ -151,7 +151,7 @@
 				c.Record(now, in, held, p)
 			} else {
 				free := rapid.Float64Range(-10, 5000).Draw(t, "free")
-				for _, h := range c.Lookup(now, prefixcache.Server{Instance: in, Layers: held, FreeKV: free}, 2, p) {
+				for _, h := range c.Lookup(now, prefixcache.Server{Instance: in, Layers: held, FreeKV: free}, p) {
 					require.True(t, held.Contains(h.Layers))
 					require.LessOrEqual(t, h.Tokens*float64(h.Layers.Len()), free)
 				}
--- a/internal/prefixcache/prompt.go
+++ b/internal/prefixcache/prompt.go
@@ -23,8 +23,6 @@
 	// part's ID. Requests of different teams therefore have no key in common.
 	key    uint64
 	tokens float64
-	// shared is false for the last part, which belongs to the request or its session.
-	shared bool
 }
 
 // NewPrompt returns the Prompt of a team's request to a model. The team is "" for requests
@@ -38,13 +36,13 @@
 	writeString(d, team)
 	key, tokens := d.Sum64(), 0.0
 	out := make(Prompt, 0, len(parts))
-	for i, p := range parts {
+	for _, p := range parts {
 		d.Reset()
 		writeUint64(d, key)
 		writeUint64(d, math.Float64bits(tokens))
 		writeString(d, p.ID)
 		key, tokens = d.Sum64(), p.Tokens
-		out = append(out, link{key: key, tokens: tokens, shared: i < len(parts)-1})
+		out = append(out, link{key: key, tokens: tokens})
 	}
 	return out
 }
