detector: pure core that checks servers before streams leave them

Evidence (a 503 that names a server, silence, a closed watch connection, a reset, another VM's finding) starts a check: connections that are opened and closed. Refused twice means lost, three unanswered tries mean dark, both only beside another server that accepts a connection afterwards.

--- /dev/null
+++ b/internal/detector/core.go
@@ -0,0 +1,546 @@
+package detector
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinstair/catkinstair/internal/backend"
+)
+
+// Core holds the failure detector's state of one VM. It is not safe for concurrent use.
+type Core struct {
+	cfg  Config
+	self string
+
+	servers  []Server         // that may be watched or asked as witnesses
+	byDomain map[string][]int // indices in servers
+	ranks    watchRanks
+
+	checks []*check // in the order of their first evidence
+	byID   map[backend.Instance]*check
+	states map[backend.Instance]*serverState
+	tries  map[uint64]*check // in progress
+	lastID uint64
+	random uint64
+	budget bucket
+	weak   bucket // of the checks by weak evidence
+
+	untold   []Server // lost servers of which the other VMs have to be told
+	messages bucket
+	toldAt   time.Duration
+
+	stats Stats
+}
+
+// Stats counts what a Core did and did not do.
+type Stats struct {
+	// Checks counts the checks that began.
+	Checks int
+	// DroppedEvidence counts the evidence that MaxChecks, MaxServers or MaxWait left out.
+	DroppedEvidence int
+	// DroppedFindings counts the findings that the bound of messages left to the load
+	// messages.
+	DroppedFindings int
+}
+
+// serverState is what is remembered of a server between its checks.
+type serverState struct {
+	usedAt        time.Duration
+	budget        bucket
+	aliveInARow   int // checks by weak evidence that found it alive
+	weakAllowedAt time.Duration
+	watchClosedAt time.Duration
+	watchClosed   bool
+	lostUntil     time.Duration
+	badWitnessAt  time.Duration
+	badWitness    bool
+}
+
+// check is the check of one server.
+type check struct {
+	server     Server
+	kind       Kind // of the first evidence
+	kinds      kindSet
+	evidenceAt time.Duration
+	neighborAt time.Duration
+
+	started         bool
+	startedAt       time.Duration
+	nextTryAt       time.Duration
+	launched        int
+	inFlight        int
+	refused, silent int // tries
+	inconclusive    int
+	witnessesAsked  int
+	witnessInFlight bool
+	witness         backend.ID
+	sameDomainAsked int
+	askedWitnesses  [maxWitnesses]backend.ID
+	tryTimes        map[uint64]time.Duration // when tries in progress began
+	witnessTries    map[uint64]Server
+	result          Result
+	done            bool
+}
+
+// maxWitnesses bounds Config.WitnessTries.
+const maxWitnesses = 8
+
+// New returns a Core of the VM self. seed makes the choice of witnesses differ between VMs.
+func New(cfg Config, self string, seed uint64) *Core {
+	cfg.WitnessTries = min(cfg.WitnessTries, maxWitnesses)
+	return &Core{cfg: cfg, self: self, byDomain: map[string][]int{}, ranks: newWatchRanks(self), states: map[backend.Instance]*serverState{},
+		byID: map[backend.Instance]*check{}, tries: map[uint64]*check{}, random: seed, budget: bucket{tokens: cfg.CheckBurst}, weak: bucket{tokens: cfg.WeakCheckBurst}, messages: bucket{tokens: cfg.MessageBurst}}
+}
+
+// Config returns the settings.
+func (c *Core) Config() Config { return c.cfg }
+
+// Stats returns the counters.
+func (c *Core) Stats() Stats { return c.stats }
+
+// SetVMs sets the names of the VMs that share the watch connections, with or without this one.
+func (c *Core) SetVMs(vms []string) { c.ranks.setVMs(c.self, vms) }
+
+// SetServers sets the servers that take requests: they may be watched and asked as witnesses.
+func (c *Core) SetServers(now time.Duration, servers []Server) {
+	c.servers = append(c.servers[:0], servers...)
+	clear(c.byDomain)
+	known := make(map[string]bool, len(servers))
+	for i := range c.servers {
+		c.byDomain[c.servers[i].Domain] = append(c.byDomain[c.servers[i].Domain], i)
+		known[string(c.servers[i].ID)] = true
+	}
+	for id := range c.ranks.watches {
+		if !known[id] {
+			delete(c.ranks.watches, id)
+		}
+	}
+	c.forget(now)
+}
+
+// Watched returns the servers that this VM keeps a watch connection to.
+func (c *Core) Watched() []Server {
+	var out []Server
+	for _, s := range c.servers {
+		if c.ranks.watched(string(s.ID), c.cfg.Watchers) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// stateTTL is how long the state of a server without evidence is kept, longer than any time
+// in Config.
+const stateTTL = 10 * time.Second
+
+func (c *Core) forget(now time.Duration) {
+	for in, s := range c.states {
+		if now-s.usedAt > stateTTL {
+			delete(c.states, in)
+		}
+	}
+}
+
+// state returns the state of a server, nil if there is no room for it.
+func (c *Core) state(now time.Duration, in backend.Instance) *serverState {
+	s := c.states[in]
+	if s == nil {
+		if len(c.states) >= c.cfg.MaxServers {
+			c.forget(now)
+		}
+		if len(c.states) >= c.cfg.MaxServers {
+			return nil
+		}
+		s = &serverState{budget: bucket{tokens: c.cfg.ServerBurst, at: now}}
+		c.states[in] = s
+	}
+	s.usedAt = now
+	return s
+}
+
+// Observe records evidence. Advance then says what to do.
+func (c *Core) Observe(now time.Duration, e Evidence) {
+	s := c.state(now, e.Server.Instance)
+	if s == nil {
+		c.stats.DroppedEvidence++
+		return
+	}
+	if e.Kind == WatchClosed {
+		s.watchClosed, s.watchClosedAt = true, now
+	}
+	if now < s.lostUntil {
+		return
+	}
+	chk := c.byID[e.Server.Instance]
+	if chk == nil {
+		if len(c.checks) >= c.cfg.MaxChecks || e.Kind.weak() && !c.allowsWeak(now, s) {
+			c.stats.DroppedEvidence++
+			return
+		}
+		chk = &check{server: e.Server, kind: e.Kind, evidenceAt: now}
+		c.checks = append(c.checks, chk)
+		c.byID[e.Server.Instance] = chk
+	}
+	if e.Kind == Neighbor && !chk.kinds.has(Neighbor) {
+		chk.neighborAt = now
+	}
+	chk.kinds = chk.kinds.with(e.Kind)
+}
+
+// Reported records that a server was found lost by the report of another one. Its streams are
+// moved by whoever read the report; the other VMs are told.
+func (c *Core) Reported(now time.Duration, server Server) {
+	s := c.state(now, server.Instance)
+	if s == nil || now < s.lostUntil {
+		return
+	}
+	s.lostUntil = now + c.cfg.LostMemory
+	if chk := c.byID[server.Instance]; chk != nil {
+		c.end(chk)
+	}
+	c.untold = append(c.untold, server)
+}
+
+// allowsWeak reports whether weak evidence may start a check of a server. It leaves a part of
+// the server's budget to other evidence.
+func (c *Core) allowsWeak(now time.Duration, s *serverState) bool {
+	s.budget.refill(now, 1/c.cfg.ServerInterval.Seconds(), c.cfg.ServerBurst)
+	return now >= s.weakAllowedAt && s.budget.tokens >= c.cfg.ServerBurst
+}
+
+// Paused drops all checks: this VM did not run for a while, so the times of their tries mean
+// nothing.
+func (c *Core) Paused() {
+	c.checks = nil
+	clear(c.byID)
+	clear(c.tries)
+}
+
+// Tried records the outcome of a try.
+func (c *Core) Tried(now time.Duration, id uint64, outcome Outcome) {
+	chk := c.tries[id]
+	if chk == nil {
+		return // the check has ended
+	}
+	delete(c.tries, id)
+	began, isTry := chk.tryTimes[id]
+	if !isTry {
+		c.witnessTried(now, chk, id, outcome)
+		return
+	}
+	delete(chk.tryTimes, id)
+	chk.inFlight--
+	if outcome == Unanswered && now-began > c.cfg.AnswerTimeout+c.cfg.LateResult {
+		outcome = Inconclusive
+	}
+	switch outcome {
+	case Opened:
+		chk.result, chk.done = Alive, true
+	case Refused:
+		chk.refused++
+		chk.nextTryAt = now + c.cfg.RefusedInterval
+	case Unanswered:
+		chk.silent++
+	case Inconclusive:
+		chk.inconclusive++
+		chk.launched--
+		chk.nextTryAt = now + c.cfg.TryInterval
+	}
+}
+
+func (c *Core) witnessTried(now time.Duration, chk *check, id uint64, outcome Outcome) {
+	server := chk.witnessTries[id]
+	delete(chk.witnessTries, id)
+	chk.witnessInFlight = false
+	if outcome == Opened {
+		chk.witness = server.ID
+		return
+	}
+	if s := c.state(now, server.Instance); s != nil && outcome != Inconclusive {
+		s.badWitness, s.badWitnessAt = true, now
+	}
+}
+
+// Streams tells of this VM's streams.
+type Streams interface {
+	// Progress returns when the last event of a stream through the server arrived, false if
+	// there is no such stream or event.
+	Progress(server backend.Instance) (at time.Duration, ok bool)
+}
+
+// Actions is what has to be done now.
+type Actions struct {
+	Tries    []Try
+	Verdicts []Verdict
+	// Tell holds the lost servers to tell all VMs of, in one message.
+	Tell []Server
+	// Wake is when Advance has to be called again if nothing happens before; 0 for never.
+	Wake time.Duration
+}
+
+func (a *Actions) wakeAt(at time.Duration) {
+	if a.Wake == 0 || at < a.Wake {
+		a.Wake = max(at, 1)
+	}
+}
+
+// Advance returns what has to be done now. It has to be called after each input and at the
+// time in Actions.Wake.
+func (c *Core) Advance(now time.Duration, streams Streams) Actions {
+	var a Actions
+	for _, chk := range slices.Clone(c.checks) {
+		c.advanceCheck(now, chk, streams, &a)
+		if chk.done {
+			c.conclude(now, chk, &a)
+		}
+	}
+	c.tell(now, &a)
+	return a
+}
+
+func (c *Core) advanceCheck(now time.Duration, chk *check, streams Streams, a *Actions) {
+	if !chk.started && !c.start(now, chk, streams, a) {
+		return
+	}
+	failed := chk.refused + chk.silent
+	switch {
+	case chk.done:
+	case chk.inconclusive >= c.cfg.MaxInconclusive:
+		chk.result, chk.done = Undecided, true
+	case chk.refused >= c.neededRefusals(now, chk):
+		c.awaitWitness(now, chk, Lost, a)
+	case failed >= c.cfg.DarkTries && chk.inFlight == 0:
+		if at, ok := streams.Progress(chk.server.Instance); ok && at > chk.startedAt+c.cfg.ProgressDelay {
+			chk.result, chk.done = Alive, true
+			return
+		}
+		c.awaitWitness(now, chk, Dark, a)
+	case chk.launched >= max(c.cfg.DarkTries, 2):
+		// All tries are in progress.
+	case now >= chk.nextTryAt:
+		c.try(now, chk, a)
+	default:
+		a.wakeAt(chk.nextTryAt)
+	}
+}
+
+// start begins a check if the budgets allow it.
+func (c *Core) start(now time.Duration, chk *check, streams Streams, a *Actions) bool {
+	s := c.state(now, chk.server.Instance)
+	if s == nil {
+		chk.result, chk.done = Undecided, true
+		return false
+	}
+	if chk.kinds == kindSet(0).with(Silence) {
+		if at, ok := streams.Progress(chk.server.Instance); ok && now-at < c.cfg.ProgressDelay {
+			c.end(chk) // another stream through the server goes on
+			return false
+		}
+	}
+	perServer, weak := 1/c.cfg.ServerInterval.Seconds(), chk.kinds.allWeak()
+	c.budget.refill(now, c.cfg.ChecksPerSecond, c.cfg.CheckBurst)
+	c.weak.refill(now, c.cfg.WeakChecksPerSecond, c.cfg.WeakCheckBurst)
+	s.budget.refill(now, perServer, c.cfg.ServerBurst)
+	at := max(c.budget.after(now, c.cfg.ChecksPerSecond, 1), s.budget.after(now, perServer, 1))
+	if weak {
+		at = max(at, c.weak.after(now, c.cfg.WeakChecksPerSecond, 1))
+	}
+	if at <= now {
+		if weak {
+			c.weak.tokens--
+		}
+		c.budget.tokens--
+		s.budget.tokens--
+		c.stats.Checks++
+		chk.started, chk.startedAt, chk.nextTryAt = true, now, now
+		chk.tryTimes, chk.witnessTries = map[uint64]time.Duration{}, map[uint64]Server{}
+		return true
+	}
+	giveUpAt := chk.evidenceAt + c.cfg.MaxWait
+	if chk.kinds.has(Neighbor) {
+		giveUpAt = min(giveUpAt, chk.neighborAt+c.cfg.NeighborWait)
+	}
+	if now >= giveUpAt {
+		c.stats.DroppedEvidence++
+		chk.result, chk.done = Undecided, true
+		return false
+	}
+	a.wakeAt(min(at, giveUpAt))
+	return false
+}
+
+// neededRefusals returns how many tries have to be refused. A watch connection that has just
+// closed is as good as one of them.
+func (c *Core) neededRefusals(now time.Duration, chk *check) int {
+	if s := c.states[chk.server.Instance]; s != nil && s.watchClosed && now-s.watchClosedAt <= c.cfg.WatchMemory {
+		return 1
+	}
+	return 2
+}
+
+func (c *Core) try(now time.Duration, chk *check, a *Actions) {
+	id := c.nextID(chk)
+	chk.launched++
+	chk.inFlight++
+	chk.tryTimes[id] = now
+	chk.nextTryAt = now + c.cfg.TryInterval
+	a.Tries = append(a.Tries, Try{ID: id, Server: chk.server, Timeout: c.cfg.AnswerTimeout})
+	switch {
+	case chk.launched < c.cfg.DarkTries:
+		a.wakeAt(chk.nextTryAt)
+	case chk.refused == 0 && !chk.witnessInFlight:
+		// Only a witness asked together with the last try shows that the links were up then.
+		chk.witness = ""
+		c.askWitness(now, chk, a)
+	}
+}
+
+func (c *Core) nextID(chk *check) uint64 {
+	c.lastID++
+	c.tries[c.lastID] = chk
+	return c.lastID
+}
+
+// awaitWitness ends a check with result once it has a witness.
+func (c *Core) awaitWitness(now time.Duration, chk *check, result Result, a *Actions) {
+	if chk.witness != "" {
+		chk.result, chk.done = result, true
+		return
+	}
+	if !chk.witnessInFlight && !c.askWitness(now, chk, a) {
+		chk.result, chk.done = Unwitnessed, true
+	}
+}
+
+// askWitness tries another server, which is to be the witness. It reports false if none is
+// left to ask.
+func (c *Core) askWitness(now time.Duration, chk *check, a *Actions) bool {
+	if chk.witnessesAsked >= c.cfg.WitnessTries {
+		return false
+	}
+	server, ok := c.pickWitness(now, chk)
+	if !ok {
+		return false
+	}
+	chk.askedWitnesses[chk.witnessesAsked] = server.ID
+	chk.witnessesAsked++
+	if server.Domain == chk.server.Domain {
+		chk.sameDomainAsked++
+	}
+	chk.witnessInFlight = true
+	id := c.nextID(chk)
+	chk.witnessTries[id] = server
+	a.Tries = append(a.Tries, Try{ID: id, Server: server, Timeout: c.cfg.AnswerTimeout, Witness: true})
+	return true
+}
+
+// pickWitness draws a server of the same failure domain, later of any. A dark server keeps to
+// witnesses of its domain as long as there were two: this VM may be cut off from the domain
+// alone.
+func (c *Core) pickWitness(now time.Duration, chk *check) (Server, bool) {
+	if chk.sameDomainAsked < c.cfg.SameDomainWitnesses {
+		if s, ok := c.draw(now, chk, c.byDomain[chk.server.Domain]); ok {
+			return s, true
+		}
+	}
+	if chk.refused == 0 && chk.sameDomainAsked >= c.cfg.SameDomainWitnesses {
+		return Server{}, false
+	}
+	return c.draw(now, chk, nil)
+}
+
+// draw returns a random server out of the given indices, nil for all, that may be a witness.
+// Servers that are being checked themselves come last.
+func (c *Core) draw(now time.Duration, chk *check, indices []int) (Server, bool) {
+	if s, ok := c.drawFrom(now, chk, indices, false); ok {
+		return s, true
+	}
+	return c.drawFrom(now, chk, indices, true)
+}
+
+func (c *Core) drawFrom(now time.Duration, chk *check, indices []int, beingChecked bool) (Server, bool) {
+	n := len(indices)
+	if indices == nil {
+		n = len(c.servers)
+	}
+	if n == 0 {
+		return Server{}, false
+	}
+	c.random += 0x9e3779b97f4a7c15
+	start := int(mix(c.random) % uint64(n))
+	for k := range n {
+		i := (start + k) % n
+		if indices != nil {
+			i = indices[i]
+		}
+		if s := c.servers[i]; c.mayWitness(now, chk, s, beingChecked) {
+			return s, true
+		}
+	}
+	return Server{}, false
+}
+
+func (c *Core) mayWitness(now time.Duration, chk *check, s Server, beingChecked bool) bool {
+	if s.ID == chk.server.ID || slices.Contains(chk.askedWitnesses[:chk.witnessesAsked], s.ID) {
+		return false
+	}
+	if st := c.states[s.Instance]; st != nil && (now < st.lostUntil || st.badWitness && now-st.badWitnessAt < c.cfg.WitnessMemory) {
+		return false
+	}
+	other := c.byID[s.Instance]
+	return other == nil || beingChecked && other.refused+other.silent == 0
+}
+
+// conclude ends a check and reports its verdict.
+func (c *Core) conclude(now time.Duration, chk *check, a *Actions) {
+	c.end(chk)
+	v := Verdict{Server: chk.server, Result: chk.result, Kind: chk.kind, EvidenceAt: chk.evidenceAt, FromNeighbor: chk.kinds.has(Neighbor)}
+	if chk.result.Gone() {
+		v.Witness = chk.witness
+	}
+	if s := c.state(now, chk.server.Instance); s != nil {
+		switch {
+		case v.Result.Gone():
+			s.lostUntil, s.aliveInARow = now+c.cfg.LostMemory, 0
+		case v.Result == Alive && chk.kinds.allWeak():
+			interval := min(c.cfg.ServerInterval<<min(s.aliveInARow, 8), c.cfg.MaxServerInterval)
+			s.aliveInARow++
+			s.weakAllowedAt = now + interval
+		}
+	}
+	if v.Result.Gone() && !v.FromNeighbor {
+		c.untold = append(c.untold, chk.server)
+	}
+	a.Verdicts = append(a.Verdicts, v)
+}
+
+// end removes a check. Outcomes of its tries that are still in progress are ignored.
+func (c *Core) end(chk *check) {
+	c.checks = slices.DeleteFunc(c.checks, func(other *check) bool { return other == chk })
+	delete(c.byID, chk.server.Instance)
+	for id := range chk.tryTimes {
+		delete(c.tries, id)
+	}
+	for id := range chk.witnessTries {
+		delete(c.tries, id)
+	}
+}
+
+// tell puts what the other VMs have to be told into one message, within the bound.
+func (c *Core) tell(now time.Duration, a *Actions) {
+	if len(c.untold) == 0 {
+		return
+	}
+	if c.toldAt > 0 && now < c.toldAt+c.cfg.MessageInterval {
+		a.wakeAt(c.toldAt + c.cfg.MessageInterval)
+		return
+	}
+	c.messages.refill(now, c.cfg.MessagesPerSecond, c.cfg.MessageBurst)
+	if c.messages.tokens < 1 {
+		c.stats.DroppedFindings += len(c.untold)
+		c.untold = nil
+		return
+	}
+	c.messages.tokens--
+	a.Tell, c.untold, c.toldAt = c.untold, nil, now
+}
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -12,6 +12,7 @@
 	"internal/call",
 	"internal/changefeed",
 	"internal/config",
+	"internal/detector",
 	"internal/dispatch",
 	"internal/engine",
 	"internal/entrylist",
