router: leave crashed and dark servers by the failure detector

Watch connections, evidence of requests, orders, neighbors and silence feed internal/detector. On a verdict of loss all streams leave the server, and a message of its own (loads.ScopeFindings) tells all VMs directly. Another VM's finding starts a check in place of a move. The silence that starts a check is learned from each stream's pauses; the report keeps its timeout.

--- a/internal/detector/config.go
+++ b/internal/detector/config.go
@@ -62,6 +62,10 @@
 	// MaxChecks bounds the checks in progress or waiting, MaxServers the servers of which
 	// something is remembered. Defaults 256 and 4096.
 	MaxChecks, MaxServers int
+	// SettleTime is how long streams stay after a verdict of loss, and up to twice that while
+	// other servers refuse connections: servers that fail together are left together. Streams
+	// that moved at once moved to the next lost server. Default 4 ms.
+	SettleTime time.Duration
 	// LostMemory is how long a verdict of loss holds: evidence about the same incarnation
 	// starts no check. Default 2 s.
 	LostMemory time.Duration
@@ -84,7 +88,7 @@
 		WitnessTries: 3, SameDomainWitnesses: 2, WitnessMemory: time.Second,
 		ChecksPerSecond: 50, CheckBurst: 50, WeakChecksPerSecond: 20, WeakCheckBurst: 25, ServerInterval: 250 * time.Millisecond, ServerBurst: 2, MaxServerInterval: time.Second,
 		MaxWait: 500 * time.Millisecond, NeighborWait: 60 * time.Millisecond, MaxInconclusive: 3, MaxChecks: 256, MaxServers: 4096,
-		LostMemory: 2 * time.Second, MessagesPerSecond: 1, MessageBurst: 4, MessageInterval: 4 * time.Millisecond,
+		SettleTime: 4 * time.Millisecond, LostMemory: 2 * time.Second, MessagesPerSecond: 1, MessageBurst: 4, MessageInterval: 4 * time.Millisecond,
 		Pace: DefaultPaceConfig(),
 	}
 }
--- a/internal/detector/core.go
+++ b/internal/detector/core.go
@@ -25,6 +25,9 @@
 	budget bucket
 	weak   bucket // of the checks by weak evidence
 
+	refused  []Server  // by a first try since the last Advance
+	held     []Verdict // of loss, until the time to settle is over
+	heldAt   time.Duration
 	untold   []Server // lost servers of which the other VMs have to be told
 	messages bucket
 	toldAt   time.Duration
@@ -72,7 +75,7 @@
 	refused, silent int // tries
 	inconclusive    int
 	witnessesAsked  int
-	witnessInFlight bool
+	witnessAskedAt  time.Duration
 	witness         backend.ID
 	sameDomainAsked int
 	askedWitnesses  [maxWitnesses]backend.ID
@@ -187,18 +190,19 @@
 	chk.kinds = chk.kinds.with(e.Kind)
 }
 
-// Reported records that a server was found lost by the report of another one. Its streams are
-// moved by whoever read the report; the other VMs are told.
-func (c *Core) Reported(now time.Duration, server Server) {
+// Reported records that a server was found lost by the report of another one, of which the
+// other VMs are told. It reports whether that is new, so that its streams have to be moved.
+func (c *Core) Reported(now time.Duration, server Server) bool {
 	s := c.state(now, server.Instance)
 	if s == nil || now < s.lostUntil {
-		return
+		return false
 	}
 	s.lostUntil = now + c.cfg.LostMemory
 	if chk := c.byID[server.Instance]; chk != nil {
 		c.end(chk)
 	}
 	c.untold = append(c.untold, server)
+	return true
 }
 
 // allowsWeak reports whether weak evidence may start a check of a server. It leaves a part of
@@ -212,6 +216,7 @@
 // nothing.
 func (c *Core) Paused() {
 	c.checks = nil
+	c.refused = nil
 	clear(c.byID)
 	clear(c.tries)
 }
@@ -237,6 +242,9 @@
 	case Opened:
 		chk.result, chk.done = Alive, true
 	case Refused:
+		if chk.refused == 0 {
+			c.refused = append(c.refused, chk.server)
+		}
 		chk.refused++
 		chk.nextTryAt = now + c.cfg.RefusedInterval
 	case Unanswered:
@@ -251,7 +259,6 @@
 func (c *Core) witnessTried(now time.Duration, chk *check, id uint64, outcome Outcome) {
 	server := chk.witnessTries[id]
 	delete(chk.witnessTries, id)
-	chk.witnessInFlight = false
 	if outcome == Opened {
 		chk.witness = server.ID
 		return
@@ -266,12 +273,19 @@
 	// Progress returns when the last event of a stream through the server arrived, false if
 	// there is no such stream or event.
 	Progress(server backend.Instance) (at time.Duration, ok bool)
+	// Silent reports whether a stream through the server has been silent for its longest
+	// acceptable pause and none has had an event lately. Shorter silences are common on links
+	// that lose packets.
+	Silent(server backend.Instance) bool
 }
 
 // Actions is what has to be done now.
 type Actions struct {
 	Tries    []Try
 	Verdicts []Verdict
+	// Avoid holds servers that have refused a first try, or that are gone by a verdict which is
+	// still held. Streams that move now should not move to them: servers often fail together.
+	Avoid []Server
 	// Tell holds the lost servers to tell all VMs of, in one message.
 	Tell []Server
 	// Wake is when Advance has to be called again if nothing happens before; 0 for never.
@@ -287,13 +301,18 @@
 // Advance returns what has to be done now. It has to be called after each input and at the
 // time in Actions.Wake.
 func (c *Core) Advance(now time.Duration, streams Streams) Actions {
-	var a Actions
+	a := Actions{Avoid: c.refused}
+	c.refused = nil
 	for _, chk := range slices.Clone(c.checks) {
 		c.advanceCheck(now, chk, streams, &a)
+		if chk.done && chk.result == Alive && chk.kinds.has(Neighbor) && streams.Silent(chk.server.Instance) {
+			chk.result = Stalled
+		}
 		if chk.done {
 			c.conclude(now, chk, &a)
 		}
 	}
+	c.release(now, &a)
 	c.tell(now, &a)
 	return a
 }
@@ -388,7 +407,7 @@
 	switch {
 	case chk.launched < c.cfg.DarkTries:
 		a.wakeAt(chk.nextTryAt)
-	case chk.refused == 0 && !chk.witnessInFlight:
+	case chk.refused == 0 && len(chk.witnessTries) == 0:
 		// Only a witness asked together with the last try shows that the links were up then.
 		chk.witness = ""
 		c.askWitness(now, chk, a)
@@ -407,7 +426,12 @@
 		chk.result, chk.done = result, true
 		return
 	}
-	if !chk.witnessInFlight && !c.askWitness(now, chk, a) {
+	if next := chk.witnessAskedAt + c.cfg.TryInterval; len(chk.witnessTries) > 0 && now < next {
+		a.wakeAt(next)
+		return
+	}
+	// A witness whose packet was lost would hold the verdict up for AnswerTimeout.
+	if !c.askWitness(now, chk, a) && len(chk.witnessTries) == 0 {
 		chk.result, chk.done = Unwitnessed, true
 	}
 }
@@ -427,7 +451,8 @@
 	if server.Domain == chk.server.Domain {
 		chk.sameDomainAsked++
 	}
-	chk.witnessInFlight = true
+	chk.witnessAskedAt = now
+	a.wakeAt(now + c.cfg.TryInterval)
 	id := c.nextID(chk)
 	chk.witnessTries[id] = server
 	a.Tries = append(a.Tries, Try{ID: id, Server: server, Timeout: c.cfg.AnswerTimeout, Witness: true})
@@ -511,7 +536,32 @@
 	if v.Result.Gone() && !v.FromNeighbor {
 		c.untold = append(c.untold, chk.server)
 	}
-	a.Verdicts = append(a.Verdicts, v)
+	if !v.Result.Gone() {
+		a.Verdicts = append(a.Verdicts, v)
+		return
+	}
+	if len(c.held) == 0 {
+		c.heldAt = now
+	}
+	c.held = append(c.held, v)
+	a.Avoid = append(a.Avoid, chk.server)
+}
+
+// release hands out the verdicts of loss once the time to settle is over.
+func (c *Core) release(now time.Duration, a *Actions) {
+	if len(c.held) == 0 {
+		return
+	}
+	at := c.heldAt + c.cfg.SettleTime
+	if slices.ContainsFunc(c.checks, func(chk *check) bool { return chk.refused > 0 }) {
+		at += c.cfg.SettleTime
+	}
+	if now < at {
+		a.wakeAt(at)
+		return
+	}
+	a.Verdicts = append(a.Verdicts, c.held...)
+	c.held = nil
 }
 
 // end removes a check. Outcomes of its tries that are still in progress are ignored.
--- a/internal/detector/core_test.go
+++ b/internal/detector/core_test.go
@@ -137,6 +137,8 @@
 // passing has a stream through every server, with an event a moment ago.
 type passing struct{ now *time.Duration }
 
+func (passing) Silent(backend.Instance) bool { return false }
+
 func (p passing) Progress(backend.Instance) (time.Duration, bool) { return *p.now - ms, true }
 
 // A server through which events still arrive is not dark, whatever its new connections say.
@@ -165,6 +167,58 @@
 	require.Fail(t, "no verdict")
 }
 
+// silentStreams has a silent stream through every server.
+type silentStreams struct{ noStreams }
+
+func (silentStreams) Silent(backend.Instance) bool { return true }
+
+// A process that hangs still accepts connections. Another VM has it from a report.
+func TestSilentStreamsLeaveAServerThatANeighborFoundLost(t *testing.T) {
+	for kind, want := range map[Kind]Result{Neighbor: Stalled, Silence: Alive, WatchClosed: Alive} {
+		c, servers := testCore(5)
+		c.Observe(time.Second, Evidence{Server: servers[0], Kind: kind})
+		c.Tried(time.Second, c.Advance(time.Second, silentStreams{}).Tries[0].ID, Opened)
+		a := c.Advance(time.Second, silentStreams{})
+		if want.Gone() {
+			a = c.Advance(a.Wake, silentStreams{})
+		}
+		require.Equal(t, want, a.Verdicts[0].Result, kind)
+		require.Empty(t, a.Tell)
+	}
+}
+
+// Streams that left the first of several lost servers at once moved to the next one.
+func TestServersThatFailTogetherAreLeftTogether(t *testing.T) {
+	c, servers := testCore(6)
+	now := time.Second
+	c.Observe(now, Evidence{Server: servers[0], Kind: WatchClosed})
+	outcome := func(try Try) Outcome {
+		if try.Server.ID == servers[0].ID || try.Server.ID == servers[1].ID {
+			return Refused
+		}
+		return Opened
+	}
+	answer := func(a Actions) {
+		for _, try := range a.Tries {
+			c.Tried(now, try.ID, outcome(try))
+		}
+	}
+	var avoid []Server
+	var lost []Verdict
+	for ; len(lost) == 0; now += ms / 2 {
+		if now == time.Second+2*ms {
+			c.Observe(now, Evidence{Server: servers[1], Kind: Reset})
+		}
+		a := c.Advance(now, noStreams{})
+		avoid, lost = append(avoid, a.Avoid...), a.Verdicts
+		answer(a)
+		require.Less(t, now, time.Second+50*ms)
+	}
+	require.Len(t, lost, 2)
+	require.Contains(t, avoid, servers[1])
+	require.LessOrEqual(t, now, time.Second+11*ms)
+}
+
 // A finding that the budget leaves no check for is handed back, so that the VM can act on it.
 func TestNeighborsFindingWithoutBudgetIsHandedBack(t *testing.T) {
 	c, servers := testCore(5)
--- a/internal/detector/evidence.go
+++ b/internal/detector/evidence.go
@@ -95,6 +95,9 @@
 	Lost
 	// Dark means that the server answers nothing.
 	Dark
+	// Stalled means that the server accepts connections, but that another VM has found it lost
+	// and the streams of this one through it are silent: its process may hang.
+	Stalled
 	// Unwitnessed means that no other server answered either: this VM's links may be cut.
 	Unwitnessed
 	// Undecided means that there was no usable result, or that the budget allowed no check.
@@ -103,10 +106,10 @@
 )
 
 // Results lists all results of checks.
-func Results() []Result { return []Result{Alive, Lost, Dark, Unwitnessed, Undecided} }
+func Results() []Result { return []Result{Alive, Lost, Dark, Stalled, Unwitnessed, Undecided} }
 
 func (r Result) String() string {
-	names := [numResults]string{"alive", "lost", "dark", "unwitnessed", "undecided"}
+	names := [numResults]string{"alive", "lost", "dark", "stalled", "unwitnessed", "undecided"}
 	if r < numResults {
 		return names[r]
 	}
@@ -114,7 +117,7 @@
 }
 
 // Gone reports whether streams have to leave the server.
-func (r Result) Gone() bool { return r == Lost || r == Dark }
+func (r Result) Gone() bool { return r == Lost || r == Dark || r == Stalled }
 
 // Verdict is the result of a check.
 type Verdict struct {
--- a/internal/detector/sim_test.go
+++ b/internal/detector/sim_test.go
@@ -223,6 +223,22 @@
 	return last, last > 0
 }
 
+// Silent implements Streams.
+func (vm *simVM) Silent(in backend.Instance) bool {
+	silent := false
+	for _, st := range vm.streams {
+		if st.moved || st.lastEvent == 0 || !vm.passes(st, in) {
+			continue
+		}
+		quiet := vm.sim.now - st.lastEvent
+		if quiet < vm.core.cfg.Pace.MinSilence {
+			return false
+		}
+		silent = silent || quiet >= 250*ms
+	}
+	return silent
+}
+
 func (vm *simVM) passes(st *simStream, in backend.Instance) bool {
 	for _, i := range st.path {
 		if vm.sim.servers[i].Instance == in {
@@ -620,6 +636,8 @@
 // noStreams has no streams.
 type noStreams struct{}
 
+func (noStreams) Silent(backend.Instance) bool { return false }
+
 func (noStreams) Progress(backend.Instance) (time.Duration, bool) { return 0, false }
 
 // play advances a Core, whose tries end as outcome says after 1 ms or their timeout, until its
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -70,6 +70,7 @@
 	Poison                       poison.Result
 	LimitsChanged                bool // limits that servers named
 	CutsChanged                  bool // which VMs are cut off from backend servers
+	UnknownLost                  int  // new findings of lost servers that this VM does not know
 }
 
 // Receive applies a message from another VM and returns its new findings.
@@ -102,6 +103,7 @@
 			findings.Lost = append(findings.Lost, s)
 		}
 	}
+	findings.UnknownLost = max(0, len(lost)-len(findings.Lost))
 	return findings
 }
 
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -220,6 +220,27 @@
 	return out
 }
 
+// LostMessage returns a message for all other VMs that says that servers were found lost now.
+func (c *Core) LostMessage(keys []Key) Message {
+	c.seq++
+	m := Message{From: c.self.VM, Domain: c.self.Domain, Scope: ScopeFindings, Seq: c.seq, Lost: make(map[Key]time.Duration, len(keys))}
+	for _, k := range keys {
+		m.Lost[k] = 0
+	}
+	return m
+}
+
+// Others returns the other VMs.
+func (c *Core) Others() []Member {
+	out := make([]Member, 0, len(c.members))
+	for _, m := range c.members {
+		if m.VM != c.self.VM {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Receive applies a message and returns its new findings. Loads older than the known ones
 // are ignored.
 func (c *Core) Receive(now time.Duration, m Message) Findings {
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -158,3 +158,22 @@
 		}
 	}
 }
+
+// A message of findings carries no loads. A VM that took it for loads would count the sender's
+// work as none.
+func TestFindingsOfAMessageWithoutLoadsAreRead(t *testing.T) {
+	n := newNetwork(t, sixVMDomains())
+	n.own["a1"][7] = Load{Streams: 5}
+	for range 3 {
+		n.round()
+	}
+	require.Len(t, n.vms["a2"].Others(), 5)
+	before := n.vms["a2"].EstimateOthers(n.now, 7, Load{})
+	for _, scope := range []Scope{ScopeFindings, ScopeFindings + 5} {
+		m := n.vms["a1"].LostMessage([]Key{Key(scope)})
+		m.Scope = scope
+		require.Equal(t, []Key{Key(scope)}, n.vms["a2"].Receive(n.now, m).Lost)
+	}
+	require.Equal(t, before, n.vms["a2"].EstimateOthers(n.now, 7, Load{}))
+	require.NotZero(t, before.Streams)
+}
--- a/internal/loads/message.go
+++ b/internal/loads/message.go
@@ -19,6 +19,9 @@
 	ScopeDomain
 	// ScopeAll is the sum of all failure domains, for the members of the sender's domain.
 	ScopeAll
+	// ScopeFindings is no work: the message carries servers found lost, from any VM directly
+	// to all others. Builds that do not know the scope read its findings as well.
+	ScopeFindings
 )
 
 // Message carries work in progress and findings.
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -17,12 +17,14 @@
 	storeErrors, loadSendErrors, watcherErrors, orders, reports, refused, resumed, repathed, retried, failed *metrics.Counter
 	served, logLinesDropped, panics, promptsBlocked, partsBlocked, storeEraChanges, passedOn, cutOff         *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
+	detectorMetrics
 }
 
 func newRouterMetrics() *routerMetrics {
 	c := metrics.GetOrCreateCounter
 	return &routerMetrics{
-		storeErrors: c("catkin_router_store_errors_total"), loadSendErrors: c("catkin_router_loads_not_sent_total"),
+		detectorMetrics: newDetectorMetrics(),
+		storeErrors:     c("catkin_router_store_errors_total"), loadSendErrors: c("catkin_router_loads_not_sent_total"),
 		watcherErrors: c("catkin_router_reader_errors_total"), orders: c("catkin_router_orders_total"),
 		reports: c("catkin_router_reports_total"), refused: c("catkin_router_refused_total"),
 		resumed: c("catkin_router_resumed_total"), repathed: c("catkin_router_repathed_total"), retried: c("catkin_router_repeated_total"),
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/changefeed"
+	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/leader"
 	"github.com/catkinstair/catkinstair/internal/placement"
@@ -17,6 +18,8 @@
 	Placement  placement.Config
 	Changefeed changefeed.Config
 	WaitQueue  dispatch.WaitQueueConfig
+	// Detector holds the settings of the failure detector.
+	Detector detector.Config
 
 	// WatchTimeout is how long the store holds a watch without an event. An unresponsive
 	// store is detected only when the response is due, so this time counts toward the
@@ -120,6 +123,7 @@
 	return Config{
 		Dispatch: dispatch.DefaultConfig(), Leader: leader.DefaultConfig(), Placement: placement.DefaultConfig(), Changefeed: changefeed.DefaultConfig(),
 		WaitQueue:    dispatch.DefaultWaitQueueConfig(),
+		Detector:     detector.DefaultConfig(),
 		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, StateWait: 1500 * time.Millisecond,
 		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, OwnTryInterval: 2 * time.Second, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
 		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PeerStallTimeout: 1200 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, SuspectWait: 800 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/poison"
 )
@@ -45,6 +46,7 @@
 		var m loads.Message
 		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
 			r.log.Warn().Err(err).Stringer("from", from).Msg("loads: invalid message")
+			r.metrics.messagesDropped["malformed"].Inc()
 			continue
 		}
 		r.runGuarded("loads", m.From, func() { r.handleLoads(m) })
@@ -56,7 +58,7 @@
 	var found poison.Result
 	r.locked(func() { lostAddrs, slowAddrs, found = r.receiveFindings(m) })
 	r.applyBlocks(found, m.From)
-	r.moveOffLost(lostAddrs)
+	r.moveOffLost(r.checkNeighborsFindings(m, lostAddrs))
 	r.moveOffSlow(slowAddrs)
 }
 
@@ -66,6 +68,7 @@
 func (r *Router) receiveFindings(m loads.Message) (lostAddrs, slowAddrs []string, found poison.Result) {
 	now := r.clock.now()
 	findings := r.core.Receive(now, m)
+	r.countDropped(m, findings.UnknownLost)
 	for _, s := range findings.Lost {
 		lostAddrs = append(lostAddrs, s.Addr)
 		r.log.Info().Str("server", string(s.ID)).Str("addr", s.Addr).Str("from", m.From).Msg("backend server lost, another VM says")
@@ -99,11 +102,13 @@
 func (r *Router) recordLost(addr string) {
 	r.mu.Lock()
 	isNew := false
+	var server detector.Server
 	if s := r.core.Backends.ByAddr(addr); s != nil {
 		isNew = r.core.RecordLost(r.clock.now(), s.Instance())
+		server = checkedServer(s)
 	}
 	r.mu.Unlock()
-	if isNew {
+	if r.recordReportedLost(server) || isNew {
 		r.moveOffLost([]string{addr})
 	}
 }
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -11,6 +11,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/poison"
 	"github.com/catkinstair/catkinstair/internal/reach"
 	"github.com/catkinstair/catkinstair/platform"
@@ -154,6 +155,9 @@
 	if !isFailure {
 		return
 	}
+	if how == reach.NoConnection {
+		r.suspectServer(server, detector.Reset)
+	}
 	cutOff := false
 	r.locked(func() {
 		r.core.Reach.SetServers(r.clock.now(), service, len(r.core.Backends.ByService(service)))
--- a/internal/router/pause.go
+++ b/internal/router/pause.go
@@ -104,6 +104,7 @@
 	r.pauseCount.Add(1)
 	r.dropMessagesUntil.Store(int64(now + dropMessagesAfterPause))
 	r.current.close()
+	r.detector.paused()
 	r.streams.cancelExpired()
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,6 +76,7 @@
 	waitQueue    *dispatch.WaitQueue
 	streams      *streamTable
 	reportCache  *reportCache
+	detector     *failureDetector
 	sendLoadsNow chan struct{} // signals a finding to send at once
 	probeNow     chan struct{} // signals a server that failed
 
@@ -135,6 +136,8 @@
 		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1),
 		current: newGate(),
 	}
+	r.detector = newFailureDetector(cfg.Detector, settings.VM, cfg.Dispatch.Incarnation)
+	r.detector.dial = r.dialServer
 	r.bounds.Store(&settings.Bounds)
 	r.store.OnEra = r.observeEra
 	return r, nil
@@ -193,7 +196,7 @@
 		return errors.Wrap(err, "opening the socket for other VMs")
 	}
 	var workTasks, leaseTasks sync.WaitGroup
-	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks} {
+	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence} {
 		workTasks.Go(func() { task(workCtx) })
 	}
 	for _, task := range []func(context.Context){r.maintainPresence, r.runPlacement, r.storeBlockedParts} {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
+	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 	"github.com/catkinstair/catkinstair/platform"
@@ -75,6 +76,9 @@
 		call.Close()
 		return sendResult{choice: ch, err: errResponseMismatch, outcome: verdict.MayHaveRun}
 	}
+	if addr := resp.Header.Get(platform.HeaderFailedServer); addr != "" {
+		x.r.suspect(addr, detector.Refusal)
+	}
 	if resp.StatusCode == platform.StatusWrongServer || resp.Header.Get(platform.HeaderNotRun) != "" {
 		s.outcome = verdict.NotRun
 		s.faultAddr = resp.Header.Get(platform.HeaderFailedServer)
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -8,7 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/reach"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -107,7 +109,7 @@
 // moveOffLost moves the stream off a lost server: its stage is given to other servers while
 // the run continues. If that fails, the run is cancelled and resumed elsewhere.
 func (st *stream) moveOffLost(faultAddr string) {
-	if !st.moveOff(faultAddr) {
+	if !st.moveOff(faultAddr, true) {
 		st.cancelCurrentRun(faultAddr)
 	}
 }
@@ -117,7 +119,7 @@
 // another server can take the request. If neither is possible, the stream stays.
 func (st *stream) moveOffSlow(addr string) {
 	if st.choice().Target().Addr != addr {
-		if !st.moveOff(addr) {
+		if !st.moveOff(addr, false) {
 			st.x.r.log.Info().Str("request", st.x.req.ID).Str("addr", addr).Msg("stream stays on a slow server")
 		}
 		return
@@ -131,7 +133,7 @@
 // for the stream, sometimes for many seconds, before it loads its new layers.
 func (st *stream) moveOffReleased(addr string) {
 	if st.choice().Target().Addr != addr {
-		st.moveOff(addr)
+		st.moveOff(addr, false)
 		return
 	}
 	st.runElsewhere(addr)
@@ -153,11 +155,15 @@
 }
 
 // moveOff gives the stage of the server at addr to other servers. It reports false if that
-// failed, and true if it was done or there was nothing to do.
-func (st *stream) moveOff(addr string) bool {
+// failed, and true if it was done or there was nothing to do. If another change of the path is
+// in progress, a lost server is left after it: servers often fail together.
+func (st *stream) moveOff(addr string, lost bool) bool {
 	st.mu.Lock()
 	old := st.result.choice
 	if st.runEnded || st.repathing || !usesServer(old, addr) {
+		if st.repathing && lost {
+			st.alsoLost = append(st.alsoLost, addr)
+		}
 		st.mu.Unlock()
 		return true
 	}
@@ -173,7 +179,14 @@
 		st.result.choice = next
 	}
 	st.lastRead = time.Now()
+	alsoLost := st.alsoLost
+	st.alsoLost = nil
 	st.mu.Unlock()
+	defer func() {
+		for _, other := range alsoLost {
+			st.moveOffLost(other)
+		}
+	}()
 	switch {
 	case moved:
 		st.x.release(old)
@@ -245,7 +258,14 @@
 	if err != nil {
 		return 0, "", err
 	}
-	return r.postOrder(ch.Target().Addr, body, nil)
+	status, faultAddr, err = r.postOrder(ch.Target().Addr, body, nil)
+	switch how, isFailure := failureOf(err); {
+	case err == nil && faultAddr != "":
+		r.suspect(faultAddr, detector.Refusal)
+	case err != nil && isFailure && how == reach.NoConnection:
+		r.suspect(ch.Target().Addr, detector.Reset)
+	}
+	return status, faultAddr, err
 }
 
 // stalledError is the cause of a run cancelled because of the server at faultAddr.
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/relay"
 	"github.com/catkinstair/catkinstair/internal/verdict"
@@ -35,13 +36,23 @@
 	// result.choice, which a change of path replaces.
 	mu       sync.Mutex
 	lastRead time.Time // when the last complete event of the run arrived, or the run began
-	runBegun bool      // the run has sent a complete event
-	waiting  bool      // for bytes of the run
+	// waitSince is when the stream began to wait for bytes of the run.
+	waitSince time.Time
+	// pace is what is known of the stream's pauses, silences how often the current one has
+	// started checks.
+	pace     detector.Pace
+	silences int
+	// lastProgress is when the last complete event of the run arrived, zero for none.
+	lastProgress time.Time
+	runBegun     bool // the run has sent a complete event
+	waiting      bool // for bytes of the run
 	// partialSince is when the stream began to wait for the rest of an event, zero for none.
 	partialSince time.Time
 	repathing    bool // a change of the path is in progress
-	runCount     int  // lets a late timer detect that its run is over
-	runEnded     bool // the choice of an ended run is no longer replaced
+	// alsoLost holds servers that were found lost during a change of the path.
+	alsoLost []string
+	runCount int  // lets a late timer detect that its run is over
+	runEnded bool // the choice of an ended run is no longer replaced
 
 	closed bool
 
@@ -141,7 +152,8 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.runCtx, st.cancelRun = context.WithCancelCause(st.x.callerCtx)
-	st.partialSince, st.runBegun = time.Time{}, false
+	st.partialSince, st.runBegun, st.lastProgress, st.lastRead = time.Time{}, false, time.Time{}, time.Now()
+	st.silences = 0
 	st.result, st.runEnded = sendResult{choice: ch}, false
 	st.runCount++
 }
@@ -333,7 +345,9 @@
 func (st *stream) recordProgress() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.recordGap(time.Now())
 	st.lastRead, st.partialSince, st.runBegun = time.Now(), time.Time{}, true
+	st.lastProgress = st.lastRead
 }
 
 // beginWait tells the stall watch that the stream waits for more bytes, partial if an event
@@ -341,7 +355,9 @@
 func (st *stream) beginWait(partial bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.waiting = true
+	if !st.waiting {
+		st.waiting, st.waitSince = true, time.Now()
+	}
 	if partial && st.partialSince.IsZero() {
 		st.partialSince = time.Now()
 	}
