Divide a lost server's streams among the servers that can take them

All VMs saw the same loads and moved their streams to the same idle servers. Each VM now divides the fleet's streams at the lost server by what each candidate can take (free KV cache; tokens to read again and longer steps in half of the pause objective) and draws a server for each stream by a hash of its request ID. Servers of other failure domains get only what does not fit. The expected streams count for new requests during two message intervals. Only for services with a route that declares MaxGap and allows resuming.

Where the draws of two parts of a path name one server, the second part takes another; the path was given up before. The simulation reads prompts stage by stage in these tests (readInTurn).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -49,6 +49,12 @@
 	// request leaves out at random while the load of the other VMs is unknown; it also leaves
 	// out those of other failure domains. 0 disables both. Default 0.35.
 	UnknownLoadShare float64
+	// MoveTimeShare is the share of the pause objective (routes.Route.MaxGap) in which the
+	// servers that take over a lost server's layers read the tokens of the moved streams
+	// again; the rest is for the finding, the order and the next step. The lost server's
+	// streams are divided by what each server can take in that time. 0 disables this.
+	// Default 0.5.
+	MoveTimeShare float64
 	// LoadsSettleTime is how long the sum of all VMs' loads has to be known before it is
 	// relied upon. Default 1 s.
 	LoadsSettleTime time.Duration
@@ -75,7 +81,7 @@
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
 	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(),
-		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
+		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, MoveTimeShare: 0.5, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
 }
 
 // Core holds the dispatch state of one VM. It is not safe for concurrent use.
@@ -95,13 +101,14 @@
 	vmCount         int
 	crossDomainLink linkMeter
 	loadsUnknownAt  time.Duration // last time at which the load of the other VMs was unknown
+	moves           map[backend.Instance]*move
 }
 
 // New returns a Core without a configuration.
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), budgets: map[string]*retry.Budget{}, vmCount: 1}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
 }
 
 // Table returns the configuration in force, or nil.
@@ -333,6 +340,7 @@
 		out = append(out, paths.Candidate{Instance: s.Instance(), Addr: s.Addr, Domain: s.Domain, Accelerator: accelerator, Held: s.Held,
 			Streams: own.Streams + others.Streams, TokenLayers: own.TokenLayers + others.TokenLayers, Slowdown: s.SlowdownFactor(now),
 			Slots: float64(spec.Slots), FirstStageStreams: c.firstStageStreams(now, s, others), NotFirst: !c.takesRequests(now, s)})
+		c.addMoved(now, &out[len(out)-1])
 	}
 	return out
 }
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -21,6 +21,9 @@
 // finding, of which the other VMs should be notified.
 func (c *Core) RecordLost(now time.Duration, in backend.Instance) bool {
 	c.Backends.RecordFailure(now, in, c.cfg.LostSuspicion)
+	if s := c.Backends.Get(in.ID); s != nil && s.Instance() == in {
+		c.beginMove(now, s)
+	}
 	return c.Loads.RecordLost(now, LoadKey(in))
 }
 
@@ -99,6 +102,7 @@
 		}
 		if lost[key] {
 			c.Backends.RecordFailure(now, s.Instance(), c.cfg.LostSuspicion)
+			c.beginMove(now, s)
 			findings.Lost = append(findings.Lost, s)
 		}
 	}
--- a/internal/dispatch/replace.go
+++ b/internal/dispatch/replace.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
@@ -38,11 +39,18 @@
 		if end < len(ch.Stages) {
 			q.NextDomain = c.domainOf(ch.Stages[end])
 		}
-		replacement, ok := paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+		replacement, ok := paths.Find(c.cfg.Paths, r.Service.Engine, c.drawMove(now, r, ch.Stages[i:end], candidates), q)
+		if !ok {
+			replacement, ok = paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+		}
 		if !ok {
 			return nil
 		}
 		stages = append(stages, replacement.Stages...)
+		if c.dividesMoves(r) {
+			// The draws of two parts of a path may name the same server.
+			candidates = withoutServers(candidates, replacement.Stages)
+		}
 		i = end
 	}
 	if len(stages) > paths.MaxStages || repeatsServer(stages) {
@@ -61,13 +69,14 @@
 
 // candidatesOffPath returns the candidates that are not on the path of ch.
 func (c *Core) candidatesOffPath(now time.Duration, r *Request, ch *Choice) []paths.Candidate {
-	onPath := map[backend.ID]bool{}
-	for _, stage := range ch.Stages {
-		onPath[stage.Instance.ID] = true
-	}
-	var out []paths.Candidate
-	for _, candidate := range c.candidates(now, r) {
-		if !onPath[candidate.Instance.ID] {
+	return withoutServers(c.candidates(now, r), ch.Stages)
+}
+
+// withoutServers returns the candidates that are not among the servers of the given stages.
+func withoutServers(candidates []paths.Candidate, stages []paths.Stage) []paths.Candidate {
+	out := candidates[:0:0]
+	for _, candidate := range candidates {
+		if !slices.ContainsFunc(stages, func(s paths.Stage) bool { return s.Instance.ID == candidate.Instance.ID }) {
 			out = append(out, candidate)
 		}
 	}
--- a/internal/dispatch/sim_engines_test.go
+++ b/internal/dispatch/sim_engines_test.go
@@ -42,10 +42,21 @@
 		e := s.engines[stage.Instance.ID]
 		e.active[c] = stage.Layers
 		e.usedKV += (c.req.PromptTokens + c.generated) * float64(stage.Layers.Len())
+		if s.readInTurn {
+			continue
+		}
 		e.prefillFreeAt = max(e.prefillFreeAt, ready) + s.spec.PrefillTime(e.accelerator, stage.Layers.Len(), c.req.PromptTokens)
 		ready = e.prefillFreeAt
 	}
 	c.lastStep = ready
+	if s.readInTurn {
+		s.read(c, c.choice.Stages, func() {
+			if c.onRead != nil {
+				c.onRead()
+				c.onRead = nil
+			}
+		})
+	}
 }
 
 // detach removes a call from all servers of its path.
@@ -151,6 +162,9 @@
 	c.vm.core.RecordSuccess(c.choice)
 	c.vm.core.Release(c.choice)
 	c.done = true
+	if s.onFinish != nil {
+		s.onFinish(c)
+	}
 	if c.firstToken <= 500*time.Millisecond && c.maxGap <= 250*time.Millisecond && !c.retried {
 		s.tally.inTime++
 	} else {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -40,6 +40,10 @@
 	// waiting requests; nil means by arrival.
 	maxWait   time.Duration
 	waitOrder func(a, b *call) bool
+	// onSend and onFinish, if set, see each call that is sent, or answered.
+	onSend, onFinish func(*call)
+	// readInTurn lets the stages of a path read a prompt by read.
+	readInTurn bool
 }
 
 // vm is one Core with its waiting calls.
@@ -118,6 +122,7 @@
 	stalled      bool // on a dead server
 	sends        int
 	done         bool
+	onRead       func() // called once all stages have read the tokens, if set
 }
 
 // tally counts the outcomes of calls. retried calls are sent again by the caller after a
@@ -326,6 +331,9 @@
 	}
 	c.choice = ch
 	c.sends++
+	if s.onSend != nil {
+		s.onSend(c)
+	}
 	s.arrive(c)
 }
 
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -271,6 +271,15 @@
 	return c.total.loads != nil && now-c.total.at <= c.cfg.MaxAge
 }
 
+// LastTotal returns the work of all VMs on the server k by the last total, which is the same for
+// all VMs of the failure domain. It returns false without a recent total.
+func (c *Core) LastTotal(now time.Duration, k Key) (Load, bool) {
+	if !c.HasFreshTotal(now) {
+		return Load{}, false
+	}
+	return c.total.loads[k], true
+}
+
 // EstimateOthers estimates the work of all other VMs on the server k. own is this VM's work
 // on it.
 func (c *Core) EstimateOthers(now time.Duration, k Key, own Load) Load {
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -47,6 +47,8 @@
 	Slowdown float64
 	// Penalty is added once per stage; it marks a server of last resort.
 	Penalty time.Duration
+	// LayerPenalty is added for each layer that the server would run.
+	LayerPenalty time.Duration
 }
 
 // Request describes the request to find a path for.
@@ -307,7 +309,7 @@
 	contextTokens := r.PromptTokens + r.AnswerTokens/2
 	stepTime := c.Slowdown * float64(spec.StepTime(c.Accelerator, n, c.Streams+1, contextTokens))
 	firstToken = c.Slowdown*float64(spec.PrefillTime(c.Accelerator, n, r.PromptTokens)) + stepTime*float64(spec.Stride)/2
-	return firstToken + stepTime*r.AnswerTokens + float64(cfg.StageCost) + float64(c.Penalty), firstToken
+	return firstToken + stepTime*r.AnswerTokens + float64(cfg.StageCost) + float64(c.Penalty) + float64(n)*float64(c.LayerPenalty), firstToken
 }
 
 // buildPath selects the cheapest partial path that ends at the last boundary and
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -20,6 +20,7 @@
 	"internal/limits",
 	"internal/loads",
 	"internal/membership",
+	"internal/moves",
 	"internal/node",
 	"internal/orders",
 	"internal/paths",
