Bound the share of a service's streams that start at one server

A crash of a first stage ends the run of each of its streams, and nearly all streams started at the fastest servers. Above a share of 0.12 of the fleet's streams, or one over the number of possible first stages, a first stage now costs more, up to 1 s at twice the share. The bound applies from 20 streams on, to routes that declare MaxGap and allow resuming, and only while the predicted first token stays within a quarter of the latency objective and the predicted pause within half of MaxGap. It is no reason to start in another failure domain, and excludes no server.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -289,10 +289,10 @@
 	}
 	q.LinkUtilization = c.linkUtilization(now, r)
 	q.MaxUtilization = c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends)
-	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, c.spread(now, r.Service.Engine, r, candidates), q)
+	path, ok := c.findPath(r, c.spread(now, r.Service.Engine, r, candidates), q)
 	if !ok {
 		q.MaxUtilization = c.maxKVShare()
-		path, ok = paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+		path, ok = c.findPath(r, candidates, q)
 	}
 	switch {
 	case ok:
@@ -309,6 +309,30 @@
 	}
 }
 
+const (
+	// maxFirstTokenShare and maxPauseShare are the shares of the route's latency and pause
+	// objectives up to which a path may be slower because of the bound on first stages.
+	maxFirstTokenShare = 0.25
+	maxPauseShare      = 0.5
+)
+
+// findPath returns the best path of a request. The bound on the streams that start at one
+// server counts only for streams that can be resumed, and only if the path that it leads to
+// stays well within the route's objectives.
+func (c *Core) findPath(r *Request, candidates []paths.Candidate, q paths.Request) (paths.Path, bool) {
+	q.SpreadFirst = r.Route.Resumable && r.Route.MaxGap > 0
+	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+	if !ok || !path.AboveFirstShare {
+		return path, ok
+	}
+	if (r.Route.TargetLatency <= 0 || float64(path.FirstToken) <= maxFirstTokenShare*float64(r.Route.TargetLatency)) &&
+		float64(path.Pause) <= maxPauseShare*float64(r.Route.MaxGap) {
+		return path, true
+	}
+	q.SpreadFirst = false
+	return paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+}
+
 // maxKVShare returns the largest share of a KV cache that requests may fill. The other
 // VMs' loads are up to two intervals old: one until the aggregator of the failure domain
 // has them, one until it sends the sum.
--- a/internal/dispatch/move_sim_test.go
+++ b/internal/dispatch/move_sim_test.go
@@ -296,3 +296,29 @@
 		})
 	}
 }
+
+// Guards against nearly all streams of a fleet that start at a few fast servers: the crash of
+// the largest first stage then ends the runs of all of them at once. With the bound, all
+// streams of a calm day must still be in time.
+func TestBoundOnFirstStages(t *testing.T) {
+	const seed, servers = 1, 1
+	for fleet, f := range moveFleets {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			unbound := func(c *dispatch.Config) { c.Paths.FirstStageShare = 0 }
+			_, before := runMoves(t, seed, fleet, 0, true, 1, unbound)
+			calm, after := runMoves(t, seed, fleet, 0, true, 1, nil)
+			t.Log("calm, no bound:", before)
+			t.Log("calm, bound:   ", after)
+			require.Equal(t, calm.total, calm.inTime, calm)
+			require.Greater(t, before.largestFirst(), 0.25)
+			require.Less(t, after.largestFirst(), 0.18)
+			crashBefore, before := runMoves(t, seed, fleet, servers, true, 1, unbound)
+			crashAfter, after := runMoves(t, seed, fleet, servers, true, 1, nil)
+			t.Log("crash, no bound:", crashBefore, before)
+			t.Log("crash, bound:   ", crashAfter, after)
+			require.Less(t, after.rerun, before.rerun)
+			require.GreaterOrEqual(t, crashAfter.inTime+crashAfter.total/200, crashBefore.inTime, "half a percent is chance")
+		})
+	}
+}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -68,6 +68,20 @@
 	MaxUtilization float64
 	// AllowedFirst lists the only servers allowed as first stage; empty allows all.
 	AllowedFirst map[backend.ID]bool
+	// SpreadFirst applies Config.FirstStageShare.
+	SpreadFirst bool
+
+	firstBound firstStageBound
+}
+
+// firstStageBound is the bound on the streams that start at one server, as a cost. The zero
+// value has no bound.
+type firstStageBound struct {
+	streams float64 // of all servers, with the request to find a path for
+	share   float64
+	// localCost is the lowest cost of a server in the request's failure domain. It is added
+	// in other domains, so that the bound is no reason to start there.
+	localCost float64
 }
 
 // Config holds the settings of the search.
@@ -82,11 +96,24 @@
 	// the VM. It is below CrossingCost because only the answer's events cross the link:
 	// a few kilobytes, against tens of megabytes of activations. Default 700 ms.
 	RemoteFirstStageCost time.Duration
+	// FirstStageShare is the share of the service's streams, of all VMs, from which a server
+	// costs more as first stage; it is never below one over the number of servers that could
+	// be first stage. A crash of a first stage ends the run of each of its streams. 0 disables
+	// the bound. Default 0.12.
+	FirstStageShare float64
+	// FirstStageCost is the cost of a server as first stage at twice that share. It rises
+	// linearly from 0 at the share itself. At 2 s, more moved streams were late in simulated
+	// crashes under 1.3 times the usual rate. Default 1 s.
+	FirstStageCost time.Duration
 }
 
+// minSpreadStreams is the number of streams of a service from which Config.FirstStageShare
+// applies. Shares of fewer streams are a matter of chance.
+const minSpreadStreams = 20
+
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{StageCost: 4 * time.Millisecond, CrossingCost: time.Second, RemoteFirstStageCost: 700 * time.Millisecond}
+	return Config{StageCost: 4 * time.Millisecond, CrossingCost: time.Second, RemoteFirstStageCost: 700 * time.Millisecond, FirstStageShare: 0.12, FirstStageCost: time.Second}
 }
 
 // Path is the result of a search.
@@ -96,6 +123,11 @@
 	Cost time.Duration
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
+	// Pause is the predicted time between two events of the answer.
+	Pause time.Duration
+	// AboveFirstShare is set if a server that could be first stage is above
+	// Config.FirstStageShare, so that the search without SpreadFirst may find another path.
+	AboveFirstShare bool
 }
 
 // partialPath is the cheapest path found from the first layer to a boundary, for one
@@ -115,7 +147,12 @@
 	if r.Layers.Len() == 0 {
 		r.Layers = backend.Layers{To: spec.Layers}
 	}
+	all := candidates
 	candidates = withFreeKV(spec, candidates, r)
+	above := false
+	if r.SpreadFirst && cfg.FirstStageShare > 0 && startsAtFirstLayer(r) {
+		above = r.boundFirstStages(cfg, all, candidates)
+	}
 	bounds := boundaries(r.Layers, candidates)
 	domains := domainIndex(candidates)
 	extraStageCost := 0.0
@@ -126,6 +163,7 @@
 			return Path{}, false
 		}
 		if len(p.Stages) <= MaxStages {
+			p.AboveFirstShare = above
 			return p, true
 		}
 		extraStageCost = extraStageCost*4 + float64(20*time.Millisecond)
@@ -244,7 +282,7 @@
 			}
 		}
 	}
-	return buildPath(cfg, best, bounds, candidates, numDomains, boundIndex, r)
+	return buildPath(cfg, spec, best, bounds, candidates, numDomains, boundIndex, r)
 }
 
 // cheapestPrefix returns the cheapest partial path to boundary start that c can continue.
@@ -271,6 +309,46 @@
 	return best, !math.IsInf(best.cost, 1)
 }
 
+// boundFirstStages computes the bound on first stages from all candidates, and the costs of
+// those with free KV cache. It reports whether one of these is above the bound.
+func (r *Request) boundFirstStages(cfg Config, all, free []Candidate) bool {
+	streams, servers := 1.0, 0
+	for i := range all {
+		streams += all[i].FirstStageStreams
+		if mayStart(&all[i]) {
+			servers++
+		}
+	}
+	if streams < minSpreadStreams || servers == 0 {
+		return false
+	}
+	r.firstBound = firstStageBound{streams: streams, share: max(cfg.FirstStageShare, 1/float64(servers))}
+	above, localCost := false, math.Inf(1)
+	for i := range free {
+		if !mayStart(&free[i]) {
+			continue
+		}
+		cost := r.firstBound.cost(cfg, &free[i])
+		above = above || cost > 0
+		if free[i].Domain == r.Domain {
+			localCost = min(localCost, cost)
+		}
+	}
+	if !math.IsInf(localCost, 1) {
+		r.firstBound.localCost = localCost
+	}
+	return above
+}
+
+// mayStart reports whether c holds the first layer and takes requests.
+func mayStart(c *Candidate) bool { return c.Held.From == 0 && c.Held.To > 0 && !c.NotFirst }
+
+// cost returns the cost of c as first stage because of its share of the streams, in
+// nanoseconds.
+func (b *firstStageBound) cost(cfg Config, c *Candidate) float64 {
+	return max(0, (c.FirstStageStreams+1)/b.streams/b.share-1) * float64(cfg.FirstStageCost)
+}
+
 // startPath returns the empty partial path before c as first stage, or false if c may not
 // be the first stage. A complete path starts at the VM; a path that replaces a lost stage
 // starts at the stage before it.
@@ -289,6 +367,12 @@
 	default:
 		p.cost = crossingCost(cfg, r) + float64(spec.Delay(r.Domain, c.Domain))*r.AnswerTokens
 	}
+	if r.firstBound.share > 0 {
+		p.cost += r.firstBound.cost(cfg, c)
+		if c.Domain != r.Domain {
+			p.cost += r.firstBound.localCost
+		}
+	}
 	return p, true
 }
 
@@ -314,7 +398,7 @@
 
 // buildPath selects the cheapest partial path that ends at the last boundary and
 // follows it back to the first stage.
-func buildPath(cfg Config, best []partialPath, bounds []int, candidates []Candidate, numDomains int, boundIndex map[int]int, r Request) (Path, bool) {
+func buildPath(cfg Config, spec *engine.Spec, best []partialPath, bounds []int, candidates []Candidate, numDomains int, boundIndex map[int]int, r Request) (Path, bool) {
 	last := len(bounds) - 1
 	lowest, domain := math.Inf(1), -1
 	for d := range numDomains {
@@ -330,12 +414,21 @@
 		return Path{}, false
 	}
 	p := Path{Cost: time.Duration(lowest), FirstToken: time.Duration(best[last*numDomains+domain].firstToken)}
+	var perToken time.Duration
+	nextDomain := ""
 	for i := last; i > 0; {
 		partial := best[i*numDomains+domain]
 		c := candidates[partial.candidate]
 		p.Stages = append(p.Stages, Stage{Instance: c.Instance, Addr: c.Addr, Layers: backend.Layers{From: partial.start, To: bounds[i]}})
+		stepTime := spec.StepTime(c.Accelerator, bounds[i]-partial.start, c.Streams+1, r.PromptTokens+r.AnswerTokens/2)
+		perToken += time.Duration(c.Slowdown * float64(stepTime))
+		if nextDomain != "" {
+			perToken += spec.Delay(c.Domain, nextDomain)
+		}
+		nextDomain = c.Domain
 		i, domain = boundIndex[partial.start], partial.prevDomain
 	}
+	p.Pause = perToken * time.Duration(max(1, spec.Stride))
 	for a, b := 0, len(p.Stages)-1; a < b; a, b = a+1, b-1 {
 		p.Stages[a], p.Stages[b] = p.Stages[b], p.Stages[a]
 	}
--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -144,6 +144,47 @@
 	})
 }
 
+// firstStages returns servers of all layers: the first, an a100, has the given number of the
+// 100 first-stage streams, the n others, slower ones, have none, and a far server has the rest.
+func firstStages(s *engine.Spec, streams float64, n int) []paths.Candidate {
+	out := []paths.Candidate{candidate(s, "fast", "a", "a100", 0, 80)}
+	for i := range n {
+		out = append(out, candidate(s, fmt.Sprint("slow", i), "a", "v100", 0, 80))
+	}
+	out = append(out, candidate(s, "far", "b", "a100", 0, 80))
+	for i := range out {
+		out[i].Accelerator.MemoryMB = 300000
+	}
+	out[0].FirstStageStreams, out[n+1].FirstStageStreams = streams, 100-streams
+	return out
+}
+
+// Guards against a fleet whose streams nearly all start at its fastest servers.
+func TestFirstStageAboveItsShareCostsMore(t *testing.T) {
+	s := spec(t)
+	first := func(candidates []paths.Candidate, spread bool) string {
+		r := request("a")
+		r.SpreadFirst = spread
+		p, ok := paths.Find(paths.DefaultConfig(), s, candidates, r)
+		require.True(t, ok)
+		require.Positive(t, p.Pause)
+		return p.Stages[0].Addr
+	}
+	require.Equal(t, "fast", first(firstStages(s, 10, 10), true), "below the bound")
+	require.Equal(t, "slow0", first(firstStages(s, 50, 10), true))
+	require.Equal(t, "fast", first(firstStages(s, 50, 10), false), "bound not asked for")
+	require.Equal(t, "fast", first(firstStages(s, 30, 1), true), "below one over the number of first stages")
+	few := firstStages(s, 18, 10)
+	few[len(few)-1].FirstStageStreams = 0
+	require.Equal(t, "fast", first(few, true), "fewer than 20 streams, with the new one")
+	require.Equal(t, "fast", first(firstStages(s, 95, 0), true), "the bound is no reason to start in another failure domain")
+	busy := firstStages(s, 50, 10)
+	for i := 1; i <= 10; i++ {
+		busy[i].TokenLayers = 1e9
+	}
+	require.Equal(t, "fast", first(busy, true), "nothing is forbidden")
+}
+
 // BenchmarkFind uses 600 servers, the fleet size that must be supported.
 func BenchmarkFind(b *testing.B) {
 	s := spec(b)
@@ -152,9 +193,27 @@
 		from := i * 8 % 80
 		candidates = append(candidates, candidate(s, fmt.Sprintf("s%d", i), string(rune('a'+i/100)), "l4", from, from+8))
 	}
+	benchmarkFind(b, s, candidates, request("a"))
+}
+
+// BenchmarkFindSpreadFirst is BenchmarkFind with the bound on first stages.
+func BenchmarkFindSpreadFirst(b *testing.B) {
+	s := spec(b)
+	var candidates []paths.Candidate
+	for i := range 600 {
+		from := i * 8 % 80
+		candidates = append(candidates, candidate(s, fmt.Sprintf("s%d", i), string(rune('a'+i/100)), "l4", from, from+8))
+		candidates[i].FirstStageStreams = float64(i % 70)
+	}
+	r := request("a")
+	r.SpreadFirst = true
+	benchmarkFind(b, s, candidates, r)
+}
+
+func benchmarkFind(b *testing.B, s *engine.Spec, candidates []paths.Candidate, r paths.Request) {
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, ok := paths.Find(paths.DefaultConfig(), s, candidates, request("a")); !ok {
+		if _, ok := paths.Find(paths.DefaultConfig(), s, candidates, r); !ok {
 			b.Fatal("no path")
 		}
 	}
