--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -108,18 +108,16 @@
 	}
 }
 
-// moveOffLost moves all streams off the lost servers at addrs and sends the findings
-// without delay.
+// moveOffLost moves all streams off the lost servers at addrs, those with the least slack
+// first, and sends the findings without delay.
 func (r *Router) moveOffLost(addrs []string) {
 	if len(addrs) == 0 {
 		return
 	}
 	r.sendFindingsNow()
-	for _, addr := range addrs {
-		for _, st := range r.streams.through(addr) {
-			if err := r.workers.Submit(func() { st.moveOffLost(addr) }); err != nil {
-				r.log.Warn().Err(err).Str("request", st.x.req.ID).Msg("stream not moved off a lost server: all workers are busy; its stall timer will do it")
-			}
+	for _, m := range r.streams.leastSlackFirst(time.Now(), addrs) {
+		if err := r.workers.Submit(func() { m.stream.moveOffLost(m.addr) }); err != nil {
+			r.log.Warn().Err(err).Str("request", m.stream.x.req.ID).Msg("stream not moved off a lost server: all workers are busy; its stall timer will do it")
 		}
 	}
 }
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -207,6 +207,9 @@
 			return next
 		}
 		x.release(next)
+		if err == nil {
+			x.r.metrics.repathRefused.Inc()
+		}
 		log.Info().Err(err).Int("status", status).Str("at", refusedBy).Msg("stream stays where it is: order to change its path refused")
 		if err != nil || refusedBy == "" || !x.avoidServer(refusedBy) {
 			return nil
