--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -52,6 +52,12 @@
 	// request leaves out at random while the load of the other VMs is unknown; it also leaves
 	// out those of other failure domains. 0 disables both. Default 0.35.
 	UnknownLoadShare float64
+	// MoveTimeShare is the share of the pause objective (routes.Route.MaxGap) in which the
+	// servers that take over a lost server's layers read the tokens of the moved streams
+	// again; the rest is for the finding, the order and the next step. The lost server's
+	// streams are divided by what each server can take in that time. 0 disables this.
+	// Default 0.5.
+	MoveTimeShare float64
 	// LoadsSettleTime is how long the sum of all VMs' loads has to be known before it is
 	// relied upon. Default 1 s.
 	LoadsSettleTime time.Duration
@@ -78,7 +84,7 @@
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
 	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(), Prompts: prefixcache.DefaultConfig(),
-		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
+		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, MoveTimeShare: 0.5, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
 }
 
 // Core holds the dispatch state of one VM. It is not safe for concurrent use.
@@ -100,13 +106,14 @@
 	crossDomainLink linkMeter
 	loadsUnknownAt  time.Duration // last time at which the load of the other VMs was unknown
 	poisonSent      poison.Mark   // of the last messages to other VMs
+	moves           map[backend.Instance]*move
 }
 
 // New returns a Core without a configuration.
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), budgets: map[string]*retry.Budget{}, vmCount: 1}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
 }
 
 // Table returns the configuration in force, or nil.
@@ -295,10 +302,10 @@
 	}
 	q.LinkUtilization = c.linkUtilization(now, r)
 	q.MaxUtilization = c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends)
-	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, c.spread(now, r.Service.Engine, r, candidates), q)
+	path, ok := c.findPath(r, c.spread(now, r.Service.Engine, r, candidates), q)
 	if !ok {
 		q.MaxUtilization = c.maxKVShare()
-		path, ok = paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+		path, ok = c.findPath(r, candidates, q)
 	}
 	switch {
 	case ok:
@@ -315,6 +322,30 @@
 	}
 }
 
+const (
+	// maxFirstTokenShare and maxPauseShare are the shares of the route's latency and pause
+	// objectives up to which a path may be slower because of the bound on first stages.
+	maxFirstTokenShare = 0.25
+	maxPauseShare      = 0.5
+)
+
+// findPath returns the best path of a request. The bound on the streams that start at one
+// server counts only for streams that can be resumed, and only if the path that it leads to
+// stays well within the route's objectives.
+func (c *Core) findPath(r *Request, candidates []paths.Candidate, q paths.Request) (paths.Path, bool) {
+	q.SpreadFirst = r.Route.Resumable && r.Route.MaxGap > 0
+	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+	if !ok || !path.AboveFirstShare {
+		return path, ok
+	}
+	if (r.Route.TargetLatency <= 0 || float64(path.FirstToken) <= maxFirstTokenShare*float64(r.Route.TargetLatency)) &&
+		float64(path.Pause) <= maxPauseShare*float64(r.Route.MaxGap) {
+		return path, true
+	}
+	q.SpreadFirst = false
+	return paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+}
+
 // maxKVShare returns the largest share of a KV cache that requests may fill. The other
 // VMs' loads are up to two intervals old: one until the aggregator of the failure domain
 // has them, one until it sends the sum.
@@ -346,6 +377,7 @@
 		out = append(out, paths.Candidate{Instance: s.Instance(), Addr: s.Addr, Domain: s.Domain, Accelerator: accelerator, Held: s.Held,
 			Streams: own.Streams + others.Streams, TokenLayers: own.TokenLayers + others.TokenLayers, Slowdown: s.SlowdownFactor(now),
 			Slots: float64(spec.Slots), FirstStageStreams: c.firstStageStreams(now, s, others), NotFirst: !c.takesRequests(now, s)})
+		c.addMoved(now, &out[len(out)-1])
 	}
 	return out
 }
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -41,6 +41,10 @@
 	maxWait   time.Duration
 	waitOrder func(a, b *call) bool
 	prompts   *promptModel // nil: engines keep no prompts
+	// onSend and onFinish, if set, see each call that is sent, or answered.
+	onSend, onFinish func(*call)
+	// readInTurn lets the stages of a path read a prompt by read.
+	readInTurn bool
 }
 
 // vm is one Core with its waiting calls.
@@ -122,6 +126,7 @@
 	sends        int
 	done         bool
 	parts        []promptPart
+	onRead       func() // called once all stages have read the tokens, if set
 }
 
 // tally counts the outcomes of calls. retried calls are sent again by the caller after a
@@ -331,6 +336,9 @@
 	}
 	c.choice = ch
 	c.sends++
+	if s.onSend != nil {
+		s.onSend(c)
+	}
 	s.arrive(c)
 }
 
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -18,6 +18,7 @@
 	served, logLinesDropped, panics, promptsBlocked, partsBlocked, storeEraChanges, passedOn, cutOff         *metrics.Counter
 	peerBytes, findingsDelayed                                                                               *metrics.Counter
 	promptHolderKnown, promptHolderChosen, promptTokensHeld                                                  *metrics.Counter
+	repathRefused                                                                                            *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 	detectorMetrics
 }
@@ -38,6 +39,7 @@
 		logLinesDropped: c("catkin_router_log_lines_lost_total"), panics: c("catkin_router_panics_total"),
 		promptHolderKnown:  c("catkin_router_prompt_holder_known_total"),
 		promptHolderChosen: c("catkin_router_prompt_holder_chosen_total"), promptTokensHeld: c("catkin_router_prompt_tokens_held_total"),
+		repathRefused:   c("catkin_router_repath_refused_total"),
 		plainDuration:   metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
 		firstEventDelay: metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
 	}
