--- a/internal/detector/core.go
+++ b/internal/detector/core.go
@@ -80,11 +80,17 @@
 	sameDomainAsked int
 	askedWitnesses  [maxWitnesses]backend.ID
 	tryTimes        map[uint64]time.Duration // when tries in progress began
-	witnessTries    map[uint64]Server
+	witnessTries    map[uint64]witnessTry
 	result          Result
 	done            bool
 }
 
+// witnessTry is a try in progress to a possible witness.
+type witnessTry struct {
+	server Server
+	at     time.Duration
+}
+
 // maxWitnesses bounds Config.WitnessTries.
 const maxWitnesses = 8
 
@@ -235,7 +241,7 @@
 	}
 	delete(chk.tryTimes, id)
 	chk.inFlight--
-	if outcome == Unanswered && now-began > c.cfg.AnswerTimeout+c.cfg.LateResult {
+	if outcome == Unanswered && c.isLate(now, began) {
 		outcome = Inconclusive
 	}
 	switch outcome {
@@ -256,14 +262,22 @@
 	}
 }
 
+// isLate reports whether this VM did not run when the timeout of a try ended.
+func (c *Core) isLate(now, began time.Duration) bool {
+	return now-began > c.cfg.AnswerTimeout+c.cfg.LateResult
+}
+
 func (c *Core) witnessTried(now time.Duration, chk *check, id uint64, outcome Outcome) {
-	server := chk.witnessTries[id]
+	asked := chk.witnessTries[id]
 	delete(chk.witnessTries, id)
 	if outcome == Opened {
-		chk.witness = server.ID
+		chk.witness = asked.server.ID
+		return
+	}
+	if outcome == Inconclusive || outcome == Unanswered && c.isLate(now, asked.at) {
 		return
 	}
-	if s := c.state(now, server.Instance); s != nil && outcome != Inconclusive {
+	if s := c.state(now, asked.server.Instance); s != nil {
 		s.badWitness, s.badWitnessAt = true, now
 	}
 }
@@ -372,7 +386,7 @@
 		s.budget.tokens--
 		c.stats.Checks++
 		chk.started, chk.startedAt, chk.nextTryAt = true, now, now
-		chk.tryTimes, chk.witnessTries = map[uint64]time.Duration{}, map[uint64]Server{}
+		chk.tryTimes, chk.witnessTries = map[uint64]time.Duration{}, map[uint64]witnessTry{}
 		return true
 	}
 	giveUpAt := chk.evidenceAt + c.cfg.MaxWait
@@ -454,7 +468,7 @@
 	chk.witnessAskedAt = now
 	a.wakeAt(now + c.cfg.TryInterval)
 	id := c.nextID(chk)
-	chk.witnessTries[id] = server
+	chk.witnessTries[id] = witnessTry{server, now}
 	a.Tries = append(a.Tries, Try{ID: id, Server: server, Timeout: c.cfg.AnswerTimeout, Witness: true})
 	return true
 }
--- a/internal/router/detector_test.go
+++ b/internal/router/detector_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/detector"
+	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
 
@@ -327,3 +328,44 @@
 	})
 	require.Eventually(t, func() bool { return !watched(engines[1]) }, 2*time.Second, 5*time.Millisecond)
 }
+
+// Findings that cannot be used are counted, whatever sent them.
+func TestUnusedFindingsAreCounted(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	v.awaitReady(t)
+	dropped := func(reason string) uint64 { return v.metrics.messagesDropped[reason].Get() }
+	stale, unknown, malformed := dropped("stale"), dropped("unknown"), dropped("malformed")
+	v.handleLoads(loads.Message{From: "a2", Scope: loads.ScopeFindings, Lost: map[loads.Key]time.Duration{1: time.Hour, 2: 0}})
+	v.handleLoads(loads.Message{From: "a2", Scope: loads.ScopeFindings + 1})
+	require.GreaterOrEqual(t, dropped("stale"), stale+1)
+	require.GreaterOrEqual(t, dropped("unknown"), unknown+2)
+	conn, err := net.Dial("udp4", v.settings.Listen.Datagrams)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("no message"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return dropped("malformed") > malformed }, waitTimeout, time.Millisecond)
+}
+
+// A fault of the network may reset all connections at once while new ones work. No server is
+// lost then, and the watch connections come back.
+func TestResetOfAllConnectionsFindsNoServerLost(t *testing.T) {
+	s := newSite(t)
+	v := s.boundVM("a1")
+	s.configure(7)
+	engines := s.engines(v, 5, time.Millisecond)
+	v.awaitReady(t)
+	v.awaitWatches(t, len(engines))
+	time.Sleep(minWatchLife) // a connection that ends sooner is opened again after a pause
+	gone := func() uint64 {
+		return v.metrics.verdicts[detector.Lost].Get() + v.metrics.verdicts[detector.Dark].Get()
+	}
+	alive, before := v.metrics.verdicts[detector.Alive].Get(), gone()
+	s.backends.SetLink(v.host, standin.LinkReset)
+	s.backends.SetLink(v.host, standin.LinkUp)
+	require.Eventually(t, func() bool { return v.metrics.verdicts[detector.Alive].Get() >= alive+uint64(len(engines)) }, waitTimeout, time.Millisecond)
+	v.awaitWatches(t, len(engines))
+	require.Equal(t, before, gone())
+}
