catkinctl check: check a configuration before it is sent

internal/configcheck finds errors, entries that never match, contradicting limits and the difference from another version; platform gives places their names in the document. Keys are never shown.

Router: its bounds of header and body moved to internal/routes, so that the check names them.

--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -40,7 +40,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(sheetCommand(), limitsCommand(), configCommand(), vmsCommand(), backendsCommand(),
+	root.AddCommand(checkCommand(), sheetCommand(), limitsCommand(), configCommand(), vmsCommand(), backendsCommand(),
 		drainCommand(), goneCommand(), ordersCommand(), auditCommand(), traceCommand(), reportCommand(), explainCommand(), journalCommand(), versionCommand())
 	return root
 }
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -12,6 +12,7 @@
 	"internal/call",
 	"internal/changefeed",
 	"internal/config",
+	"internal/configcheck",
 	"internal/dispatch",
 	"internal/engine",
 	"internal/entrylist",
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -21,8 +21,8 @@
 const (
 	// maxHeaderBytes and maxBodyBytes bound a request before a configuration is known;
 	// the configuration's own limits are lower.
-	maxHeaderBytes = 32 << 10
-	maxBodyBytes   = 8 << 20
+	maxHeaderBytes = routes.MaxHeaderBytes
+	maxBodyBytes   = routes.MaxBodyBytes
 	// callerIdleTimeout closes abandoned connections. The configuration's limit is far
 	// lower, but is not applied, since keeping a connection longer does no harm.
 	callerIdleTimeout = 2 * time.Minute
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -20,6 +20,13 @@
 	Stream
 )
 
+const (
+	// MaxHeaderBytes and MaxBodyBytes bound the header and the body of a request, whatever the
+	// configuration says.
+	MaxHeaderBytes = 32 << 10
+	MaxBodyBytes   = 8 << 20
+)
+
 // Config is one version of the operators' configuration. It is immutable.
 type Config struct {
 	Version  int64
