--- a/internal/dispatch/prompts_test.go
+++ b/internal/dispatch/prompts_test.go
@@ -12,8 +12,7 @@
 	"github.com/catkinstair/catkinstair/internal/prefixcache"
 )
 
-// promptRequest returns a request whose prompt consists of two parts, with the Core set to
-// remember prompts.
+// promptRequest returns a request of a team whose prompt is shared rules and a part of its own.
 func promptRequest(c *dispatch.Core, id, team string) *dispatch.Request {
 	r := streamRequest(c, id)
 	r.Prompt = prefixcache.NewPrompt(model, team, []prefixcache.Part{{ID: "rules", Tokens: 700}, {ID: id, Tokens: 60}})
@@ -80,7 +79,7 @@
 	require.Equal(t, 2*(len(next.Stages)-1), c.Prompts.Len())
 }
 
-// Guards against a load or a memory that --prompt-retention 0 costs.
+// Guards against records and look-ups without a retention time.
 func TestDisabledPromptsAreNotRecorded(t *testing.T) {
 	c := newCore(t)
 	require.False(t, c.Prompts.Enabled())
