--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -13,6 +13,7 @@
 	"internal/changefeed",
 	"internal/config",
 	"internal/detector",
+	"internal/configcheck",
 	"internal/dispatch",
 	"internal/engine",
 	"internal/entrylist",
