--- a/internal/detector/config.go
+++ b/internal/detector/config.go
@@ -8,7 +8,7 @@
 	Watchers int
 	// AnswerTimeout is how long a try waits for an answer to its connection request. A lost
 	// packet is sent again only after a second, so a longer wait shows nothing more. Default
-	// 40 ms.
+	// 25 ms.
 	AnswerTimeout time.Duration
 	// LateResult is how much later than AnswerTimeout the result of a try may be known. A
 	// later one shows that this VM did not run meanwhile, and is not counted. Default 10 ms.
@@ -17,7 +17,7 @@
 	// loss of 2.5% each way, 5% of the tries to a server that is up are unanswered, so two
 	// tries would err once in 400 checks. Default 3.
 	DarkTries int
-	// TryInterval is the time between tries without an answer. Default 10 ms.
+	// TryInterval is the time between tries without an answer. Default 5 ms.
 	TryInterval time.Duration
 	// RefusedInterval is the time from a refused try to the one that confirms it. Default
 	// 5 ms.
@@ -84,7 +84,7 @@
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
 	return Config{
-		Watchers: 3, AnswerTimeout: 40 * time.Millisecond, LateResult: 10 * time.Millisecond, DarkTries: 3, TryInterval: 10 * time.Millisecond,
+		Watchers: 3, AnswerTimeout: 25 * time.Millisecond, LateResult: 10 * time.Millisecond, DarkTries: 3, TryInterval: 5 * time.Millisecond,
 		RefusedInterval: 5 * time.Millisecond, WatchMemory: 50 * time.Millisecond, ProgressDelay: 20 * time.Millisecond,
 		WitnessTries: 3, SameDomainWitnesses: 2, WitnessMemory: time.Second,
 		ChecksPerSecond: 50, CheckBurst: 50, WeakChecksPerSecond: 20, WeakCheckBurst: 25, ServerInterval: 250 * time.Millisecond, ServerBurst: 2, MaxServerInterval: time.Second,
