--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -150,7 +150,7 @@
 	all := candidates
 	candidates = withFreeKV(spec, candidates, r)
 	above := false
-	if r.SpreadFirst && cfg.FirstStageShare > 0 && startsAtFirstLayer(r) {
+	if r.SpreadFirst && cfg.FirstStageShare > 0 && startsAtFirstLayer(&r) {
 		above = r.boundFirstStages(cfg, all, candidates)
 	}
 	bounds := boundaries(r.Layers, candidates)
@@ -158,7 +158,7 @@
 	extraStageCost := 0.0
 	// If the path has too many stages, search again with a higher cost per stage.
 	for range 4 {
-		p, ok := shortestPath(cfg, spec, candidates, bounds, domains, r, extraStageCost)
+		p, ok := shortestPath(cfg, spec, candidates, bounds, domains, &r, extraStageCost)
 		if !ok {
 			return Path{}, false
 		}
@@ -252,7 +252,7 @@
 // shortestPath is Dijkstra's algorithm on a line: it visits the boundaries in ascending
 // order and keeps for each of them the cheapest partial path per failure domain of the last
 // stage.
-func shortestPath(cfg Config, spec *engine.Spec, candidates []Candidate, bounds []int, domains map[string]int, r Request, extraStageCost float64) (Path, bool) {
+func shortestPath(cfg Config, spec *engine.Spec, candidates []Candidate, bounds []int, domains map[string]int, r *Request, extraStageCost float64) (Path, bool) {
 	boundIndex := make(map[int]int, len(bounds))
 	for i, b := range bounds {
 		boundIndex[b] = i
@@ -286,7 +286,7 @@
 }
 
 // cheapestPrefix returns the cheapest partial path to boundary start that c can continue.
-func cheapestPrefix(cfg Config, spec *engine.Spec, prefixes []partialPath, start int, c *Candidate, candidates []Candidate, r Request) (partialPath, bool) {
+func cheapestPrefix(cfg Config, spec *engine.Spec, prefixes []partialPath, start int, c *Candidate, candidates []Candidate, r *Request) (partialPath, bool) {
 	if start == r.Layers.From {
 		return startPath(cfg, spec, c, r)
 	}
@@ -352,7 +352,7 @@
 // startPath returns the empty partial path before c as first stage, or false if c may not
 // be the first stage. A complete path starts at the VM; a path that replaces a lost stage
 // starts at the stage before it.
-func startPath(cfg Config, spec *engine.Spec, c *Candidate, r Request) (partialPath, bool) {
+func startPath(cfg Config, spec *engine.Spec, c *Candidate, r *Request) (partialPath, bool) {
 	p := partialPath{prevDomain: -1}
 	switch {
 	case startsAtFirstLayer(r) && len(r.AllowedFirst) > 0 && !r.AllowedFirst[c.Instance.ID]:
@@ -378,18 +378,18 @@
 
 // crossingCost returns the cost of a change of the failure domain, in nanoseconds. Like
 // the wait in a queue, it grows as 1/(1-utilization); it is infinite on a saturated link.
-func crossingCost(cfg Config, r Request) float64 {
+func crossingCost(cfg Config, r *Request) float64 {
 	if r.LinkUtilization >= 1 {
 		return math.Inf(1)
 	}
 	return float64(cfg.CrossingCost) / (1 - r.LinkUtilization)
 }
 
-func startsAtFirstLayer(r Request) bool { return r.Layers.From == 0 }
+func startsAtFirstLayer(r *Request) bool { return r.Layers.From == 0 }
 
 // stageCost predicts the time of a request in n layers of c and the time spent there
 // before the first token, in nanoseconds.
-func stageCost(cfg Config, spec *engine.Spec, c *Candidate, n int, r Request) (total, firstToken float64) {
+func stageCost(cfg Config, spec *engine.Spec, c *Candidate, n int, r *Request) (total, firstToken float64) {
 	contextTokens := r.PromptTokens + r.AnswerTokens/2
 	stepTime := c.Slowdown * float64(spec.StepTime(c.Accelerator, n, c.Streams+1, contextTokens))
 	firstToken = c.Slowdown*float64(spec.PrefillTime(c.Accelerator, n, r.PromptTokens)) + stepTime*float64(spec.Stride)/2
@@ -398,7 +398,7 @@
 
 // buildPath selects the cheapest partial path that ends at the last boundary and
 // follows it back to the first stage.
-func buildPath(cfg Config, spec *engine.Spec, best []partialPath, bounds []int, candidates []Candidate, numDomains int, boundIndex map[int]int, r Request) (Path, bool) {
+func buildPath(cfg Config, spec *engine.Spec, best []partialPath, bounds []int, candidates []Candidate, numDomains int, boundIndex map[int]int, r *Request) (Path, bool) {
 	last := len(bounds) - 1
 	lowest, domain := math.Inf(1), -1
 	for d := range numDomains {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -52,6 +52,49 @@
 	require.Equal(t, 1, s.backends.Runs("moved"), "the path should change within the same run")
 }
 
+// Guards against refused path changes that nobody sees, and against a stream that gives up when
+// the first server drawn for its layers is full and another one is not.
+func TestRefusedPathChangesAreCounted(t *testing.T) {
+	const streams = 10
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engine := standin.ServerConfig{Service: "huvo11a", Domain: "bergen-a", Accelerator: "a100", Events: 60, EventEvery: 10 * time.Millisecond}
+	var engines []*standin.Server
+	for i := range 4 { // a third model copy
+		engine.ID = fmt.Sprint("spare-", i)
+		engines = append(engines, s.server(engine))
+	}
+	engines = append(engines, s.engines(v, engine.Events, engine.EventEvery)...)
+	v.awaitReady(t)
+	var responses []*http.Response
+	for i := range streams {
+		responses = append(responses, v.call(t, "POST", streamURI, fmt.Sprint("refused-", i)))
+		require.Equal(t, 200, responses[i].StatusCode)
+	}
+	path := v.pathOf("refused-0")
+	last := path[len(path)-1]
+	var lost *standin.Server
+	var others []*standin.Server
+	for _, e := range engines {
+		switch {
+		case e.Addr == last.Addr:
+			lost = e
+		case e.Held().Contains(last.Layers):
+			others = append(others, e)
+		}
+	}
+	require.Greater(t, len(others), 1, "the layers need two further copies")
+	others[0].FillUp()
+	refused := v.metrics.repathRefused.Get()
+	lost.Hang()
+	for i, resp := range responses {
+		requireCompleteStream(t, resp.Body, engine.Events)
+		require.Equal(t, 1, s.backends.Runs(fmt.Sprint("refused-", i)), "the path should change within the same run")
+	}
+	require.Greater(t, v.metrics.repathRefused.Get(), refused)
+}
+
 func TestStreamResumesWhenFirstServerHangs(t *testing.T) {
 	s := newSite(t)
 	v := s.vm("a1")
