Use servers again that refused a path change if a stream has no other run

A server that refuses a path change is left out for the rest of the request. If all copies of a layer refuse, the run that should resume the stream found no path either, and the stream was cut.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -92,6 +92,9 @@
 	turnUntil time.Duration
 	// held are the choices whose load is counted, guarded by Router.mu.
 	held map[*dispatch.Choice]struct{}
+	// refusedChanges are the servers that are left out because they refused a change of path,
+	// guarded by Router.mu.
+	refusedChanges []backend.ID
 }
 
 var (
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -95,6 +95,30 @@
 	require.Greater(t, v.metrics.repathRefused.Get(), refused)
 }
 
+// Guards against a stream that is cut because all servers that could take over refused to: the
+// next run was then left without a copy of the layers.
+func TestStreamResumesAfterAllPathChangesAreRefused(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, 60, 10*time.Millisecond)
+	v.awaitReady(t)
+	resp := v.call(t, "POST", streamURI, "resumed")
+	require.Equal(t, 200, resp.StatusCode)
+	path := v.pathOf("resumed")
+	require.Greater(t, len(path), 2)
+	for _, e := range engines {
+		e.FillUp()
+	}
+	for _, e := range engines {
+		if e.Addr == path[1].Addr {
+			e.Hang()
+		}
+	}
+	requireCompleteStream(t, resp.Body, 60)
+	require.Equal(t, 2, s.backends.Runs("resumed"))
+}
+
 func TestStreamResumesWhenFirstServerHangs(t *testing.T) {
 	s := newSite(t)
 	v := s.vm("a1")
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -217,6 +217,9 @@
 	defer x.r.mu.Unlock()
 	wasTrial := x.req.Trial
 	ch, refusal := x.r.core.Choose(x.r.clock.now(), &x.req)
+	if refusal != nil && x.readmitRefusedChanges(refusal.Cause) {
+		ch, refusal = x.r.core.Choose(x.r.clock.now(), &x.req)
+	}
 	if ch != nil {
 		x.held[ch] = struct{}{}
 	}
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -214,6 +214,7 @@
 		if err != nil || refusedBy == "" || !x.avoidServer(refusedBy) {
 			return nil
 		}
+		x.recordRefusedChange(refusedBy)
 	}
 	return nil
 }
