classes: admission by class while capacity is short

Requests to a service whose routes or teams differ in priority belong to a class. While capacity is short, new requests leave a part of each server's KV cache and slots free, the less urgent the larger the part; requests without capacity wait by class, fair share of the team and remaining slack; Retry-After follows the rate at which capacity comes free. X-Request-Urgency is set. An invalid priority or objective gives the default class and a counted log line.

Services with one priority are served as before.

admission.DrainRate is exported: both programs estimate waits with it.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -22,7 +22,7 @@
 	noSlot        rate // requests refused because no slot was free
 	overLimit     rate // requests refused over the limit
 	overLimitCost rate // cost of those requests
-	drainRate     drainRate
+	drainRate     DrainRate
 }
 
 // rate is an exponentially decaying average of amounts per second.
@@ -45,46 +45,10 @@
 	return math.Exp(-float64(elapsed) / float64(flowWindow))
 }
 
-// drainRate measures how fast requests start while others wait. Time without waiters
-// isn't counted: then the arrivals limit the rate of starts.
-type drainRate struct {
-	starts        float64 // decays, like queuedSeconds
-	queuedSeconds float64 // seconds in which requests waited
-	waiting       int     // waiting requests of all priorities
-	updatedAt     time.Duration
-}
-
-// advance accounts for the time up to now.
-func (d *drainRate) advance(now time.Duration) {
-	f := decayFactor(now - d.updatedAt)
-	d.updatedAt = now
-	d.starts *= f
-	d.queuedSeconds *= f
-	if d.waiting > 0 {
-		d.queuedSeconds += (1 - f) * flowWindow.Seconds()
-	}
-}
-
-// estimateWait returns the time until a request with the given number of waiters ahead
-// starts, or 0 if requests waited for less than minObserved. It counts one start more
-// than was observed: a short time without starts doesn't mean that none will follow, and
-// the estimate grows with that time.
-func (d *drainRate) estimateWait(now, minObserved time.Duration, ahead int) time.Duration {
-	d.advance(now)
-	if d.queuedSeconds < minObserved.Seconds() {
-		return 0
-	}
-	perStart := d.queuedSeconds / (d.starts + 1)
-	return time.Duration(float64(ahead) * perStart * float64(time.Second))
-}
-
 // recordStart counts a request that started.
 func (f *flow) recordStart(now time.Duration) {
 	f.started.add(now, 1)
-	f.drainRate.advance(now)
-	if f.drainRate.waiting > 0 {
-		f.drainRate.starts++
-	}
+	f.drainRate.Start(now)
 }
 
 // recordRefusal counts a request that was refused and may be retried.
@@ -100,13 +64,11 @@
 
 // join adds a waiting request, and leave removes one.
 func (f *flow) join(now time.Duration) {
-	f.drainRate.advance(now)
-	f.drainRate.waiting++
+	f.drainRate.Join(now)
 }
 
 func (f *flow) leave(now time.Duration) {
-	f.drainRate.advance(now)
-	f.drainRate.waiting--
+	f.drainRate.Leave(now)
 }
 
 // flow returns the flow of a request, creating it if needed.
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -43,7 +43,7 @@
 // 0 if there is too little data.
 func (q *Queue) expectedWait(now time.Duration, req Request, ahead int) time.Duration {
 	minObserved := min(minObservedTime, q.cfg.MaxWait)
-	return q.flow(req).drainRate.estimateWait(now, minObserved, ahead)
+	return q.flow(req).drainRate.EstimateWait(now, minObserved, ahead)
 }
 
 // retryAfter returns the Retry-After of a refused request, between RetryAfterMin and
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/backpressure"
+	"github.com/catkinstair/catkinstair/internal/classes"
 	"github.com/catkinstair/catkinstair/internal/engine"
 	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/paths"
@@ -35,6 +36,8 @@
 	Reach reach.Config
 	// Backpressure holds the settings for the limits that servers name.
 	Backpressure backpressure.Config
+	// Classes holds the settings for services whose routes or teams differ in priority.
+	Classes classes.Config
 	// SoftKVShare is the share, 0 to 1, of a server's KV cache that any request may fill.
 	// Each send of a request gets a random limit between SoftKVShare and the maximum
 	// share; the maximum is used only if no path exists within that limit. Without random
@@ -74,7 +77,7 @@
 // DefaultConfig returns the defaults documented on Config. The caller sets VM,
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
-	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(),
+	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(), Classes: classes.DefaultConfig(),
 		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
 }
 
@@ -88,6 +91,9 @@
 	Reach           *reach.Core
 	peerLinks       *reach.Peers
 	Backpressure    *backpressure.Core
+	Classes         *classes.Core
+	corrections     []classes.Correction     // of the configuration in force
+	observedAt      map[string]time.Duration // by service, when Classes last got the used capacity
 	peers           []Peer
 	peerRefusals    map[peerRefusal]time.Duration // until when
 	unconfirmed     unconfirmedFailures
@@ -101,7 +107,7 @@
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), budgets: map[string]*retry.Budget{}, vmCount: 1}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Classes: classes.New(cfg.Classes), observedAt: map[string]time.Duration{}, budgets: map[string]*retry.Budget{}, vmCount: 1}
 }
 
 // Table returns the configuration in force, or nil.
@@ -113,9 +119,13 @@
 		return false
 	}
 	c.table = t
+	c.corrections = c.Classes.Apply(t.Config())
 	return true
 }
 
+// Corrections returns the invalid priorities and objectives of the configuration in force.
+func (c *Core) Corrections() []classes.Correction { return c.corrections }
+
 // SetRetryBudget changes the settings of the retry budgets of all services.
 func (c *Core) SetRetryBudget(now time.Duration, cfg retry.Config) {
 	c.cfg.Retry = cfg
@@ -145,6 +155,8 @@
 	Service routes.Service
 	// PromptTokens and AnswerTokens are predicted sizes; zero for plain services.
 	PromptTokens, AnswerTokens float64
+	// Class is nil if the priorities of the service's routes and teams do not differ.
+	Class *classes.Request
 	// Subject is what may crash a server in the request.
 	Subject poison.Subject
 	// Trial is set if the request is blocked, and let through to see whether it still crashes
@@ -207,6 +219,9 @@
 	}
 	ch, refusal := c.findChoice(now, r)
 	if refusal != nil {
+		if refusal.Cause == verdict.CauseNoCapacity && r.Sends == 0 {
+			c.Classes.Missed(now, r.Class)
+		}
 		if otherVMMayServe(refusal.Cause) {
 			if ch, _ := c.choosePeer(now, r); ch != nil {
 				return ch, nil
@@ -218,6 +233,7 @@
 		return nil, refusal
 	}
 	c.addWork(now, ch)
+	c.Classes.Started(now, r.Class, ch.FirstToken)
 	c.Backpressure.Sent(limitKey(ch.Target().Instance))
 	return ch, nil
 }
@@ -281,10 +297,11 @@
 		q.AllowedFirst = r.SentTo
 	}
 	q.LinkUtilization = c.linkUtilization(now, r)
-	q.MaxUtilization = c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends)
+	classShare := c.classShare(now, r, candidates)
+	q.MaxUtilization = classShare * (c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends))
 	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, c.spread(now, r.Service.Engine, r, candidates), q)
 	if !ok {
-		q.MaxUtilization = c.maxKVShare()
+		q.MaxUtilization = classShare * c.maxKVShare()
 		path, ok = paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
 	}
 	switch {
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -11,6 +11,7 @@
 	"internal/backpressure",
 	"internal/call",
 	"internal/changefeed",
+	"internal/classes",
 	"internal/config",
 	"internal/dispatch",
 	"internal/engine",
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -16,6 +16,7 @@
 type routerMetrics struct {
 	storeErrors, loadSendErrors, watcherErrors, orders, reports, refused, resumed, repathed, retried, failed *metrics.Counter
 	served, logLinesDropped, panics, promptsBlocked, partsBlocked, storeEraChanges, passedOn, cutOff         *metrics.Counter
+	configCorrections                                                                                        *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 }
 
@@ -31,8 +32,9 @@
 		storeEraChanges: c("catkin_router_store_era_changes_total"),
 		passedOn:        c("catkin_router_passed_on_total"), cutOff: c("catkin_router_cut_off_total"),
 		logLinesDropped: c("catkin_router_log_lines_lost_total"), panics: c("catkin_router_panics_total"),
-		plainDuration:   metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
-		firstEventDelay: metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
+		configCorrections: c("catkin_router_config_corrections_total"),
+		plainDuration:     metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
+		firstEventDelay:   metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
 	}
 }
 
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -92,6 +92,8 @@
 	turnUntil time.Duration
 	// held are the choices whose load is counted, guarded by Router.mu.
 	held map[*dispatch.Choice]struct{}
+	// waited is how long the request has waited for capacity.
+	waited time.Duration
 }
 
 var (
@@ -116,7 +118,7 @@
 	}
 	if x == nil {
 		id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
-		r.refuse(ctx, id, "", verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
+		r.refuse(ctx, r.log.Info().Str("request", id), verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
 		return
 	}
 	x.setOrigin(fromPeer)
@@ -161,6 +163,9 @@
 	x.r.locked(func() {
 		if !x.r.core.Reach.CutOff(x.req.Service.Name) { // otherwise counted where it is passed on to
 			x.r.core.RequestArrived(x.r.clock.now(), x.req.Service.Name)
+			if !x.req.FromPeer { // otherwise counted where its caller sent it
+				x.r.core.Classes.Arrived(x.r.clock.now(), x.req.Class)
+			}
 		}
 		x.maxIdleConns = x.r.core.IdleConnections(x.req.Service)
 	})
@@ -242,6 +247,7 @@
 	x.fingerprint = fingerprintOf(h, team, ctx.Request.Body())
 	x.req.Subject.Request = poison.RequestPart(x.fingerprint)
 	x.estimateTokens()
+	x.setClass(receivedAt)
 	x.callerCtx, x.cancel = context.WithCancelCause(context.Background())
 	return x, 0
 }
@@ -273,7 +279,7 @@
 
 // forwardHeaders returns the headers that the router sets for the choice's first server.
 func (x *exchange) forwardHeaders(ch *dispatch.Choice, resumeAfter string) platform.ForwardHeaders {
-	f := platform.ForwardHeaders{TimeLeft: x.timeLeft(), ServerID: string(ch.Target().Instance.ID), Urgency: platform.UrgencyUnset, ResumeAfter: resumeAfter}
+	f := platform.ForwardHeaders{TimeLeft: x.timeLeft(), ServerID: string(ch.Target().Instance.ID), Urgency: x.urgency(), ResumeAfter: resumeAfter}
 	if x.team != nil {
 		f.Team = x.team.Name
 	}
@@ -285,8 +291,8 @@
 
 // refuse responds to a request that cannot be served. Only a request that did not run
 // gets a 503 with Retry-After; one that may have run gets a 504 after its deadline,
-// otherwise a 502.
-func (r *Router) refuse(ctx *fasthttp.RequestCtx, id, fingerprint string, refusal verdict.Refusal) {
+// otherwise a 502. logLine names the request.
+func (r *Router) refuse(ctx *fasthttp.RequestCtx, logLine *zerolog.Event, refusal verdict.Refusal) {
 	r.metrics.refused.Inc()
 	if refusal.Cause == verdict.CausePromptBlocked || refusal.Cause == verdict.CauseRequestBlocked {
 		r.metrics.promptsBlocked.Inc()
@@ -308,14 +314,15 @@
 	if status == fasthttp.StatusServiceUnavailable && refusal.RetryAfter > 0 {
 		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
 	}
-	r.log.Info().Str("request", id).Str("fingerprint", fingerprint).Int("status", status).Str("verdict", refusal.Verdict.String()).Str("cause", string(refusal.Cause)).
+	logLine.Int("status", status).Str("verdict", refusal.Verdict.String()).Str("cause", string(refusal.Cause)).
 		Dur("comeBack", refusal.RetryAfter).Str("detail", refusal.Detail).Msg("refused")
 }
 
 // refuseRequest refuses the request with the worst verdict of all its sends.
 func (x *exchange) refuseRequest(refusal verdict.Refusal) {
 	refusal.Verdict = verdict.Worse(refusal.Verdict, x.worstVerdict)
-	x.r.refuse(x.ctx, x.req.ID, x.fingerprint, refusal)
+	logLine := x.r.log.Info().Str("request", x.req.ID).Str("fingerprint", x.fingerprint)
+	x.r.refuse(x.ctx, x.refuseByClass(logLine, &refusal), refusal)
 	if x.req.FromPeer {
 		x.ctx.Response.Header.Set(platform.HeaderRefusalCause, string(refusal.Cause))
 	}
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -46,7 +46,7 @@
 		return
 	}
 	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
-	r.refuse(ctx, id, "", verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: noConfigRetryAfter, Detail: "another VM passed the request on"})
+	r.refuse(ctx, r.log.Info().Str("request", id), verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: noConfigRetryAfter, Detail: "another VM passed the request on"})
 	ctx.Response.Header.Set(platform.HeaderRefusalCause, string(cause))
 }
 
--- a/internal/router/wait.go
+++ b/internal/router/wait.go
@@ -11,6 +11,9 @@
 // it lacks can be there soon: capacity, or records of servers that the store is getting
 // back.
 func (x *exchange) chooseOrWait() (*dispatch.Choice, *verdict.Refusal) {
+	if x.req.Class != nil && x.req.Sends == 0 && !x.req.FromPeer {
+		return x.chooseOrWaitByClass()
+	}
 	ch, refusal := x.choose()
 	if x.req.FromPeer {
 		return ch, refusal // this VM's own callers go first
