--- a/internal/classes/config.go
+++ b/internal/classes/config.go
@@ -9,8 +9,11 @@
 	// 0.03.
 	MoveReserve float64
 	// ClassReserve is the further share that the least urgent class leaves free; classes in
-	// between leave a proportional part. Default 0.22.
+	// between leave a proportional part. Default 0.3.
 	ClassReserve float64
+	// ReturnReserve multiplies what a caller's class leaves free when the caller comes back
+	// after a refusal. Default 0.3.
+	ReturnReserve float64
 	// TeamReserve is the further share that a team leaves free while it uses more than
 	// TeamExcess times its fair share. Defaults 0.05 and 2.
 	TeamReserve, TeamExcess float64
@@ -36,6 +39,9 @@
 	// 64 and 4 MB.
 	MaxWaiting      int
 	MaxWaitingBytes int
+	// MaxWait bounds every wait. Without it, a less urgent kind with a longer objective tries
+	// longer and is served more often than a more urgent one. Default 300 ms.
+	MaxWait time.Duration
 	// UnknownWait is the longest wait while the time to the first token is not known from
 	// recent requests. It is dispatch.WaitQueueConfig's MaxWait. Default 150 ms.
 	UnknownWait time.Duration
@@ -43,7 +49,8 @@
 	// a VM learns the loads of the others.
 	MinRetryAfter time.Duration
 	// ReturnShare is the share of the capacity that comes free which is planned for refused
-	// callers that come back. Default 0.5.
+	// callers that come back; the smaller, the later they do. In simulation
+	// (dispatch/classes_sim_test.go) 0.5 brings them back into the same shortage. Default 0.12.
 	ReturnShare float64
 	// MaxTimeLeftShare bounds Retry-After to a share of the time that the caller has left;
 	// callers do not wait longer. Default 1/3.
@@ -52,7 +59,7 @@
 
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{MoveReserve: 0.03, ClassReserve: 0.22, TeamReserve: 0.05, TeamExcess: 2, ShortFrom: 0.75, ShortAt: 0.92, MissesAtShort: 0.1,
+	return Config{MoveReserve: 0.03, ClassReserve: 0.3, ReturnReserve: 0.3, TeamReserve: 0.05, TeamExcess: 2, ShortFrom: 0.75, ShortAt: 0.92, MissesAtShort: 0.1,
 		FloorShare: 0.4, MinOffered: 3, Window: 4 * time.Second, MaxTeams: 2048, MaxWaiting: 64, MaxWaitingBytes: 4 << 20,
-		UnknownWait: 150 * time.Millisecond, MinRetryAfter: 400 * time.Millisecond, ReturnShare: 0.5, MaxTimeLeftShare: 1.0 / 3}
+		MaxWait: 300 * time.Millisecond, UnknownWait: 150 * time.Millisecond, MinRetryAfter: 400 * time.Millisecond, ReturnShare: 0.12, MaxTimeLeftShare: 1.0 / 3}
 }
--- a/internal/classes/core.go
+++ b/internal/classes/core.go
@@ -133,8 +133,12 @@
 		return 1
 	}
 	reserve := c.cfg.MoveReserve
-	if !r.returned && !c.belowFloor(now, r) {
-		reserve += c.cfg.ClassReserve * rankFraction(r)
+	if !c.belowFloor(now, r) {
+		byClass := c.cfg.ClassReserve * rankFraction(r)
+		if r.returned {
+			byClass *= c.cfg.ReturnReserve
+		}
+		reserve += byClass
 		if c.teamExcess(now, r) > c.cfg.TeamExcess {
 			reserve += c.cfg.TeamReserve
 		}
@@ -184,7 +188,7 @@
 }
 
 // Arrived counts the first try of a request. A caller that was refused before takes one of
-// the returns that are expected, and is then served like the most urgent class: it has kept
+// the returns that are expected, and then leaves less free than its class does: it has kept
 // to its Retry-After. Callers that state short deadlines of their own cannot take more than
 // were refused.
 func (c *Core) Arrived(now time.Duration, r *Request) {
@@ -193,11 +197,9 @@
 	}
 	s := c.state(r.Service)
 	s.decayReturning(now, c.cfg.Window)
-	for rank := r.Rank; rank >= 0 && !r.returned; rank-- {
-		if s.returning[rank] >= 1 {
-			s.returning[rank]--
-			r.returned = true
-		}
+	if s.returning[r.Rank] >= 1 {
+		s.returning[r.Rank]--
+		r.returned = true
 	}
 }
 
@@ -336,7 +338,7 @@
 		}
 		slack = r.Objective - time.Duration(predicted*float64(time.Second)) - waited
 	}
-	return min(slack, r.Deadline-now)
+	return min(slack, r.Deadline-now, c.cfg.MaxWait-waited)
 }
 
 // fraction returns a pseudo-random number in [0, 1), fixed for a request ID.
--- a/internal/dispatch/sim_engines_test.go
+++ b/internal/dispatch/sim_engines_test.go
@@ -151,6 +151,10 @@
 	c.vm.core.RecordSuccess(c.choice)
 	c.vm.core.Release(c.choice)
 	c.done = true
+	if s.contention != nil {
+		s.contention.finish(c)
+		return
+	}
 	if c.firstToken <= 500*time.Millisecond && c.maxGap <= 250*time.Millisecond && !c.retried {
 		s.tally.inTime++
 	} else {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -40,6 +40,9 @@
 	// waiting requests; nil means by arrival.
 	maxWait   time.Duration
 	waitOrder func(a, b *call) bool
+	// contention is set in simulations of callers of several kinds; it then sends requests and
+	// counts their outcomes.
+	contention *contention
 }
 
 // vm is one Core with its waiting calls.
@@ -315,6 +318,10 @@
 // send chooses a path and sends the call to its first server. Without a choice, the call
 // waits or is refused.
 func (s *simulation) send(c *call) {
+	if s.contention != nil {
+		s.contention.send(c)
+		return
+	}
 	ch, refusal := c.vm.core.Choose(s.now, c.req)
 	if refusal != nil && s.maxWait > 0 && !c.retried && c.req.Sends == 0 && s.now-c.arrived < s.maxWait {
 		c.vm.waiting = append(c.vm.waiting, c)
--- a/internal/router/classes.go
+++ b/internal/router/classes.go
@@ -33,6 +33,19 @@
 	return x.r.core.Classes.Urgency(x.r.clock.now(), x.req.Class, x.req.Begun)
 }
 
+// recordClass updates the metrics of a request's class with the result of its first choice. The
+// caller holds Router.mu.
+func (x *exchange) recordClass(started bool) {
+	if x.req.Class == nil || x.req.Sends > 0 {
+		return
+	}
+	if started {
+		classCounter("catkin_router_class_started_total", x.req.Class).Inc()
+	}
+	short := x.r.core.Classes.Shortness(x.r.clock.now(), x.req.Class.Service)
+	metrics.GetOrCreateGauge(`catkin_router_capacity_short{service="`+x.req.Class.Service+`"}`, nil).Set(short)
+}
+
 // chooseOrWaitByClass is chooseOrWait for the first send of a request to a service with
 // several classes. While requests of at least its urgency wait, a new one does not try before
 // them.
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -220,6 +220,7 @@
 	if ch != nil {
 		x.held[ch] = struct{}{}
 	}
+	x.recordClass(ch != nil)
 	if x.req.Trial && !wasTrial {
 		x.r.log.Warn().Str("request", x.req.ID).Str("fingerprint", x.fingerprint).Msg("blocked request sent to see whether it still crashes backend servers")
 	}
