--- a/internal/classes/core.go
+++ b/internal/classes/core.go
@@ -43,11 +43,12 @@
 
 // state is what a VM has seen of one service.
 type state struct {
-	all    share
-	kinds  map[string]*share
-	teams  map[string]*share
-	sizes  [sizeClasses]share
-	bounds sizeBounds
+	all     share
+	kinds   map[string]*share
+	teams   map[string]*share
+	counted int // requests with a team
+	sizes   [sizeClasses]share
+	bounds  sizeBounds
 
 	missed, tried float64 // decaying counts of first tries, weighted by Core.missWeight
 	triedAt       time.Duration
@@ -82,9 +83,19 @@
 func (c *Core) Apply(cfg *routes.Config) []Correction {
 	var corrections []Correction
 	c.byService, corrections = classesOf(cfg)
-	for name := range c.states {
-		if len(c.byService[name].priorities) < 2 {
-			delete(c.states, name)
+	names := map[string]bool{}
+	for i := range cfg.Routes {
+		names[cfg.Routes[i].Name] = true
+	}
+	for service, s := range c.states {
+		if len(c.byService[service].priorities) < 2 {
+			delete(c.states, service)
+			continue
+		}
+		for name := range s.kinds {
+			if !names[name] {
+				delete(s.kinds, name)
+			}
 		}
 	}
 	return corrections
@@ -272,7 +283,8 @@
 	if r.Team == "" {
 		return
 	}
-	if len(s.teams) >= c.cfg.MaxTeams && s.teams[r.Team] == nil {
+	s.counted++
+	if s.counted%forgetTeamsEvery == 0 || (len(s.teams) >= c.cfg.MaxTeams && s.teams[r.Team] == nil) {
 		c.forgetTeams(now, s)
 	}
 	if len(s.teams) < c.cfg.MaxTeams || s.teams[r.Team] != nil {
@@ -293,6 +305,10 @@
 // constants after its last single request.
 const idleOffered = 0.14
 
+// forgetTeamsEvery is the number of requests after which idle teams are forgotten. Teams that
+// stay would lower the fair share of the active ones.
+const forgetTeamsEvery = 256
+
 // forgetTeams forgets the teams without recent requests.
 func (c *Core) forgetTeams(now time.Duration, s *state) {
 	for name, t := range s.teams {
--- a/internal/classes/retryafter.go
+++ b/internal/classes/retryafter.go
@@ -77,6 +77,11 @@
 	s.byRank[rank]++
 }
 
+// RetryAfterLimit returns the longest Retry-After that the caller of a request would wait.
+func (c *Core) RetryAfterLimit(now time.Duration, r *Request) time.Duration {
+	return max(0, time.Duration(float64(r.Deadline-now)*c.cfg.MaxTimeLeftShare))
+}
+
 // Refused counts a request that is refused for lack of capacity and returns its Retry-After,
 // or false if the rate at which capacity comes free is unknown.
 //
@@ -99,8 +104,7 @@
 	if !known {
 		return 0, false
 	}
-	left := r.Deadline - now
-	limit := min(time.Duration(float64(left)*c.cfg.MaxTimeLeftShare), (promiseSlots-2)*promiseSlot)
+	limit := min(c.RetryAfterLimit(now, r), (promiseSlots-2)*promiseSlot)
 	if limit <= 0 {
 		return 0, false
 	}
--- a/internal/dispatch/classes.go
+++ b/internal/dispatch/classes.go
@@ -64,14 +64,19 @@
 }
 
 // RefuseByClass counts the refusal of r for lack of capacity and sets its Retry-After to the
-// time at which capacity is expected. One that a server named stays.
+// time at which capacity is expected, or bounds it if that is unknown. One that a server named
+// stays.
 func (c *Core) RefuseByClass(now time.Duration, r *Request, refusal *verdict.Refusal) {
 	if r.Class == nil || refusal.Verdict != verdict.NotRun || !lacksCapacity(refusal.Cause) {
 		return
 	}
 	wait, known := c.Classes.Refused(now, r.Class)
-	if known && refusal.RetryAfter <= c.cfg.RetryAfter {
+	switch {
+	case refusal.RetryAfter > c.cfg.RetryAfter:
+	case known:
 		refusal.RetryAfter = wait
+	default:
+		refusal.RetryAfter = min(refusal.RetryAfter, c.Classes.RetryAfterLimit(now, r.Class))
 	}
 }
 
--- a/internal/dispatch/classes_sim_test.go
+++ b/internal/dispatch/classes_sim_test.go
@@ -450,3 +450,29 @@
 	}
 	require.Equal(t, results[0], results[1])
 }
+
+// Retry-After must stay within a third of the caller's time while the rate of freed capacity is
+// unknown, and must not undercut what a server asked for. Refusals for other causes, and those
+// of requests that may have run, stay as they are.
+func TestRetryAfterOfRefusalByClass(t *testing.T) {
+	d := newContention(t, 1, true, nil)
+	core := d.s.vms[0].core
+	refused := func(left time.Duration, refusal verdict.Refusal) time.Duration {
+		r := &dispatch.Request{Class: core.Classes.NewRequest(0, "r", d.routes[2], d.teams[0], model, left)}
+		core.RefuseByClass(0, r, &refusal)
+		return refusal.RetryAfter
+	}
+	standard := dispatch.DefaultConfig().RetryAfter
+	noCapacity := verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoCapacity, RetryAfter: standard}
+	require.Equal(t, standard, refused(20*time.Second, noCapacity))
+	require.Equal(t, 300*time.Millisecond, refused(900*time.Millisecond, noCapacity))
+	named := noCapacity
+	named.RetryAfter = 3 * time.Second
+	require.Equal(t, 3*time.Second, refused(900*time.Millisecond, named))
+	other := noCapacity
+	other.Cause = verdict.CauseLayersMissing
+	require.Equal(t, standard, refused(900*time.Millisecond, other))
+	ran := noCapacity
+	ran.Verdict = verdict.MayHaveRun
+	require.Equal(t, standard, refused(900*time.Millisecond, ran))
+}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -94,6 +94,8 @@
 	held map[*dispatch.Choice]struct{}
 	// waited is how long the request has waited for capacity.
 	waited time.Duration
+	// started is set once a server was chosen for the request.
+	started bool
 }
 
 var (
--- a/internal/router/classes.go
+++ b/internal/router/classes.go
@@ -33,13 +33,14 @@
 	return x.r.core.Classes.Urgency(x.r.clock.now(), x.req.Class, x.req.Begun)
 }
 
-// recordClass updates the metrics of a request's class with the result of its first choice. The
+// recordClass updates the metrics of a request's class with the result of a choice. The
 // caller holds Router.mu.
 func (x *exchange) recordClass(started bool) {
-	if x.req.Class == nil || x.req.Sends > 0 {
+	if x.req.Class == nil {
 		return
 	}
-	if started {
+	if started && !x.started {
+		x.started = true
 		classCounter("catkin_router_class_started_total", x.req.Class).Inc()
 	}
 	short := x.r.core.Classes.Shortness(x.r.clock.now(), x.req.Class.Service)
