--- a/internal/classes/classes_test.go
+++ b/internal/classes/classes_test.go
@@ -167,6 +167,9 @@
 			if kind > 0 || n <= 5 {
 				require.Less(t, resumed, late)
 			}
+			if n <= 5 {
+				require.Greater(t, resumed, last, "not before new ones of a more urgent class")
+			}
 			last = early
 		}
 	}
