--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/backpressure"
+	"github.com/catkinstair/catkinstair/internal/classes"
 	"github.com/catkinstair/catkinstair/internal/engine"
 	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/paths"
@@ -38,6 +39,8 @@
 	Backpressure backpressure.Config
 	// Prompts holds the settings for prompts that servers still hold. Default off.
 	Prompts prefixcache.Config
+	// Classes holds the settings for services whose routes or teams differ in priority.
+	Classes classes.Config
 	// SoftKVShare is the share, 0 to 1, of a server's KV cache that any request may fill.
 	// Each send of a request gets a random limit between SoftKVShare and the maximum
 	// share; the maximum is used only if no path exists within that limit. Without random
@@ -83,7 +86,7 @@
 // DefaultConfig returns the defaults documented on Config. The caller sets VM,
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
-	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(), Prompts: prefixcache.DefaultConfig(),
+	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(), Prompts: prefixcache.DefaultConfig(), Classes: classes.DefaultConfig(),
 		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, MoveTimeShare: 0.5, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
 }
 
@@ -98,6 +101,9 @@
 	peerLinks       *reach.Peers
 	Backpressure    *backpressure.Core
 	Prompts         *prefixcache.Core
+	Classes         *classes.Core
+	corrections     []classes.Correction     // of the configuration in force
+	observedAt      map[string]time.Duration // by service, when Classes last got the used capacity
 	peers           []Peer
 	peerRefusals    map[peerRefusal]time.Duration // until when
 	unconfirmed     unconfirmedFailures
@@ -113,7 +119,7 @@
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedAt: map[string]time.Duration{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
 }
 
 // Table returns the configuration in force, or nil.
@@ -125,9 +131,13 @@
 		return false
 	}
 	c.table = t
+	c.corrections = c.Classes.Apply(t.Config())
 	return true
 }
 
+// Corrections returns the invalid priorities and objectives of the configuration in force.
+func (c *Core) Corrections() []classes.Correction { return c.corrections }
+
 // SetRetryBudget changes the settings of the retry budgets of all services.
 func (c *Core) SetRetryBudget(now time.Duration, cfg retry.Config) {
 	c.cfg.Retry = cfg
@@ -160,6 +170,8 @@
 	// Prompt is the prompt's parts, of which servers may hold some; nil if unknown or if
 	// that is disabled.
 	Prompt prefixcache.Prompt
+	// Class is nil if the priorities of the service's routes and teams do not differ.
+	Class *classes.Request
 	// Subject is what may crash a server in the request.
 	Subject poison.Subject
 	// Trial is set if the request is blocked, and let through to see whether it still crashes
@@ -227,6 +239,9 @@
 	}
 	ch, refusal := c.findChoice(now, r)
 	if refusal != nil {
+		if refusal.Cause == verdict.CauseNoCapacity && r.Sends == 0 {
+			c.Classes.Missed(now, r.Class)
+		}
 		if otherVMMayServe(refusal.Cause) {
 			if ch, _ := c.choosePeer(now, r); ch != nil {
 				return ch, nil
@@ -238,6 +253,7 @@
 		return nil, refusal
 	}
 	c.addWork(now, ch)
+	c.Classes.Started(now, r.Class, ch.FirstToken)
 	c.Backpressure.Sent(limitKey(ch.Target().Instance))
 	return ch, nil
 }
@@ -301,10 +317,11 @@
 		q.AllowedFirst = r.SentTo
 	}
 	q.LinkUtilization = c.linkUtilization(now, r)
-	q.MaxUtilization = c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends)
+	classShare := c.classShare(now, r, candidates)
+	q.MaxUtilization = classShare * (c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends))
 	path, ok := c.findPath(r, c.spread(now, r.Service.Engine, r, candidates), q)
 	if !ok {
-		q.MaxUtilization = c.maxKVShare()
+		q.MaxUtilization = classShare * c.maxKVShare()
 		path, ok = c.findPath(r, candidates, q)
 	}
 	switch {
--- a/internal/dispatch/sim_engines_test.go
+++ b/internal/dispatch/sim_engines_test.go
@@ -170,6 +170,10 @@
 	if s.onFinish != nil {
 		s.onFinish(c)
 	}
+	if s.contention != nil {
+		s.contention.finish(c)
+		return
+	}
 	if c.firstToken <= 500*time.Millisecond && c.maxGap <= 250*time.Millisecond && !c.retried {
 		s.tally.inTime++
 	} else {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -45,6 +45,9 @@
 	onSend, onFinish func(*call)
 	// readInTurn lets the stages of a path read a prompt by read.
 	readInTurn bool
+	// contention is set in simulations of callers of several kinds; it then sends requests and
+	// counts their outcomes.
+	contention *contention
 }
 
 // vm is one Core with its waiting calls.
@@ -325,6 +328,10 @@
 // send chooses a path and sends the call to its first server. Without a choice, the call
 // waits or is refused.
 func (s *simulation) send(c *call) {
+	if s.contention != nil {
+		s.contention.send(c)
+		return
+	}
 	ch, refusal := c.vm.core.Choose(s.now, c.req)
 	if refusal != nil && s.maxWait > 0 && !c.retried && c.req.Sends == 0 && s.now-c.arrived < s.maxWait {
 		c.vm.waiting = append(c.vm.waiting, c)
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -166,7 +166,7 @@
 	domains := domainIndex(candidates)
 	extraStageCost := 0.0
 	if len(r.HeldPrompt) > 0 {
-		if p, ok := shortestPath(cfg, spec, candidates, bounds, domains, r, extraStageCost); ok && len(p.Stages) <= MaxStages {
+		if p, ok := shortestPath(cfg, spec, candidates, bounds, domains, &r, extraStageCost); ok && len(p.Stages) <= MaxStages {
 			p.AboveFirstShare = above
 			return p, true
 		}
@@ -419,7 +419,7 @@
 
 // savedPrefill predicts how much sooner c has read the prompt in the given layers because of
 // what it still holds, in nanoseconds.
-func savedPrefill(spec *engine.Spec, c *Candidate, held []prefixcache.Held, layers backend.Layers, r Request) float64 {
+func savedPrefill(spec *engine.Spec, c *Candidate, held []prefixcache.Held, layers backend.Layers, r *Request) float64 {
 	return c.Slowdown * float64(spec.PrefillTime(c.Accelerator, 1, heldTokenLayers(held, layers, r.PromptTokens)))
 }
 
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -228,6 +228,7 @@
 		x.held[ch] = struct{}{}
 		x.r.metrics.countHeldPrompt(ch)
 	}
+	x.recordClass(ch != nil)
 	if x.req.Trial && !wasTrial {
 		x.r.log.Warn().Str("request", x.req.ID).Str("fingerprint", x.fingerprint).Msg("blocked request sent to see whether it still crashes backend servers")
 	}
