--- a/internal/detector/config.go
+++ b/internal/detector/config.go
@@ -44,6 +44,10 @@
 	// refused requests): on links that lose packets it arrives all the time. Defaults 20 and
 	// 25.
 	WeakChecksPerSecond, WeakCheckBurst float64
+	// FleetWeakChecksPerSecond bounds the checks by weak evidence of all VMs together; each has
+	// an equal part. Under overload streams are silent all the time: 86 VMs with 20 checks a
+	// second each opened three connections for each request. Default 600.
+	FleetWeakChecksPerSecond float64
 	// ServerInterval is the mean time between two checks of one server, ServerBurst the
 	// number of checks that may follow each other at once. Defaults 250 ms and 2.
 	ServerInterval time.Duration
@@ -87,7 +91,7 @@
 		Watchers: 3, AnswerTimeout: 25 * time.Millisecond, LateResult: 10 * time.Millisecond, DarkTries: 3, TryInterval: 5 * time.Millisecond,
 		RefusedInterval: 5 * time.Millisecond, WatchMemory: 50 * time.Millisecond, ProgressDelay: 20 * time.Millisecond,
 		WitnessTries: 3, SameDomainWitnesses: 2, WitnessMemory: time.Second,
-		ChecksPerSecond: 50, CheckBurst: 50, WeakChecksPerSecond: 20, WeakCheckBurst: 25, ServerInterval: 250 * time.Millisecond, ServerBurst: 2, MaxServerInterval: time.Second,
+		ChecksPerSecond: 50, CheckBurst: 50, WeakChecksPerSecond: 20, WeakCheckBurst: 25, FleetWeakChecksPerSecond: 600, ServerInterval: 250 * time.Millisecond, ServerBurst: 2, MaxServerInterval: time.Second,
 		MaxWait: 500 * time.Millisecond, NeighborWait: 60 * time.Millisecond, MaxInconclusive: 3, MaxChecks: 256, MaxServers: 4096,
 		SettleTime: 4 * time.Millisecond, LostMemory: 2 * time.Second, MessagesPerSecond: 1, MessageBurst: 4, MessageInterval: 4 * time.Millisecond,
 		Pace: DefaultPaceConfig(),
--- a/internal/detector/core.go
+++ b/internal/detector/core.go
@@ -110,6 +110,11 @@
 // SetVMs sets the names of the VMs that share the watch connections, with or without this one.
 func (c *Core) SetVMs(vms []string) { c.ranks.setVMs(c.self, vms) }
 
+// weakChecksPerSecond returns this VM's part of the checks by weak evidence.
+func (c *Core) weakChecksPerSecond() float64 {
+	return min(c.cfg.WeakChecksPerSecond, c.cfg.FleetWeakChecksPerSecond/float64(1+len(c.ranks.vms)))
+}
+
 // SetServers sets the servers that take requests: they may be watched and asked as witnesses.
 func (c *Core) SetServers(now time.Duration, servers []Server) {
 	c.servers = append(c.servers[:0], servers...)
@@ -372,11 +377,11 @@
 	}
 	perServer, weak := 1/c.cfg.ServerInterval.Seconds(), chk.kinds.allWeak()
 	c.budget.refill(now, c.cfg.ChecksPerSecond, c.cfg.CheckBurst)
-	c.weak.refill(now, c.cfg.WeakChecksPerSecond, c.cfg.WeakCheckBurst)
+	c.weak.refill(now, c.weakChecksPerSecond(), c.cfg.WeakCheckBurst)
 	s.budget.refill(now, perServer, c.cfg.ServerBurst)
 	at := max(c.budget.after(now, c.cfg.ChecksPerSecond, 1), s.budget.after(now, perServer, 1))
 	if weak {
-		at = max(at, c.weak.after(now, c.cfg.WeakChecksPerSecond, 1))
+		at = max(at, c.weak.after(now, c.weakChecksPerSecond(), 1))
 	}
 	if at <= now {
 		if weak {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -284,6 +284,9 @@
 			return false
 		}
 		ch, refusal := x.choose()
+		if refusal != nil && lacksServers(refusal.Cause) {
+			ch, refusal = st.awaitResume(refusal)
+		}
 		if refusal != nil {
 			x.r.log.Info().Str("request", x.req.ID).Str("cause", string(refusal.Cause)).Str("after", st.lastEventID).Msg("stream not resumed")
 			return false
@@ -296,6 +299,29 @@
 	}
 }
 
+// resumeRetryInterval is the interval at which a stream in progress looks for capacity.
+const resumeRetryInterval = 100 * time.Millisecond
+
+// awaitResume waits for capacity to resume a stream in progress, until ResumeWait after its last
+// event: a late answer serves its caller, a broken one does not.
+func (st *stream) awaitResume(refusal *verdict.Refusal) (*dispatch.Choice, *verdict.Refusal) {
+	x := st.x
+	tick := time.NewTicker(resumeRetryInterval)
+	defer tick.Stop()
+	for x.timeLeft() > 0 && time.Since(st.lastEventAt) < x.r.cfg.ResumeWait {
+		select {
+		case <-x.callerCtx.Done():
+			return nil, refusal
+		case <-tick.C:
+		}
+		var ch *dispatch.Choice
+		if ch, refusal = x.choose(); refusal == nil || !lacksServers(refusal.Cause) {
+			return ch, refusal
+		}
+	}
+	return nil, refusal
+}
+
 // Close ends the stream. The server for callers calls it when the body has been written or
 // the caller's connection is lost.
 func (st *stream) Close() error {
