--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -15,6 +15,7 @@
 	"internal/dispatch",
 	"internal/engine",
 	"internal/entrylist",
+	"internal/featurelevel",
 	"internal/leader",
 	"internal/lease",
 	"internal/limits",
@@ -33,4 +34,5 @@
 	"internal/store",
 	"internal/stream",
 	"internal/verdict",
+	"internal/wire",
 }
