router: VM records, load messages and GET /vms name the build; other builds' fields are tolerated

Load messages, VM records, the leader's claim, the list of blocked parts, changes and Catkin-Passed-On ignore unknown fields and work without known ones.

Seen failing first: TestTrialsOfOtherVMsAreNotTrusted without that bound (not done within 5 s); TestWireKeysAreNeverReused with SharedRun key 6 renamed to 7; TestStoredBlocksKeepFieldsOfOtherBuilds without the extra fields; TestOperatorsSeeBuilds without noteBuild. Fuzz targets ran 8 s each, FuzzLoadMessage 20,000 inputs, no failure.

--- a/internal/backpressure/update.go
+++ b/internal/backpressure/update.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/catkinstair/catkinstair/internal/wire"
 )
 
 // maxSharedLimits bounds the entries of an Update.
@@ -17,6 +19,11 @@
 	Age time.Duration
 }
 
+// UnmarshalCBOR ignores elements that a later build appended.
+func (s *Shared) UnmarshalCBOR(body []byte) error {
+	return wire.DecodeElements(body, &s.PerSecond, &s.Age)
+}
+
 // Update returns the limits that began, changed or ended within Config.ShareTTL.
 func (c *Core) Update(now time.Duration) map[Key]Shared {
 	var out map[Key]Shared
--- a/internal/loads/message.go
+++ b/internal/loads/message.go
@@ -6,6 +6,7 @@
 	"github.com/catkinstair/catkinstair/internal/backpressure"
 	"github.com/catkinstair/catkinstair/internal/poison"
 	"github.com/catkinstair/catkinstair/internal/reach"
+	"github.com/catkinstair/catkinstair/internal/wire"
 )
 
 // Scope is the set of VMs whose work a Message contains.
@@ -42,6 +43,11 @@
 	Limits map[backpressure.Key]backpressure.Shared `cbor:"10,keyasint,omitempty"`
 	// CutOff holds the VMs that do not reach the servers of some services.
 	CutOff map[string]reach.Cut `cbor:"12,keyasint,omitempty"`
+	// Build is the sender's obs.Version, in messages of ScopeVM. The record in the store shows
+	// it too, but can't be written by a VM that was replaced while the store is down.
+	Build string `cbor:"20,keyasint,omitempty"`
+	// FeatureLevel is the sender's featurelevel.Current.
+	FeatureLevel int `cbor:"21,keyasint,omitempty"`
 }
 
 // Slow is the slowdown that a server reported.
@@ -51,6 +57,11 @@
 	Age     time.Duration
 }
 
+// UnmarshalCBOR ignores elements that a later build appended.
+func (s *Slow) UnmarshalCBOR(body []byte) error {
+	return wire.DecodeElements(body, &s.Percent, &s.Age)
+}
+
 // slowFinding is a reported slowdown and the time of the report.
 type slowFinding struct {
 	percent uint16
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -300,12 +300,16 @@
 }
 
 // trialInterval returns the time from a block, or its last trial, to the next one.
+// maxTrialInterval is the interval from which it no longer grows. Blocks end long before.
+const maxTrialInterval = 24 * time.Hour
+
 func (g *Guard) trialInterval(b Block) time.Duration {
 	interval := g.cfg.TrialInterval
 	if b.Ambiguous {
 		interval = g.cfg.AmbiguousTrialInterval
 	}
-	for range b.Trials {
+	// Trials may come from another VM, so its value is not trusted.
+	for trials := b.Trials; trials > 0 && interval < maxTrialInterval; trials-- {
 		interval *= 10
 	}
 	return interval
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -16,10 +16,12 @@
 type routerMetrics struct {
 	storeErrors, loadSendErrors, watcherErrors, orders, reports, refused, resumed, repathed, retried, failed *metrics.Counter
 	served, logLinesDropped, panics, promptsBlocked, partsBlocked, storeEraChanges, passedOn, cutOff         *metrics.Counter
+	invalidMessages                                                                                          *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 }
 
 func newRouterMetrics() *routerMetrics {
+	registerBuildInfo()
 	c := metrics.GetOrCreateCounter
 	return &routerMetrics{
 		storeErrors: c("catkin_router_store_errors_total"), loadSendErrors: c("catkin_router_loads_not_sent_total"),
@@ -30,6 +32,7 @@
 		promptsBlocked: c("catkin_router_blocked_requests_total"), partsBlocked: c("catkin_router_blocked_parts_total"),
 		storeEraChanges: c("catkin_router_store_era_changes_total"),
 		passedOn:        c("catkin_router_passed_on_total"), cutOff: c("catkin_router_cut_off_total"),
+		invalidMessages: c("catkin_router_invalid_messages_total"),
 		logLinesDropped: c("catkin_router_log_lines_lost_total"), panics: c("catkin_router_panics_total"),
 		plainDuration:   metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
 		firstEventDelay: metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
@@ -56,6 +59,10 @@
 				r.handleBlockedParts(ctx)
 				return
 			}
+			if string(ctx.Path()) == vmsURI {
+				r.handleVMs(ctx)
+				return
+			}
 			metrics.WritePrometheus(ctx, true)
 		}
 	}
@@ -113,7 +120,7 @@
 	defer r.mu.Unlock()
 	var sameDomain, all []string
 	for _, m := range r.members {
-		if m.VM == r.settings.VM && r.stopping.Load() {
+		if m.CallerAddr == "" || m.VM == r.settings.VM && r.stopping.Load() {
 			continue
 		}
 		all = append(all, m.CallerAddr)
--- a/internal/router/blockedparts.go
+++ b/internal/router/blockedparts.go
@@ -1,8 +1,12 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -42,6 +46,76 @@
 type storedBlocks struct {
 	revision uint64 // of the key; 0 if absent
 	version  uint64 // Guard.Version of the last list written
+	// extra holds, by part, the fields that only later builds know. They are written again
+	// with the part.
+	extra map[poison.Part]map[string]json.RawMessage
+	// unknown holds the entries without a part, and those that this build can't decode. They
+	// are written again as they are.
+	unknown []json.RawMessage
+}
+
+// decodeBlockedParts decodes the list in the store.
+func decodeBlockedParts(value []byte) (list []blockedPart, extra map[poison.Part]map[string]json.RawMessage, unknown []json.RawMessage, err error) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(value, &entries); err != nil {
+		return nil, nil, nil, err
+	}
+	extra = map[poison.Part]map[string]json.RawMessage{}
+	for _, entry := range entries[:min(len(entries), maxStoredBlocks)] {
+		var b blockedPart
+		if err := json.Unmarshal(entry, &b); err != nil || b.Part == "" {
+			unknown = append(unknown, entry)
+			continue
+		}
+		// One of the two times is enough.
+		b.SinceMs, b.SeenMs = cmp.Or(b.SinceMs, b.SeenMs), cmp.Or(b.SeenMs, b.SinceMs)
+		list = append(list, b)
+		if fields := unknownFields(entry); len(fields) > 0 {
+			extra[b.Part] = fields
+		}
+	}
+	return list, extra, unknown, nil
+}
+
+// unknownFields returns the fields of an entry that blockedPart does not have.
+func unknownFields(entry json.RawMessage) map[string]json.RawMessage {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(entry, &fields); err != nil {
+		return nil
+	}
+	t := reflect.TypeFor[blockedPart]()
+	for i := range t.NumField() {
+		known, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		maps.DeleteFunc(fields, func(name string, _ json.RawMessage) bool { return strings.EqualFold(name, known) })
+	}
+	return fields
+}
+
+// encodeBlockedParts encodes the list for the store, with the fields and entries of other
+// builds that the list in the store had.
+func encodeBlockedParts(list []blockedPart, stored storedBlocks) ([]byte, error) {
+	entries := make([]any, 0, len(list))
+	for _, b := range list {
+		extra := stored.extra[b.Part]
+		if len(extra) == 0 {
+			entries = append(entries, b)
+			continue
+		}
+		own, err := json.Marshal(b)
+		if err != nil {
+			return nil, err
+		}
+		fields := maps.Clone(extra)
+		if err := json.Unmarshal(own, &fields); err != nil {
+			return nil, err
+		}
+		entries = append(entries, fields)
+	}
+	entries = entries[:min(len(entries), maxStoredBlocks)]
+	for _, u := range stored.unknown[:min(len(stored.unknown), maxStoredBlocks-len(entries))] {
+		entries = append(entries, u)
+	}
+	return json.Marshal(entries)
 }
 
 // applyBlockedParts takes over the list in the store.
@@ -54,14 +128,15 @@
 		return
 	}
 	r.storedBlocks.revision = it.Revision
-	var list []blockedPart
-	if err := json.Unmarshal(it.Value, &list); err != nil {
+	list, extra, unknown, err := decodeBlockedParts(it.Value)
+	if err != nil {
 		r.log.Warn().Err(err).Str("key", it.Key).Msg("invalid list of blocked prompt parts")
 		return
 	}
+	r.storedBlocks.extra, r.storedBlocks.unknown = extra, unknown
 	now, wall := r.clock.now(), time.Now()
 	age := func(ms int64) time.Duration { return max(0, wall.Sub(time.UnixMilli(ms))) }
-	for _, b := range list[:min(len(list), maxStoredBlocks)] {
+	for _, b := range list {
 		restored := poison.Block{Part: b.Part, Since: now - age(b.SinceMs), Seen: now - age(b.SeenMs), Crashes: b.Crashes, Ambiguous: b.Ambiguous, Trials: b.Trials}
 		if r.core.Poison.Restore(now, restored) {
 			r.logBlock(restored, "store")
@@ -98,7 +173,7 @@
 	if !write {
 		return
 	}
-	value, err := json.Marshal(list[:min(len(list), maxStoredBlocks)])
+	value, err := encodeBlockedParts(list, stored)
 	if err != nil {
 		r.log.Error().Err(err).Msg("encoding the blocked prompt parts failed")
 		return
@@ -112,7 +187,7 @@
 		return
 	}
 	r.locked(func() {
-		r.storedBlocks = storedBlocks{revision: max(revision, r.storedBlocks.revision), version: version}
+		r.storedBlocks.revision, r.storedBlocks.version = max(revision, r.storedBlocks.revision), version
 	})
 }
 
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -210,11 +210,17 @@
 	if err != nil {
 		return changesResponse{}, errors.Wrap(err, "response of a watcher")
 	}
+	return decodeChanges(plain)
+}
+
+// decodeChanges decodes a watcher's response. A response with an invalid field, or without
+// AsOf, is refused as a whole, because changes could be missing from it.
+func decodeChanges(body []byte) (changesResponse, error) {
 	var decoded changesResponse
-	if err := cbor.Unmarshal(plain, &decoded); err != nil {
+	if err := cbor.Unmarshal(body, &decoded); err != nil {
 		return changesResponse{}, errors.Wrap(err, "response of a watcher")
 	}
-	if decoded.Unavailable {
+	if decoded.Unavailable || decoded.AsOf == 0 {
 		return changesResponse{}, errChangesUnavailable
 	}
 	return decoded, nil
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -8,7 +8,9 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/featurelevel"
 	"github.com/catkinstair/catkinstair/internal/loads"
+	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/poison"
 )
 
@@ -42,9 +44,12 @@
 		if r.checkPause(); int64(r.clock.now()) < r.dropMessagesUntil.Load() {
 			continue
 		}
-		var m loads.Message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			r.log.Warn().Err(err).Stringer("from", from).Msg("loads: invalid message")
+		m, invalid, err := loads.Decode(buf[:n])
+		if err != nil || len(invalid) > 0 {
+			r.metrics.invalidMessages.Inc()
+			r.log.Warn().Err(err).Stringer("from", from).Ints("keys", invalid).Msg("loads: invalid message")
+		}
+		if err != nil {
 			continue
 		}
 		r.runGuarded("loads", m.From, func() { r.handleLoads(m) })
@@ -65,6 +70,7 @@
 // mu.
 func (r *Router) receiveFindings(m loads.Message) (lostAddrs, slowAddrs []string, found poison.Result) {
 	now := r.clock.now()
+	r.noteBuild(m)
 	findings := r.core.Receive(now, m)
 	for _, s := range findings.Lost {
 		lostAddrs = append(lostAddrs, s.Addr)
@@ -193,6 +199,10 @@
 }
 
 func (r *Router) sendMessage(s loads.Send) {
+	s.Message.FeatureLevel = featurelevel.Current
+	if s.Message.Scope == loads.ScopeVM { // those of aggregators go to dozens of VMs
+		s.Message.Build = obs.Version()
+	}
 	body, err := cbor.Marshal(s.Message)
 	if err == nil && len(body) > maxDatagram {
 		r.log.Warn().Int("bytes", len(body)).Msg("loads: message exceeds the size of a datagram")
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -59,7 +58,7 @@
 	x.req.FromPeer = true
 	x.r.passedOnRequests.Add(1)
 	h := &x.ctx.Request.Header
-	runs, err := strconv.Atoi(string(h.Peek(platform.HeaderPassedOn)))
+	runs, err := platform.ParsePassedOn(string(h.Peek(platform.HeaderPassedOn)))
 	if err != nil {
 		x.r.log.Warn().Str("request", x.req.ID).Bytes("value", h.Peek(platform.HeaderPassedOn)).Msg("passed on with an invalid number of runs; taken as 0")
 	}
--- a/internal/router/presence.go
+++ b/internal/router/presence.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
+	"github.com/catkinstair/catkinstair/internal/featurelevel"
 	"github.com/catkinstair/catkinstair/internal/leader"
+	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -91,7 +93,8 @@
 
 // writeRecord writes the VM's record under the lease.
 func (r *Router) writeRecord(lease uint64, opt httpcall.Options) error {
-	value, err := json.Marshal(member{VM: r.settings.VM, Domain: r.settings.Domain, CallerAddr: r.settings.Listen.Callers, PeerAddr: r.settings.Listen.Datagrams, PassedOnAddr: r.settings.Listen.PassedOn})
+	value, err := json.Marshal(member{VM: r.settings.VM, Domain: r.settings.Domain, CallerAddr: r.settings.Listen.Callers, PeerAddr: r.settings.Listen.Datagrams, PassedOnAddr: r.settings.Listen.PassedOn,
+		Build: obs.Version(), FeatureLevel: featurelevel.Current})
 	if err != nil {
 		return err
 	}
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sort"
 	"strings"
 	"time"
@@ -34,6 +35,10 @@
 	PeerAddr string `json:"peers"`
 	// PassedOnAddr takes requests that other VMs pass on.
 	PassedOnAddr string `json:"passed_on,omitempty"`
+	// Build is the VM's obs.Version, FeatureLevel its featurelevel.Current; missing in the
+	// records of builds before these.
+	Build        string `json:"build,omitempty"`
+	FeatureLevel int    `json:"feature_level,omitempty"`
 	lease        uint64
 	era          uint64 // of the store when the record was read
 }
@@ -271,14 +276,40 @@
 	return nil
 }
 
+// decodeMember decodes a VM's record. Addresses that are missing stay empty: the VM is then not
+// used for what they serve. The build and feature level may have another type, as they do not
+// matter for that.
+func decodeMember(value []byte) (member, error) {
+	var m member
+	err := json.Unmarshal(value, &m)
+	if err == nil {
+		return m, nil
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(value, &fields) != nil {
+		return member{}, err
+	}
+	maps.DeleteFunc(fields, func(name string, _ json.RawMessage) bool {
+		return strings.EqualFold(name, "build") || strings.EqualFold(name, "feature_level")
+	})
+	if value, err = json.Marshal(fields); err != nil {
+		return member{}, err
+	}
+	m = member{}
+	if err = json.Unmarshal(value, &m); err != nil {
+		return member{}, err
+	}
+	return m, nil
+}
+
 func (r *Router) applyMember(it platform.Item) {
 	vm := strings.TrimPrefix(it.Key, membersPrefix)
 	if it.Removed {
 		// Records expire during an outage of the store; their VMs keep serving.
 		delete(r.members, vm)
 	} else {
-		var m member
-		if err := json.Unmarshal(it.Value, &m); err != nil {
+		m, err := decodeMember(it.Value)
+		if err != nil {
 			r.log.Warn().Err(err).Str("key", it.Key).Msg("invalid VM record")
 			return
 		}
@@ -290,6 +321,9 @@
 	peers := make([]loads.Member, 0, len(r.members))
 	for name, m := range r.members {
 		names = append(names, name)
+		if m.PeerAddr == "" {
+			continue // it takes no messages, so it can't be an aggregator
+		}
 		peers = append(peers, loads.Member{VM: name, Domain: m.Domain, Addr: m.PeerAddr})
 	}
 	sort.Strings(names)
@@ -298,10 +332,17 @@
 	r.election.SetRank(sort.SearchStrings(names, r.settings.VM))
 }
 
+// claimHolder returns the VM named by the leader's claim: its first line. Later builds may add
+// lines.
+func claimHolder(value []byte) string {
+	vm, _, _ := strings.Cut(string(value), "\n")
+	return vm
+}
+
 func (r *Router) applyLeaderClaim(now time.Duration, it platform.Item) {
 	vm := ""
 	if !it.Removed {
-		vm = string(it.Value)
+		vm = claimHolder(it.Value)
 	}
 	if vm != r.election.Leader() {
 		r.log.Info().Str("holder", vm).Uint64("revision", it.Revision).Msg("giver of orders")
