poison: a VM that blocks a part does not clear it by progress in the same message

Two VMs that had seen progress of a part just before its block could block and unblock it in turn, with a message each time: delays made the progress of a slower message seem later than the block of a faster one. The order at the sender is right, so progress of a part that the sender blocks is skipped.

--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxSharedRuns, maxSharedParts and maxSharedBlocks bound an Update, which has to fit
@@ -98,6 +101,11 @@
 	result.New = len(added) > 0
 	var p Progress
 	for part, age := range u.Progress {
+		// The sender knows this progress and blocks the part nevertheless, so the progress came
+		// before the block. The delays of messages could show it as later here.
+		if u.blocks(part) {
+			continue
+		}
 		if age >= 0 && age <= g.cfg.EvidenceTTL && len(part) <= maxPartBytes {
 			g.recordProgress(now, part, now-age, &p)
 		}
@@ -116,6 +124,11 @@
 	return result
 }
 
+// blocks reports whether the sender blocks the part.
+func (u *Update) blocks(part Part) bool {
+	return slices.ContainsFunc(u.Blocked, func(b SharedBlock) bool { return b.Part == part })
+}
+
 func (s Subject) valid() bool {
 	for _, part := range s.Prompt {
 		if len(part) > maxPartBytes {
