poison: only a VM that the others know convicts requests and prompt parts

A VM that stops or has just started has no record, so the others send it no messages, and it does not learn that a request makes progress elsewhere. Guard.SetReached tells it. Blocks of VMs that are not known are ignored, for those of builds without it.

Seen failing first: TestUnreachedVMConvictsNothing without the check in judgeDue, TestBlocksOfUnknownVMsAreIgnored without the call of WithoutBlocks.

--- a/internal/poison/exchange_test.go
+++ b/internal/poison/exchange_test.go
@@ -61,3 +61,23 @@
 		}
 	}
 }
+
+// Guards against a VM that convicts a sound request while it receives nothing, as when it stops:
+// it does not learn that the request makes progress elsewhere. Seen in a soak, where a VM that
+// was being replaced blocked a plain route of all callers.
+func TestUnreachedVMConvictsNothing(t *testing.T) {
+	g := New(DefaultConfig())
+	g.SetReached(false)
+	require.Empty(t, recordCrashes(g, cutRequest(1, 0, 100, "a"), cutRequest(2, 200, 300, "a")))
+	require.Empty(t, recordAll(g, cut(3, 400, 450, "f", "deadly", "x"), cut(4, 500, 550, "f", "deadly", "y")))
+	require.Empty(t, g.Blocked(second))
+	require.Len(t, g.Update(second).Runs, 4, "it passes its evidence on")
+	g.SetReached(true)
+	require.Equal(t, []Part{"request:a"}, recordCrashes(g, cutRequest(5, 600, 650, "a")), "the evidence is kept")
+}
+
+func TestUpdateWithoutBlocks(t *testing.T) {
+	u := &Update{Runs: []SharedRun{{Server: 1}}, Progress: map[Part]time.Duration{"a": 1, "b": 2}, Blocked: []SharedBlock{{Part: "a"}}}
+	require.Equal(t, &Update{Runs: u.Runs, Progress: map[Part]time.Duration{"b": 2}}, u.WithoutBlocks())
+	require.Nil(t, (*Update)(nil).WithoutBlocks())
+}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -97,8 +97,14 @@
 	judgeAt     map[Part]time.Duration // when to judge a request that was cut in a crash
 	judged      []Block                // requests blocked since the last call of Judge
 	version     uint64
+	unreached   bool // SetReached(false)
 }
 
+// SetReached tells whether the other VMs send their Updates to this one, true at first. Without
+// them it does not know which requests made progress elsewhere, so it convicts nothing. It goes
+// on to collect evidence and to send it.
+func (g *Guard) SetReached(reached bool) { g.unreached = !reached }
+
 // New returns a Guard that blocks nothing.
 func New(cfg Config) *Guard {
 	return &Guard{cfg: cfg, progress: map[Part]time.Duration{}, shareUntil: map[Part]time.Duration{}, blocked: map[Part]Block{}, respondedAt: map[uint32]time.Duration{}, judgeAt: map[Part]time.Duration{}}
@@ -122,7 +128,7 @@
 	if run.Request != "" && len(g.judgeAt) < g.cfg.MaxRuns {
 		g.judgeAt[run.Request] = run.EndedAt + g.cfg.SuspicionDelay
 	}
-	if len(run.Prompt) == 0 {
+	if len(run.Prompt) == 0 || g.unreached {
 		return nil
 	}
 	return g.blockParts(now, run.Prompt)
--- a/internal/poison/requests.go
+++ b/internal/poison/requests.go
@@ -33,6 +33,9 @@
 			continue
 		}
 		delete(g.judgeAt, request)
+		if g.unreached {
+			continue
+		}
 		if b, convicted := g.judge(now, request); convicted {
 			blocked = append(blocked, b)
 		}
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -124,6 +124,20 @@
 	return result
 }
 
+// WithoutBlocks returns the Update without the sender's convictions.
+func (u *Update) WithoutBlocks() *Update {
+	if u == nil || len(u.Blocked) == 0 {
+		return u
+	}
+	out := &Update{Runs: u.Runs, Progress: make(map[Part]time.Duration, len(u.Progress))}
+	for part, age := range u.Progress {
+		if !u.blocks(part) { // it made progress before it was blocked
+			out.Progress[part] = age
+		}
+	}
+	return out
+}
+
 // blocks reports whether the sender blocks the part.
 func (u *Update) blocks(part Part) bool {
 	return slices.ContainsFunc(u.Blocked, func(b SharedBlock) bool { return b.Part == part })
--- a/internal/router/compat_test.go
+++ b/internal/router/compat_test.go
@@ -480,3 +480,21 @@
 	assert.Contains(t, vms(), vmBuild{VM: "old", Domain: "elsewhere", Build: "new", FeatureLevel: 4})
 	assert.Len(t, vms(), 2)
 }
+
+// Guards against blocks of a VM that is starting or stopping, which knows no one's progress.
+func TestBlocksOfUnknownVMsAreIgnored(t *testing.T) {
+	s := newSite(t)
+	s.configure(1)
+	v := s.vm("vm-0")
+	v.awaitReady(t)
+	s.store.Put(membersPrefix+"known", []byte(`{"vm":"known","domain":"elsewhere"}`))
+	require.Eventually(t, func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return len(v.members) == 2
+	}, 5*time.Second, 10*time.Millisecond)
+	v.handleLoads(loads.Message{From: "stopping", Poison: &poison.Update{Blocked: []poison.SharedBlock{{Part: "sound"}}}})
+	v.handleLoads(loads.Message{From: "known", Poison: &poison.Update{Blocked: []poison.SharedBlock{{Part: "deadly"}}}})
+	require.False(t, v.blocks("sound"))
+	require.True(t, v.blocks("deadly"))
+}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -71,6 +71,11 @@
 func (r *Router) receiveFindings(m loads.Message) (lostAddrs, slowAddrs []string, found poison.Result) {
 	now := r.clock.now()
 	r.noteBuild(m)
+	if _, known := r.members[m.From]; !known {
+		// The sender is starting or stopping, so it receives no messages, and builds before
+		// Guard.SetReached may convict a request that makes progress at other VMs.
+		m.Poison = m.Poison.WithoutBlocks()
+	}
 	findings := r.core.Receive(now, m)
 	for _, s := range findings.Lost {
 		lostAddrs = append(lostAddrs, s.Addr)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -137,6 +137,7 @@
 	}
 	r.bounds.Store(&settings.Bounds)
 	r.store.OnEra = r.observeEra
+	r.setReached()
 	return r, nil
 }
 
@@ -201,6 +202,7 @@
 	}
 	<-ctx.Done()
 	r.stopping.Store(true)
+	r.locked(r.setReached)
 	cancelLease()
 	leaseTasks.Wait() // otherwise a new lease could be granted after stop has revoked the current one
 	r.stop(callers)
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -317,6 +317,7 @@
 		r.members[vm] = m
 	}
 	r.core.SetVMCount(len(r.members))
+	r.setReached()
 	names := make([]string, 0, len(r.members))
 	peers := make([]loads.Member, 0, len(r.members))
 	for name, m := range r.members {
@@ -332,6 +333,13 @@
 	r.election.SetRank(sort.SearchStrings(names, r.settings.VM))
 }
 
+// setReached tells the cores whether other VMs know this one and send it their messages. The
+// caller holds mu.
+func (r *Router) setReached() {
+	_, known := r.members[r.settings.VM]
+	r.core.Poison.SetReached(known && !r.stopping.Load())
+}
+
 // claimHolder returns the VM named by the leader's claim: its first line. Later builds may add
 // lines.
 func claimHolder(value []byte) string {
