--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -18,6 +18,7 @@
 	"internal/dispatch",
 	"internal/engine",
 	"internal/entrylist",
+	"internal/featurelevel",
 	"internal/leader",
 	"internal/lease",
 	"internal/limits",
@@ -38,4 +39,5 @@
 	"internal/store",
 	"internal/stream",
 	"internal/verdict",
+	"internal/wire",
 }
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -20,11 +20,13 @@
 	promptHolderKnown, promptHolderChosen, promptTokensHeld                                                  *metrics.Counter
 	repathRefused                                                                                            *metrics.Counter
 	configCorrections                                                                                        *metrics.Counter
+	invalidMessages                                                                                          *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 	detectorMetrics
 }
 
 func newRouterMetrics() *routerMetrics {
+	registerBuildInfo()
 	c := metrics.GetOrCreateCounter
 	return &routerMetrics{
 		detectorMetrics: newDetectorMetrics(),
@@ -37,6 +39,7 @@
 		storeEraChanges: c("catkin_router_store_era_changes_total"),
 		passedOn:        c("catkin_router_passed_on_total"), cutOff: c("catkin_router_cut_off_total"),
 		peerBytes: c("catkin_router_peer_bytes_total"), findingsDelayed: c("catkin_router_findings_delayed_total"),
+		invalidMessages: c("catkin_router_invalid_messages_total"),
 		logLinesDropped: c("catkin_router_log_lines_lost_total"), panics: c("catkin_router_panics_total"),
 		promptHolderKnown:  c("catkin_router_prompt_holder_known_total"),
 		promptHolderChosen: c("catkin_router_prompt_holder_chosen_total"), promptTokensHeld: c("catkin_router_prompt_tokens_held_total"),
@@ -67,6 +70,10 @@
 				r.handleBlockedParts(ctx)
 				return
 			}
+			if string(ctx.Path()) == vmsURI {
+				r.handleVMs(ctx)
+				return
+			}
 			metrics.WritePrometheus(ctx, true)
 		}
 	}
@@ -124,7 +131,7 @@
 	defer r.mu.Unlock()
 	var sameDomain, all []string
 	for _, m := range r.members {
-		if m.VM == r.settings.VM && r.stopping.Load() {
+		if m.CallerAddr == "" || m.VM == r.settings.VM && r.stopping.Load() {
 			continue
 		}
 		all = append(all, m.CallerAddr)
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -9,7 +9,9 @@
 
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/detector"
+	"github.com/catkinstair/catkinstair/internal/featurelevel"
 	"github.com/catkinstair/catkinstair/internal/loads"
+	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/poison"
 )
 
@@ -43,9 +45,12 @@
 		if r.checkPause(); int64(r.clock.now()) < r.dropMessagesUntil.Load() {
 			continue
 		}
-		var m loads.Message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			r.log.Warn().Err(err).Stringer("from", from).Msg("loads: invalid message")
+		m, invalid, err := loads.Decode(buf[:n])
+		if err != nil || len(invalid) > 0 {
+			r.metrics.invalidMessages.Inc()
+			r.log.Warn().Err(err).Stringer("from", from).Ints("keys", invalid).Msg("loads: invalid message")
+		}
+		if err != nil {
 			r.metrics.messagesDropped["malformed"].Inc()
 			continue
 		}
@@ -67,6 +72,12 @@
 // mu.
 func (r *Router) receiveFindings(m loads.Message) (lostAddrs, slowAddrs []string, found poison.Result) {
 	now := r.clock.now()
+	r.noteBuild(m)
+	if _, known := r.members[m.From]; !known {
+		// The sender is starting or stopping, so it receives no messages, and builds before
+		// Guard.SetReached may convict a request that makes progress at other VMs.
+		m.Poison = m.Poison.WithoutBlocks()
+	}
 	findings := r.core.Receive(now, m)
 	r.countDropped(m, findings.UnknownLost)
 	for _, s := range findings.Lost {
@@ -235,6 +246,10 @@
 
 // sendMessage sends a message and returns its size in bytes.
 func (r *Router) sendMessage(s loads.Send) int {
+	s.Message.FeatureLevel = featurelevel.Current
+	if s.Message.Scope == loads.ScopeVM { // those of aggregators go to dozens of VMs
+		s.Message.Build = obs.Version()
+	}
 	body, err := cbor.Marshal(s.Message)
 	if err == nil && len(body) > maxDatagram {
 		r.log.Warn().Int("bytes", len(body)).Msg("loads: message exceeds the size of a datagram")
