--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,9 @@
 .PHONY: soak
 soak:
 	CATKIN_SOAK_SEED=$(SEED) CATKIN_SOAK_N=$(N) CATKIN_SOAK_JOBS=$(JOBS) $(GO) test -count=1 -timeout 60m -run TestSoak -v ./internal/soak
+
+# The same with processes of the build of the last landing that are replaced one after the
+# other: forward, half of them back, forward.
+.PHONY: soak-upgrade
+soak-upgrade:
+	CATKIN_SOAK_SEED=$(SEED) CATKIN_SOAK_N=$(N) CATKIN_SOAK_JOBS=$(JOBS) $(GO) test -count=1 -timeout 60m -run TestRollingUpgrade -v ./internal/soak
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -53,13 +53,16 @@
 	case 0:
 		return fault{name: v.name + " stopped and started", inject: func() { v.restart() }}
 	case 1:
-		return fault{name: v.name + " killed and started", inject: func() { v.kill(); time.Sleep(duration / 4); v.start() }}
+		return fault{name: v.name + " killed and started", inject: func() { defer v.beginReplacing()(); v.kill(); time.Sleep(duration / 4); v.start() }}
 	case 2:
 		return fault{name: v.name + " paused", inject: func() { v.signal(syscall.SIGSTOP); time.Sleep(duration); v.signal(syscall.SIGCONT) }}
 	case 3:
 		return fault{name: v.name + " gets SIGHUP to reload its settings", inject: func() { v.signal(syscall.SIGHUP) }}
 	default:
 		return fault{name: "all VMs killed and started", inject: func() {
+			for _, v := range r.vms {
+				defer v.beginReplacing()()
+			}
 			for _, v := range r.vms {
 				v.kill()
 			}
@@ -70,8 +73,23 @@
 	}
 }
 
+// beginReplacing waits until no other replacement of the process is in progress, where that is
+// asked for, and returns a function that ends this one.
+func (v *vm) beginReplacing() (end func()) {
+	if v.replacing == nil {
+		return func() {}
+	}
+	v.replacing.Lock()
+	return v.replacing.Unlock
+}
+
 // restart stops the process with SIGTERM, as the platform does, and starts it again.
 func (v *vm) restart() {
+	defer v.beginReplacing()()
+	v.stopAndStart()
+}
+
+func (v *vm) stopAndStart() {
 	v.signal(syscall.SIGTERM)
 	if !v.waitExit(graceBound) {
 		v.run.results.addViolation("%s: still running %v after SIGTERM", v.name, graceBound)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -62,9 +63,13 @@
 	storeProxy   *proxy
 	settingsFile string
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	// replacing, if not nil, is held while the process is replaced by another one.
+	replacing *sync.Mutex
+
+	mu     sync.Mutex
+	binary string // started next
+	cmd    *exec.Cmd
+	done   chan struct{}
 }
 
 var buildRouter = sync.OnceValues(func() (string, error) {
@@ -80,7 +85,8 @@
 	return file, nil
 })
 
-func newRun(t *testing.T, seed uint64, vms int) *run {
+// newRun starts a run whose VMs run the given program.
+func newRun(t *testing.T, seed uint64, vms int, binary string) *run {
 	r := &run{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir()}
 	store, err := standin.NewStore()
 	require.NoError(t, err)
@@ -88,7 +94,9 @@
 	r.store, r.backends = store, standin.NewBackends(store)
 	r.putConfig(7, nil)
 	for i := range vms {
-		r.vms = append(r.vms, r.newVM(i))
+		v := r.newVM(i)
+		v.binary = binary
+		r.vms = append(r.vms, v)
 	}
 	for _, v := range r.vms {
 		v.start()
@@ -186,9 +194,28 @@
 // crashDowntime is the time from a server's crash to its replacement.
 const crashDowntime = 500 * time.Millisecond
 
+// processOctet returns the second octet of this process's loopback addresses. The listener that
+// it holds keeps other test processes off them: by the process ID alone, two of them got the
+// same ones, and the callers of one sent requests to the VMs of the other.
+var processOctet = sync.OnceValue(func() int {
+	const first, count = 130, 100
+	for i := range count {
+		octet := first + (os.Getpid()+i)%count
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:18219", octet))
+		if err == nil {
+			addressLock = l
+			return octet
+		}
+	}
+	return first + os.Getpid()%count
+})
+
+// addressLock is the listener of processOctet, open until the process ends.
+var addressLock net.Listener
+
 func (r *run) newVM(i int) *vm {
 	// Loopback addresses differ by process, seed and VM so that runs don't share them.
-	host := fmt.Sprintf("127.%d.%d.%d", 130+os.Getpid()%100, r.seed%250, 2+i)
+	host := fmt.Sprintf("127.%d.%d.%d", processOctet(), r.seed%250, 2+i)
 	v := &vm{run: r, name: fmt.Sprintf("vm-%d", i), domain: domains[i%len(domains)], host: host, storeProxy: newProxy(r.t, r.store.Addr)}
 	v.settingsFile = filepath.Join(r.dir, v.name+".toml")
 	settings := fmt.Sprintf(`nodeName = %[1]q
@@ -208,8 +235,9 @@
 
 // start starts the process. Its log is kept in the run's directory until the test ends.
 func (v *vm) start() {
-	binary, err := buildRouter()
-	require.NoError(v.run.t, err)
+	v.mu.Lock()
+	binary := v.binary
+	v.mu.Unlock()
 	log, err := os.OpenFile(filepath.Join(v.run.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(v.run.t, err)
 	cmd := exec.Command(binary)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,7 +29,7 @@
 			seeds = append(seeds, envUint(t, "CATKIN_SOAK_SEED", 1)+i)
 		}
 	}
-	_, err := buildRouter()
+	binary, err := buildRouter()
 	require.NoError(t, err)
 	jobs := make(chan struct{}, envUint(t, "CATKIN_SOAK_JOBS", 3))
 	for _, seed := range seeds {
@@ -37,7 +37,7 @@
 			t.Parallel()
 			jobs <- struct{}{}
 			defer func() { <-jobs }()
-			runSoak(t, seed)
+			runSoak(newRun(t, seed, vmsPerRun, binary), (*run).injectFaults)
 		})
 	}
 }
@@ -65,8 +65,10 @@
 	minServedShare = 0.97
 )
 
-func runSoak(t *testing.T, seed uint64) {
-	r := newRun(t, seed, vmsPerRun)
+// runSoak plays faults, which returns when they have ended, while callers send requests, and
+// checks the rules.
+func runSoak(r *run, faults func(*run)) {
+	t := r.t
 	t.Cleanup(func() { r.saveLogs() })
 	r.awaitServing()
 	ctx, stop := context.WithCancel(context.Background())
@@ -78,7 +80,7 @@
 	r.backends.CrashOnPart(deadlyPart, func(s *standin.Server) { go r.replaceCrashed(s) })
 	r.backends.CrashOnPath(deadlyURI, standin.CrashReset, func(s *standin.Server) { go r.replaceCrashed(s) })
 	callers.Go(func() { newCaller(r, callersPerRun).sendDeadlyRequests(deadlyCtx) })
-	r.injectFaults()
+	faults(r)
 	r.checkCrashes("prompts with one part", r.backends.CrashTimes(false), blockingCrashes)
 	r.checkCrashes("one plain request", r.backends.CrashTimes(true), blockingCrashesOfRequest)
 	stopDeadly()
@@ -111,12 +113,15 @@
 }
 
 // injectFaults injects each fault at its time and waits until all have ended.
-func (r *run) injectFaults() {
+func (r *run) injectFaults() { r.injectFaultsWithin(faultWindow) }
+
+// injectFaultsWithin is injectFaults with the times of the faults stretched to window.
+func (r *run) injectFaultsWithin(window time.Duration) {
 	var injections sync.WaitGroup
 	for _, f := range r.drawFaults() {
 		r.t.Log(f.name)
 		injections.Go(func() {
-			time.Sleep(f.at)
+			time.Sleep(time.Duration(float64(f.at) * float64(window) / float64(faultWindow)))
 			f.inject()
 		})
 	}
