classes, dispatch: the route's priority orders requests of equal teams; no bound on first stages when capacity is short

The bound on first stages makes streams 5 in 100 slower and so takes memory when there is least; it now applies up to half of the capacity.

--- a/internal/classes/classes_test.go
+++ b/internal/classes/classes_test.go
@@ -75,6 +75,18 @@
 	require.Equal(t, 2, rank(4, nil))
 }
 
+// Where all teams have a priority, the routes' priorities must still order the requests of equal
+// teams, and never go before a team's.
+func TestRoutePriorityOrdersEqualTeams(t *testing.T) {
+	cfg := threeKinds()
+	cfg.Teams = []routes.Team{{Name: "t", Priority: 1, HasPriority: true}, {Name: "u", Priority: 1, HasPriority: true}, {Name: "v", Priority: 0, HasPriority: true}}
+	c := newCore(t, cfg)
+	rank := func(kind, team int) int {
+		return c.NewRequest(0, "r", &cfg.Routes[kind], &cfg.Teams[team], service, time.Second).Rank
+	}
+	require.Equal(t, []int{0, 1, 2, 3, 4, 5}, []int{rank(0, 2), rank(1, 2), rank(2, 2), rank(0, 0), rank(1, 1), rank(2, 1)})
+}
+
 // The team's priority goes before the route's.
 func TestTeamPriorityGoesFirst(t *testing.T) {
 	cfg := &routes.Config{Routes: []routes.Route{route("a", 3)}, Teams: []routes.Team{{Name: "t", Priority: 0, HasPriority: true}, {Name: "u"}}}
--- a/internal/classes/table.go
+++ b/internal/classes/table.go
@@ -18,10 +18,16 @@
 	Reason      string
 }
 
+// priority orders requests: by the team's priority, or the route's if the team has none, and
+// then by the route's. Where all teams have the same priority, the routes' still count.
+type priority int
+
+func newPriority(ofTeam, ofRoute int) priority { return priority(ofTeam*(maxPriority+1) + ofRoute) }
+
 // serviceClasses holds the classes of one service: its different priorities, most urgent
 // first.
 type serviceClasses struct {
-	priorities []int
+	priorities []priority
 	// defaultRank is the class of requests with an invalid priority or objective.
 	defaultRank int
 }
@@ -47,7 +53,9 @@
 			teamPriorities = append(teamPriorities, t.Priority)
 		}
 	}
-	found := map[string][]int{}
+	slices.Sort(teamPriorities)
+	teamPriorities = slices.Compact(teamPriorities)
+	found := map[string][]priority{}
 	lowestOfRoutes := map[string]int{}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -70,11 +78,13 @@
 					lowestOfRoutes[s.Service] = max(lowest, r.Priority)
 				}
 				if !needsKey || !allTeamsHave {
-					found[s.Service] = append(found[s.Service], r.Priority)
+					found[s.Service] = append(found[s.Service], newPriority(r.Priority, r.Priority))
+				}
+				for _, ofTeam := range teamPriorities {
+					if needsKey {
+						found[s.Service] = append(found[s.Service], newPriority(ofTeam, r.Priority))
+					}
 				}
-			}
-			if needsKey {
-				found[s.Service] = append(found[s.Service], teamPriorities...)
 			}
 		}
 	}
@@ -84,7 +94,7 @@
 		c := serviceClasses{priorities: slices.Compact(priorities)}
 		c.defaultRank = len(c.priorities) - 1
 		if lowest, ok := lowestOfRoutes[name]; ok {
-			c.defaultRank = c.rank(lowest)
+			c.defaultRank = c.rank(newPriority(lowest, lowest))
 		}
 		out[name] = c
 	}
@@ -93,18 +103,18 @@
 
 // rank returns the rank of a valid priority: that of the first class that is not more
 // urgent.
-func (c serviceClasses) rank(priority int) int {
-	i, _ := slices.BinarySearch(c.priorities, priority)
+func (c serviceClasses) rank(p priority) int {
+	i, _ := slices.BinarySearch(c.priorities, p)
 	return min(i, len(c.priorities)-1)
 }
 
 // rankOf returns the rank of a request by its route and its team, which may be nil.
 func (c serviceClasses) rankOf(r *routes.Route, team *routes.Team) int {
-	priority := routes.Priority(r, team)
-	if !validPriority(priority) || !validObjective(r) {
+	ofTeam := routes.Priority(r, team)
+	if !validPriority(ofTeam) || !validPriority(r.Priority) || !validObjective(r) {
 		return c.defaultRank
 	}
-	return c.rank(priority)
+	return c.rank(newPriority(ofTeam, r.Priority))
 }
 
 // NewRequest returns the request of a caller, or nil if its service has only one class. left
--- a/internal/dispatch/classes.go
+++ b/internal/dispatch/classes.go
@@ -8,21 +8,35 @@
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
-// observeInterval is the interval at which Classes gets the used capacity of a service. The
+// observeInterval is the interval at which the used capacity of a service is estimated. The
 // loads of other VMs change no more often.
 const observeInterval = 50 * time.Millisecond
 
+// observedUse is the used share of the usable capacity of a service at a time.
+type observedUse struct {
+	at    time.Duration
+	share float64
+}
+
+// observeUse returns the used share of the usable capacity of the service of r, which Classes
+// gets too. A request that avoids servers sees less capacity than there is.
+func (c *Core) observeUse(now time.Duration, r *Request, candidates []paths.Candidate) float64 {
+	last, observed := c.observedUse[r.Service.Name]
+	if len(r.Avoid) > 0 || observed && now-last.at < observeInterval {
+		return last.share
+	}
+	share := usedShare(r.Service.Engine, candidates) / c.maxKVShare()
+	c.observedUse[r.Service.Name] = observedUse{at: now, share: share}
+	c.Classes.Observe(r.Service.Name, share)
+	return share
+}
+
 // classShare returns the share, 0 to 1, of each server's usable KV cache and slots that r may
 // use by its class.
-func (c *Core) classShare(now time.Duration, r *Request, candidates []paths.Candidate) float64 {
+func (c *Core) classShare(now time.Duration, r *Request) float64 {
 	if r.Class == nil {
 		return 1
 	}
-	last, observed := c.observedAt[r.Service.Name]
-	if len(r.Avoid) == 0 && (!observed || now-last >= observeInterval) {
-		c.observedAt[r.Service.Name] = now
-		c.Classes.Observe(r.Service.Name, usedShare(r.Service.Engine, candidates)/c.maxKVShare())
-	}
 	return c.Classes.Share(now, r.Class, r.Begun)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,8 +102,8 @@
 	Backpressure    *backpressure.Core
 	Prompts         *prefixcache.Core
 	Classes         *classes.Core
-	corrections     []classes.Correction     // of the configuration in force
-	observedAt      map[string]time.Duration // by service, when Classes last got the used capacity
+	corrections     []classes.Correction   // of the configuration in force
+	observedUse     map[string]observedUse // by service
 	peers           []Peer
 	peerRefusals    map[peerRefusal]time.Duration // until when
 	unconfirmed     unconfirmedFailures
@@ -119,7 +119,7 @@
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedAt: map[string]time.Duration{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedUse: map[string]observedUse{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
 }
 
 // Table returns the configuration in force, or nil.
@@ -317,12 +317,14 @@
 		q.AllowedFirst = r.SentTo
 	}
 	q.LinkUtilization = c.linkUtilization(now, r)
-	classShare := c.classShare(now, r, candidates)
+	use := c.observeUse(now, r, candidates)
+	classShare := c.classShare(now, r)
 	q.MaxUtilization = classShare * (c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends))
-	path, ok := c.findPath(r, c.spread(now, r.Service.Engine, r, candidates), q)
+	spreadFirst := r.Route.Resumable && r.Route.MaxGap > 0 && use < maxUseToSpread
+	path, ok := c.findPath(r, spreadFirst, c.spread(now, r.Service.Engine, r, candidates), q)
 	if !ok {
 		q.MaxUtilization = classShare * c.maxKVShare()
-		path, ok = c.findPath(r, candidates, q)
+		path, ok = c.findPath(r, spreadFirst, candidates, q)
 	}
 	switch {
 	case ok:
@@ -344,13 +346,17 @@
 	// objectives up to which a path may be slower because of the bound on first stages.
 	maxFirstTokenShare = 0.25
 	maxPauseShare      = 0.5
+	// maxUseToSpread is the used share of a service's capacity up to which the bound on first
+	// stages applies. It makes streams slower by some 5 in 100, so that they hold memory
+	// longer, which is missing when capacity is short.
+	maxUseToSpread = 0.5
 )
 
 // findPath returns the best path of a request. The bound on the streams that start at one
 // server counts only for streams that can be resumed, and only if the path that it leads to
 // stays well within the route's objectives.
-func (c *Core) findPath(r *Request, candidates []paths.Candidate, q paths.Request) (paths.Path, bool) {
-	q.SpreadFirst = r.Route.Resumable && r.Route.MaxGap > 0
+func (c *Core) findPath(r *Request, spreadFirst bool, candidates []paths.Candidate, q paths.Request) (paths.Path, bool) {
+	q.SpreadFirst = spreadFirst
 	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
 	if !ok || !path.AboveFirstShare {
 		return path, ok
