--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/backpressure"
+	"github.com/catkinstair/catkinstair/internal/classes"
 	"github.com/catkinstair/catkinstair/internal/engine"
 	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/paths"
@@ -38,6 +39,8 @@
 	Backpressure backpressure.Config
 	// Prompts holds the settings for prompts that servers still hold. Default off.
 	Prompts prefixcache.Config
+	// Classes holds the settings for services whose routes or teams differ in priority.
+	Classes classes.Config
 	// SoftKVShare is the share, 0 to 1, of a server's KV cache that any request may fill.
 	// Each send of a request gets a random limit between SoftKVShare and the maximum
 	// share; the maximum is used only if no path exists within that limit. Without random
@@ -52,6 +55,12 @@
 	// request leaves out at random while the load of the other VMs is unknown; it also leaves
 	// out those of other failure domains. 0 disables both. Default 0.35.
 	UnknownLoadShare float64
+	// MoveTimeShare is the share of the pause objective (routes.Route.MaxGap) in which the
+	// servers that take over a lost server's layers read the tokens of the moved streams
+	// again; the rest is for the finding, the order and the next step. The lost server's
+	// streams are divided by what each server can take in that time. 0 disables this.
+	// Default 0.5.
+	MoveTimeShare float64
 	// LoadsSettleTime is how long the sum of all VMs' loads has to be known before it is
 	// relied upon. Default 1 s.
 	LoadsSettleTime time.Duration
@@ -77,8 +86,8 @@
 // DefaultConfig returns the defaults documented on Config. The caller sets VM,
 // Incarnation, Domain and Retry.
 func DefaultConfig() Config {
-	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(), Prompts: prefixcache.DefaultConfig(),
-		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
+	return Config{Loads: loads.DefaultConfig(), Paths: paths.DefaultConfig(), Backends: backend.DefaultConfig(), Poison: poison.DefaultConfig(), Reach: reach.DefaultConfig(), Backpressure: backpressure.DefaultConfig(), Prompts: prefixcache.DefaultConfig(), Classes: classes.DefaultConfig(),
+		SoftKVShare: 0.8, KVReservePerSecond: 0.05, UnknownLoadShare: 0.35, MoveTimeShare: 0.5, LoadsSettleTime: time.Second, LoadReportTTL: 300 * time.Millisecond, LostSuspicion: 2 * time.Second, FailingSuspicion: time.Second, RetryAfter: 1200 * time.Millisecond, BlockedRetryAfter: 30 * time.Second}
 }
 
 // Core holds the dispatch state of one VM. It is not safe for concurrent use.
@@ -92,6 +101,9 @@
 	peerLinks       *reach.Peers
 	Backpressure    *backpressure.Core
 	Prompts         *prefixcache.Core
+	Classes         *classes.Core
+	corrections     []classes.Correction   // of the configuration in force
+	observedUse     map[string]observedUse // by service
 	peers           []Peer
 	peerRefusals    map[peerRefusal]time.Duration // until when
 	unconfirmed     unconfirmedFailures
@@ -100,13 +112,14 @@
 	crossDomainLink linkMeter
 	loadsUnknownAt  time.Duration // last time at which the load of the other VMs was unknown
 	poisonSent      poison.Mark   // of the last messages to other VMs
+	moves           map[backend.Instance]*move
 }
 
 // New returns a Core without a configuration.
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), budgets: map[string]*retry.Budget{}, vmCount: 1}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedUse: map[string]observedUse{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
 }
 
 // Table returns the configuration in force, or nil.
@@ -118,9 +131,13 @@
 		return false
 	}
 	c.table = t
+	c.corrections = c.Classes.Apply(t.Config())
 	return true
 }
 
+// Corrections returns the invalid priorities and objectives of the configuration in force.
+func (c *Core) Corrections() []classes.Correction { return c.corrections }
+
 // SetRetryBudget changes the settings of the retry budgets of all services.
 func (c *Core) SetRetryBudget(now time.Duration, cfg retry.Config) {
 	c.cfg.Retry = cfg
@@ -153,6 +170,8 @@
 	// Prompt is the prompt's parts, of which servers may hold some; nil if unknown or if
 	// that is disabled.
 	Prompt prefixcache.Prompt
+	// Class is nil if the priorities of the service's routes and teams do not differ.
+	Class *classes.Request
 	// Subject is what may crash a server in the request.
 	Subject poison.Subject
 	// Trial is set if the request is blocked, and let through to see whether it still crashes
@@ -220,6 +239,9 @@
 	}
 	ch, refusal := c.findChoice(now, r)
 	if refusal != nil {
+		if refusal.Cause == verdict.CauseNoCapacity && r.Sends == 0 {
+			c.Classes.Missed(now, r.Class)
+		}
 		if otherVMMayServe(refusal.Cause) {
 			if ch, _ := c.choosePeer(now, r); ch != nil {
 				return ch, nil
@@ -231,6 +253,7 @@
 		return nil, refusal
 	}
 	c.addWork(now, ch)
+	c.Classes.Started(now, r.Class, ch.FirstToken)
 	c.Backpressure.Sent(limitKey(ch.Target().Instance))
 	return ch, nil
 }
@@ -294,11 +317,14 @@
 		q.AllowedFirst = r.SentTo
 	}
 	q.LinkUtilization = c.linkUtilization(now, r)
-	q.MaxUtilization = c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends)
-	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, c.spread(now, r.Service.Engine, r, candidates), q)
+	use := c.observeUse(now, r, candidates)
+	classShare := c.classShare(now, r)
+	q.MaxUtilization = classShare * (c.cfg.SoftKVShare + (c.maxKVShare()-c.cfg.SoftKVShare)*requestFraction(r.ID, r.Sends))
+	spreadFirst := r.Route.Resumable && r.Route.MaxGap > 0 && use < maxUseToSpread
+	path, ok := c.findPath(r, spreadFirst, c.spread(now, r.Service.Engine, r, candidates), q)
 	if !ok {
-		q.MaxUtilization = c.maxKVShare()
-		path, ok = paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+		q.MaxUtilization = classShare * c.maxKVShare()
+		path, ok = c.findPath(r, spreadFirst, candidates, q)
 	}
 	switch {
 	case ok:
@@ -315,6 +341,34 @@
 	}
 }
 
+const (
+	// maxFirstTokenShare and maxPauseShare are the shares of the route's latency and pause
+	// objectives up to which a path may be slower because of the bound on first stages.
+	maxFirstTokenShare = 0.25
+	maxPauseShare      = 0.5
+	// maxUseToSpread is the used share of a service's capacity up to which the bound on first
+	// stages applies. It makes streams slower by some 5 in 100, so that they hold memory
+	// longer, which is missing when capacity is short.
+	maxUseToSpread = 0.5
+)
+
+// findPath returns the best path of a request. The bound on the streams that start at one
+// server counts only for streams that can be resumed, and only if the path that it leads to
+// stays well within the route's objectives.
+func (c *Core) findPath(r *Request, spreadFirst bool, candidates []paths.Candidate, q paths.Request) (paths.Path, bool) {
+	q.SpreadFirst = spreadFirst
+	path, ok := paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+	if !ok || !path.AboveFirstShare {
+		return path, ok
+	}
+	if (r.Route.TargetLatency <= 0 || float64(path.FirstToken) <= maxFirstTokenShare*float64(r.Route.TargetLatency)) &&
+		float64(path.Pause) <= maxPauseShare*float64(r.Route.MaxGap) {
+		return path, true
+	}
+	q.SpreadFirst = false
+	return paths.Find(c.cfg.Paths, r.Service.Engine, candidates, q)
+}
+
 // maxKVShare returns the largest share of a KV cache that requests may fill. The other
 // VMs' loads are up to two intervals old: one until the aggregator of the failure domain
 // has them, one until it sends the sum.
@@ -346,6 +400,7 @@
 		out = append(out, paths.Candidate{Instance: s.Instance(), Addr: s.Addr, Domain: s.Domain, Accelerator: accelerator, Held: s.Held,
 			Streams: own.Streams + others.Streams, TokenLayers: own.TokenLayers + others.TokenLayers, Slowdown: s.SlowdownFactor(now),
 			Slots: float64(spec.Slots), FirstStageStreams: c.firstStageStreams(now, s, others), NotFirst: !c.takesRequests(now, s)})
+		c.addMoved(now, &out[len(out)-1])
 	}
 	return out
 }
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -21,6 +21,9 @@
 // finding, of which the other VMs should be notified.
 func (c *Core) RecordLost(now time.Duration, in backend.Instance) bool {
 	c.Backends.RecordFailure(now, in, c.cfg.LostSuspicion)
+	if s := c.Backends.Get(in.ID); s != nil && s.Instance() == in {
+		c.beginMove(now, s)
+	}
 	return c.Loads.RecordLost(now, LoadKey(in))
 }
 
@@ -82,6 +85,7 @@
 	Poison                       poison.Result
 	LimitsChanged                bool // limits that servers named
 	CutsChanged                  bool // which VMs are cut off from backend servers
+	UnknownLost                  int  // new findings of lost servers that this VM does not know
 }
 
 // Receive applies a message from another VM and returns its new findings.
@@ -111,9 +115,11 @@
 		}
 		if lost[key] {
 			c.Backends.RecordFailure(now, s.Instance(), c.cfg.LostSuspicion)
+			c.beginMove(now, s)
 			findings.Lost = append(findings.Lost, s)
 		}
 	}
+	findings.UnknownLost = max(0, len(lost)-len(findings.Lost))
 	return findings
 }
 
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -41,6 +41,13 @@
 	maxWait   time.Duration
 	waitOrder func(a, b *call) bool
 	prompts   *promptModel // nil: engines keep no prompts
+	// onSend and onFinish, if set, see each call that is sent, or answered.
+	onSend, onFinish func(*call)
+	// readInTurn lets the stages of a path read a prompt by read.
+	readInTurn bool
+	// contention is set in simulations of callers of several kinds; it then sends requests and
+	// counts their outcomes.
+	contention *contention
 }
 
 // vm is one Core with its waiting calls.
@@ -122,6 +129,7 @@
 	sends        int
 	done         bool
 	parts        []promptPart
+	onRead       func() // called once all stages have read the tokens, if set
 }
 
 // tally counts the outcomes of calls. retried calls are sent again by the caller after a
@@ -320,6 +328,10 @@
 // send chooses a path and sends the call to its first server. Without a choice, the call
 // waits or is refused.
 func (s *simulation) send(c *call) {
+	if s.contention != nil {
+		s.contention.send(c)
+		return
+	}
 	ch, refusal := c.vm.core.Choose(s.now, c.req)
 	if refusal != nil && s.maxWait > 0 && !c.retried && c.req.Sends == 0 && s.now-c.arrived < s.maxWait {
 		c.vm.waiting = append(c.vm.waiting, c)
@@ -331,6 +343,9 @@
 	}
 	c.choice = ch
 	c.sends++
+	if s.onSend != nil {
+		s.onSend(c)
+	}
 	s.arrive(c)
 }
 
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -249,6 +249,27 @@
 	return out
 }
 
+// LostMessage returns a message for all other VMs that says that servers were found lost now.
+func (c *Core) LostMessage(keys []Key) Message {
+	c.seq++
+	m := Message{From: c.self.VM, Domain: c.self.Domain, Scope: ScopeFindings, Seq: c.seq, Lost: make(map[Key]time.Duration, len(keys))}
+	for _, k := range keys {
+		m.Lost[k] = 0
+	}
+	return m
+}
+
+// Others returns the other VMs.
+func (c *Core) Others() []Member {
+	out := make([]Member, 0, len(c.members))
+	for _, m := range c.members {
+		if m.VM != c.self.VM {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Receive applies a message and returns its new findings. Loads older than the known ones
 // are ignored.
 func (c *Core) Receive(now time.Duration, m Message) Findings {
@@ -300,6 +321,15 @@
 	return c.total.loads != nil && now-c.total.at <= c.cfg.MaxAge
 }
 
+// LastTotal returns the work of all VMs on the server k by the last total, which is the same for
+// all VMs of the failure domain. It returns false without a recent total.
+func (c *Core) LastTotal(now time.Duration, k Key) (Load, bool) {
+	if !c.HasFreshTotal(now) {
+		return Load{}, false
+	}
+	return c.total.loads[k], true
+}
+
 // EstimateOthers estimates the work of all other VMs on the server k. own is this VM's work
 // on it.
 func (c *Core) EstimateOthers(now time.Duration, k Key, own Load) Load {
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -48,6 +48,8 @@
 	Slowdown float64
 	// Penalty is added once per stage; it marks a server of last resort.
 	Penalty time.Duration
+	// LayerPenalty is added for each layer that the server would run.
+	LayerPenalty time.Duration
 }
 
 // Request describes the request to find a path for.
@@ -71,6 +73,20 @@
 	// cost counts the prefill of the others only. It is here and not in Candidate so that it
 	// costs nothing while it is nil.
 	HeldPrompt map[backend.ID][]prefixcache.Held
+	// SpreadFirst applies Config.FirstStageShare.
+	SpreadFirst bool
+
+	firstBound firstStageBound
+}
+
+// firstStageBound is the bound on the streams that start at one server, as a cost. The zero
+// value has no bound.
+type firstStageBound struct {
+	streams float64 // of all servers, with the request to find a path for
+	share   float64
+	// localCost is the lowest cost of a server in the request's failure domain. It is added
+	// in other domains, so that the bound is no reason to start there.
+	localCost float64
 }
 
 // Config holds the settings of the search.
@@ -85,11 +101,24 @@
 	// the VM. It is below CrossingCost because only the answer's events cross the link:
 	// a few kilobytes, against tens of megabytes of activations. Default 700 ms.
 	RemoteFirstStageCost time.Duration
+	// FirstStageShare is the share of the service's streams, of all VMs, from which a server
+	// costs more as first stage; it is never below one over the number of servers that could
+	// be first stage. A crash of a first stage ends the run of each of its streams. 0 disables
+	// the bound. Default 0.12.
+	FirstStageShare float64
+	// FirstStageCost is the cost of a server as first stage at twice that share. It rises
+	// linearly from 0 at the share itself. At 2 s, more moved streams were late in simulated
+	// crashes under 1.3 times the usual rate. Default 1 s.
+	FirstStageCost time.Duration
 }
 
+// minSpreadStreams is the number of streams of a service from which Config.FirstStageShare
+// applies. Shares of fewer streams are a matter of chance.
+const minSpreadStreams = 20
+
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{StageCost: 4 * time.Millisecond, CrossingCost: time.Second, RemoteFirstStageCost: 700 * time.Millisecond}
+	return Config{StageCost: 4 * time.Millisecond, CrossingCost: time.Second, RemoteFirstStageCost: 700 * time.Millisecond, FirstStageShare: 0.12, FirstStageCost: time.Second}
 }
 
 // Path is the result of a search.
@@ -103,6 +132,11 @@
 	// HeldTokens is the number of prompt tokens that the servers need not read, as a mean
 	// over the layers.
 	HeldTokens float64
+	// Pause is the predicted time between two events of the answer.
+	Pause time.Duration
+	// AboveFirstShare is set if a server that could be first stage is above
+	// Config.FirstStageShare, so that the search without SpreadFirst may find another path.
+	AboveFirstShare bool
 }
 
 // partialPath is the cheapest path found from the first layer to a boundary, for one
@@ -122,12 +156,18 @@
 	if r.Layers.Len() == 0 {
 		r.Layers = backend.Layers{To: spec.Layers}
 	}
+	all := candidates
 	candidates = withFreeKV(spec, candidates, r)
+	above := false
+	if r.SpreadFirst && cfg.FirstStageShare > 0 && startsAtFirstLayer(&r) {
+		above = r.boundFirstStages(cfg, all, candidates)
+	}
 	bounds := boundaries(r.Layers, candidates)
 	domains := domainIndex(candidates)
 	extraStageCost := 0.0
 	if len(r.HeldPrompt) > 0 {
-		if p, ok := shortestPath(cfg, spec, candidates, bounds, domains, r, extraStageCost); ok && len(p.Stages) <= MaxStages {
+		if p, ok := shortestPath(cfg, spec, candidates, bounds, domains, &r, extraStageCost); ok && len(p.Stages) <= MaxStages {
+			p.AboveFirstShare = above
 			return p, true
 		}
 		// What servers hold must not be the reason for a path that is too long.
@@ -135,11 +175,12 @@
 	}
 	// If the path has too many stages, search again with a higher cost per stage.
 	for range 4 {
-		p, ok := shortestPath(cfg, spec, candidates, bounds, domains, r, extraStageCost)
+		p, ok := shortestPath(cfg, spec, candidates, bounds, domains, &r, extraStageCost)
 		if !ok {
 			return Path{}, false
 		}
 		if len(p.Stages) <= MaxStages {
+			p.AboveFirstShare = above
 			return p, true
 		}
 		extraStageCost = extraStageCost*4 + float64(20*time.Millisecond)
@@ -228,7 +269,7 @@
 // shortestPath is Dijkstra's algorithm on a line: it visits the boundaries in ascending
 // order and keeps for each of them the cheapest partial path per failure domain of the last
 // stage.
-func shortestPath(cfg Config, spec *engine.Spec, candidates []Candidate, bounds []int, domains map[string]int, r Request, extraStageCost float64) (Path, bool) {
+func shortestPath(cfg Config, spec *engine.Spec, candidates []Candidate, bounds []int, domains map[string]int, r *Request, extraStageCost float64) (Path, bool) {
 	boundIndex := make(map[int]int, len(bounds))
 	for i, b := range bounds {
 		boundIndex[b] = i
@@ -262,11 +303,11 @@
 			}
 		}
 	}
-	return buildPath(cfg, best, bounds, candidates, numDomains, boundIndex, r)
+	return buildPath(cfg, spec, best, bounds, candidates, numDomains, boundIndex, r)
 }
 
 // cheapestPrefix returns the cheapest partial path to boundary start that c can continue.
-func cheapestPrefix(cfg Config, spec *engine.Spec, prefixes []partialPath, start int, c *Candidate, candidates []Candidate, r Request) (partialPath, bool) {
+func cheapestPrefix(cfg Config, spec *engine.Spec, prefixes []partialPath, start int, c *Candidate, candidates []Candidate, r *Request) (partialPath, bool) {
 	if start == r.Layers.From {
 		return startPath(cfg, spec, c, r)
 	}
@@ -289,10 +330,50 @@
 	return best, !math.IsInf(best.cost, 1)
 }
 
+// boundFirstStages computes the bound on first stages from all candidates, and the costs of
+// those with free KV cache. It reports whether one of these is above the bound.
+func (r *Request) boundFirstStages(cfg Config, all, free []Candidate) bool {
+	streams, servers := 1.0, 0
+	for i := range all {
+		streams += all[i].FirstStageStreams
+		if mayStart(&all[i]) {
+			servers++
+		}
+	}
+	if streams < minSpreadStreams || servers == 0 {
+		return false
+	}
+	r.firstBound = firstStageBound{streams: streams, share: max(cfg.FirstStageShare, 1/float64(servers))}
+	above, localCost := false, math.Inf(1)
+	for i := range free {
+		if !mayStart(&free[i]) {
+			continue
+		}
+		cost := r.firstBound.cost(cfg, &free[i])
+		above = above || cost > 0
+		if free[i].Domain == r.Domain {
+			localCost = min(localCost, cost)
+		}
+	}
+	if !math.IsInf(localCost, 1) {
+		r.firstBound.localCost = localCost
+	}
+	return above
+}
+
+// mayStart reports whether c holds the first layer and takes requests.
+func mayStart(c *Candidate) bool { return c.Held.From == 0 && c.Held.To > 0 && !c.NotFirst }
+
+// cost returns the cost of c as first stage because of its share of the streams, in
+// nanoseconds.
+func (b *firstStageBound) cost(cfg Config, c *Candidate) float64 {
+	return max(0, (c.FirstStageStreams+1)/b.streams/b.share-1) * float64(cfg.FirstStageCost)
+}
+
 // startPath returns the empty partial path before c as first stage, or false if c may not
 // be the first stage. A complete path starts at the VM; a path that replaces a lost stage
 // starts at the stage before it.
-func startPath(cfg Config, spec *engine.Spec, c *Candidate, r Request) (partialPath, bool) {
+func startPath(cfg Config, spec *engine.Spec, c *Candidate, r *Request) (partialPath, bool) {
 	p := partialPath{prevDomain: -1}
 	switch {
 	case startsAtFirstLayer(r) && len(r.AllowedFirst) > 0 && !r.AllowedFirst[c.Instance.ID]:
@@ -307,32 +388,38 @@
 	default:
 		p.cost = crossingCost(cfg, r) + float64(spec.Delay(r.Domain, c.Domain))*r.AnswerTokens
 	}
+	if r.firstBound.share > 0 {
+		p.cost += r.firstBound.cost(cfg, c)
+		if c.Domain != r.Domain {
+			p.cost += r.firstBound.localCost
+		}
+	}
 	return p, true
 }
 
 // crossingCost returns the cost of a change of the failure domain, in nanoseconds. Like
 // the wait in a queue, it grows as 1/(1-utilization); it is infinite on a saturated link.
-func crossingCost(cfg Config, r Request) float64 {
+func crossingCost(cfg Config, r *Request) float64 {
 	if r.LinkUtilization >= 1 {
 		return math.Inf(1)
 	}
 	return float64(cfg.CrossingCost) / (1 - r.LinkUtilization)
 }
 
-func startsAtFirstLayer(r Request) bool { return r.Layers.From == 0 }
+func startsAtFirstLayer(r *Request) bool { return r.Layers.From == 0 }
 
 // stageCost predicts the time of a request in n layers of c and the time spent there
 // before the first token, in nanoseconds.
-func stageCost(cfg Config, spec *engine.Spec, c *Candidate, n int, r Request) (total, firstToken float64) {
+func stageCost(cfg Config, spec *engine.Spec, c *Candidate, n int, r *Request) (total, firstToken float64) {
 	contextTokens := r.PromptTokens + r.AnswerTokens/2
 	stepTime := c.Slowdown * float64(spec.StepTime(c.Accelerator, n, c.Streams+1, contextTokens))
 	firstToken = c.Slowdown*float64(spec.PrefillTime(c.Accelerator, n, r.PromptTokens)) + stepTime*float64(spec.Stride)/2
-	return firstToken + stepTime*r.AnswerTokens + float64(cfg.StageCost) + float64(c.Penalty), firstToken
+	return firstToken + stepTime*r.AnswerTokens + float64(cfg.StageCost) + float64(c.Penalty) + float64(n)*float64(c.LayerPenalty), firstToken
 }
 
 // savedPrefill predicts how much sooner c has read the prompt in the given layers because of
 // what it still holds, in nanoseconds.
-func savedPrefill(spec *engine.Spec, c *Candidate, held []prefixcache.Held, layers backend.Layers, r Request) float64 {
+func savedPrefill(spec *engine.Spec, c *Candidate, held []prefixcache.Held, layers backend.Layers, r *Request) float64 {
 	return c.Slowdown * float64(spec.PrefillTime(c.Accelerator, 1, heldTokenLayers(held, layers, r.PromptTokens)))
 }
 
@@ -351,7 +438,7 @@
 
 // buildPath selects the cheapest partial path that ends at the last boundary and
 // follows it back to the first stage.
-func buildPath(cfg Config, best []partialPath, bounds []int, candidates []Candidate, numDomains int, boundIndex map[int]int, r Request) (Path, bool) {
+func buildPath(cfg Config, spec *engine.Spec, best []partialPath, bounds []int, candidates []Candidate, numDomains int, boundIndex map[int]int, r *Request) (Path, bool) {
 	last := len(bounds) - 1
 	lowest, domain := math.Inf(1), -1
 	for d := range numDomains {
@@ -367,14 +454,23 @@
 		return Path{}, false
 	}
 	p := Path{Cost: time.Duration(lowest), FirstToken: time.Duration(best[last*numDomains+domain].firstToken)}
+	var perToken time.Duration
+	nextDomain := ""
 	for i := last; i > 0; {
 		partial := best[i*numDomains+domain]
 		c := candidates[partial.candidate]
 		layers := backend.Layers{From: partial.start, To: bounds[i]}
 		p.Stages = append(p.Stages, Stage{Instance: c.Instance, Addr: c.Addr, Layers: layers})
 		p.HeldTokens += heldTokenLayers(r.HeldPrompt[c.Instance.ID], layers, r.PromptTokens) / float64(r.Layers.Len())
+		stepTime := spec.StepTime(c.Accelerator, layers.Len(), c.Streams+1, r.PromptTokens+r.AnswerTokens/2)
+		perToken += time.Duration(c.Slowdown * float64(stepTime))
+		if nextDomain != "" {
+			perToken += spec.Delay(c.Domain, nextDomain)
+		}
+		nextDomain = c.Domain
 		i, domain = boundIndex[partial.start], partial.prevDomain
 	}
+	p.Pause = perToken * time.Duration(max(1, spec.Stride))
 	for a, b := 0, len(p.Stages)-1; a < b; a, b = a+1, b-1 {
 		p.Stages[a], p.Stages[b] = p.Stages[b], p.Stages[a]
 	}
--- a/internal/poison/update.go
+++ b/internal/poison/update.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxSharedRuns, maxSharedParts and maxSharedBlocks bound an Update, which has to fit
@@ -116,6 +119,11 @@
 	result.New = len(added) > 0
 	var p Progress
 	for part, age := range u.Progress {
+		// The sender knows this progress and blocks the part nevertheless, so the progress came
+		// before the block. The delays of messages could show it as later here.
+		if u.blocks(part) {
+			continue
+		}
 		if age >= 0 && age <= g.cfg.EvidenceTTL && len(part) <= maxPartBytes {
 			g.recordProgress(now, part, now-age, &p)
 		}
@@ -134,6 +142,25 @@
 	return result
 }
 
+// WithoutBlocks returns the Update without the sender's convictions.
+func (u *Update) WithoutBlocks() *Update {
+	if u == nil || len(u.Blocked) == 0 {
+		return u
+	}
+	out := &Update{Runs: u.Runs, Progress: make(map[Part]time.Duration, len(u.Progress))}
+	for part, age := range u.Progress {
+		if !u.blocks(part) { // it made progress before it was blocked
+			out.Progress[part] = age
+		}
+	}
+	return out
+}
+
+// blocks reports whether the sender blocks the part.
+func (u *Update) blocks(part Part) bool {
+	return slices.ContainsFunc(u.Blocked, func(b SharedBlock) bool { return b.Part == part })
+}
+
 func (s Subject) valid() bool {
 	for _, part := range s.Prompt {
 		if len(part) > maxPartBytes {
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -18,13 +18,19 @@
 	served, logLinesDropped, panics, promptsBlocked, partsBlocked, storeEraChanges, passedOn, cutOff         *metrics.Counter
 	peerBytes, findingsDelayed                                                                               *metrics.Counter
 	promptHolderKnown, promptHolderChosen, promptTokensHeld                                                  *metrics.Counter
+	repathRefused                                                                                            *metrics.Counter
+	configCorrections                                                                                        *metrics.Counter
+	invalidMessages                                                                                          *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
+	detectorMetrics
 }
 
 func newRouterMetrics() *routerMetrics {
+	registerBuildInfo()
 	c := metrics.GetOrCreateCounter
 	return &routerMetrics{
-		storeErrors: c("catkin_router_store_errors_total"), loadSendErrors: c("catkin_router_loads_not_sent_total"),
+		detectorMetrics: newDetectorMetrics(),
+		storeErrors:     c("catkin_router_store_errors_total"), loadSendErrors: c("catkin_router_loads_not_sent_total"),
 		watcherErrors: c("catkin_router_reader_errors_total"), orders: c("catkin_router_orders_total"),
 		reports: c("catkin_router_reports_total"), refused: c("catkin_router_refused_total"),
 		resumed: c("catkin_router_resumed_total"), repathed: c("catkin_router_repathed_total"), retried: c("catkin_router_repeated_total"),
@@ -33,11 +39,14 @@
 		storeEraChanges: c("catkin_router_store_era_changes_total"),
 		passedOn:        c("catkin_router_passed_on_total"), cutOff: c("catkin_router_cut_off_total"),
 		peerBytes: c("catkin_router_peer_bytes_total"), findingsDelayed: c("catkin_router_findings_delayed_total"),
+		invalidMessages: c("catkin_router_invalid_messages_total"),
 		logLinesDropped: c("catkin_router_log_lines_lost_total"), panics: c("catkin_router_panics_total"),
 		promptHolderKnown:  c("catkin_router_prompt_holder_known_total"),
 		promptHolderChosen: c("catkin_router_prompt_holder_chosen_total"), promptTokensHeld: c("catkin_router_prompt_tokens_held_total"),
-		plainDuration:   metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
-		firstEventDelay: metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
+		repathRefused:     c("catkin_router_repath_refused_total"),
+		configCorrections: c("catkin_router_config_corrections_total"),
+		plainDuration:     metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
+		firstEventDelay:   metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
 	}
 }
 
@@ -61,6 +70,10 @@
 				r.handleBlockedParts(ctx)
 				return
 			}
+			if string(ctx.Path()) == vmsURI {
+				r.handleVMs(ctx)
+				return
+			}
 			metrics.WritePrometheus(ctx, true)
 		}
 	}
@@ -118,7 +131,7 @@
 	defer r.mu.Unlock()
 	var sameDomain, all []string
 	for _, m := range r.members {
-		if m.VM == r.settings.VM && r.stopping.Load() {
+		if m.CallerAddr == "" || m.VM == r.settings.VM && r.stopping.Load() {
 			continue
 		}
 		all = append(all, m.CallerAddr)
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkinstair/catkinstair/internal/changefeed"
+	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/leader"
 	"github.com/catkinstair/catkinstair/internal/placement"
@@ -17,6 +18,8 @@
 	Placement  placement.Config
 	Changefeed changefeed.Config
 	WaitQueue  dispatch.WaitQueueConfig
+	// Detector holds the settings of the failure detector.
+	Detector detector.Config
 
 	// WatchTimeout is how long the store holds a watch without an event. An unresponsive
 	// store is detected only when the response is due, so this time counts toward the
@@ -66,6 +69,9 @@
 	// PeerStallTimeout is how long a stream that was passed on may be silent before it is
 	// resumed through another VM. Default 1.2 s.
 	PeerStallTimeout time.Duration
+	// ResumeWait is how long after its last event a stream in progress waits for capacity to be
+	// resumed. Callers give a stream up after two seconds without an event. Default 1.5 s.
+	ResumeWait time.Duration
 	// PartialEventTimeout is how long an event may take to arrive completely. Engines write
 	// events whole, so a longer one comes from a server that will not complete it. Default
 	// 1 s.
@@ -120,9 +126,10 @@
 	return Config{
 		Dispatch: dispatch.DefaultConfig(), Leader: leader.DefaultConfig(), Placement: placement.DefaultConfig(), Changefeed: changefeed.DefaultConfig(),
 		WaitQueue:    dispatch.DefaultWaitQueueConfig(),
+		Detector:     detector.DefaultConfig(),
 		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, StateWait: 1500 * time.Millisecond,
 		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, OwnTryInterval: 2 * time.Second, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
-		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PeerStallTimeout: 1200 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, SuspectWait: 800 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
+		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PeerStallTimeout: 1200 * time.Millisecond, ResumeWait: 1500 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, SuspectWait: 800 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
 		ConnReuseTimeout: time.Second, ListenAfterStop: 3 * time.Second, StopMargin: 500 * time.Millisecond,
 		AddressLifetime: 2 * time.Second, SettingsInterval: 5 * time.Second, LogLevel: "info", Workers: 64,
 	}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -8,7 +8,10 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/detector"
+	"github.com/catkinstair/catkinstair/internal/featurelevel"
 	"github.com/catkinstair/catkinstair/internal/loads"
+	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/poison"
 )
 
@@ -42,9 +45,13 @@
 		if r.checkPause(); int64(r.clock.now()) < r.dropMessagesUntil.Load() {
 			continue
 		}
-		var m loads.Message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			r.log.Warn().Err(err).Stringer("from", from).Msg("loads: invalid message")
+		m, invalid, err := loads.Decode(buf[:n])
+		if err != nil || len(invalid) > 0 {
+			r.metrics.invalidMessages.Inc()
+			r.log.Warn().Err(err).Stringer("from", from).Ints("keys", invalid).Msg("loads: invalid message")
+		}
+		if err != nil {
+			r.metrics.messagesDropped["malformed"].Inc()
 			continue
 		}
 		r.runGuarded("loads", m.From, func() { r.handleLoads(m) })
@@ -56,7 +63,7 @@
 	var found poison.Result
 	r.locked(func() { lostAddrs, slowAddrs, found = r.receiveFindings(m) })
 	r.applyBlocks(found, m.From)
-	r.moveOffLost(lostAddrs)
+	r.moveOffLost(r.checkNeighborsFindings(m, lostAddrs))
 	r.moveOffSlow(slowAddrs)
 }
 
@@ -65,7 +72,14 @@
 // mu.
 func (r *Router) receiveFindings(m loads.Message) (lostAddrs, slowAddrs []string, found poison.Result) {
 	now := r.clock.now()
+	r.noteBuild(m)
+	if _, known := r.members[m.From]; !known {
+		// The sender is starting or stopping, so it receives no messages, and builds before
+		// Guard.SetReached may convict a request that makes progress at other VMs.
+		m.Poison = m.Poison.WithoutBlocks()
+	}
 	findings := r.core.Receive(now, m)
+	r.countDropped(m, findings.UnknownLost)
 	for _, s := range findings.Lost {
 		lostAddrs = append(lostAddrs, s.Addr)
 		r.log.Info().Str("server", string(s.ID)).Str("addr", s.Addr).Str("from", m.From).Msg("backend server lost, another VM says")
@@ -99,27 +113,27 @@
 func (r *Router) recordLost(addr string) {
 	r.mu.Lock()
 	isNew := false
+	var server detector.Server
 	if s := r.core.Backends.ByAddr(addr); s != nil {
 		isNew = r.core.RecordLost(r.clock.now(), s.Instance())
+		server = checkedServer(s)
 	}
 	r.mu.Unlock()
-	if isNew {
+	if r.recordReportedLost(server) || isNew {
 		r.moveOffLost([]string{addr})
 	}
 }
 
-// moveOffLost moves all streams off the lost servers at addrs and sends the findings
-// without delay.
+// moveOffLost moves all streams off the lost servers at addrs, those with the least slack
+// first, and sends the findings without delay.
 func (r *Router) moveOffLost(addrs []string) {
 	if len(addrs) == 0 {
 		return
 	}
 	r.sendFindingsNow()
-	for _, addr := range addrs {
-		for _, st := range r.streams.through(addr) {
-			if err := r.workers.Submit(func() { st.moveOffLost(addr) }); err != nil {
-				r.log.Warn().Err(err).Str("request", st.x.req.ID).Msg("stream not moved off a lost server: all workers are busy; its stall timer will do it")
-			}
+	for _, m := range r.streams.leastSlackFirst(time.Now(), addrs) {
+		if err := r.workers.Submit(func() { m.stream.moveOffLost(m.addr) }); err != nil {
+			r.log.Warn().Err(err).Str("request", m.stream.x.req.ID).Msg("stream not moved off a lost server: all workers are busy; its stall timer will do it")
 		}
 	}
 }
@@ -232,6 +246,10 @@
 
 // sendMessage sends a message and returns its size in bytes.
 func (r *Router) sendMessage(s loads.Send) int {
+	s.Message.FeatureLevel = featurelevel.Current
+	if s.Message.Scope == loads.ScopeVM { // those of aggregators go to dozens of VMs
+		s.Message.Build = obs.Version()
+	}
 	body, err := cbor.Marshal(s.Message)
 	if err == nil && len(body) > maxDatagram {
 		r.log.Warn().Int("bytes", len(body)).Msg("loads: message exceeds the size of a datagram")
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -46,7 +45,7 @@
 		return
 	}
 	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
-	r.refuse(ctx, id, "", verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: noConfigRetryAfter, Detail: "another VM passed the request on"})
+	r.refuse(ctx, r.log.Info().Str("request", id), verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: noConfigRetryAfter, Detail: "another VM passed the request on"})
 	ctx.Response.Header.Set(platform.HeaderRefusalCause, string(cause))
 }
 
@@ -59,7 +58,7 @@
 	x.req.FromPeer = true
 	x.r.passedOnRequests.Add(1)
 	h := &x.ctx.Request.Header
-	runs, err := strconv.Atoi(string(h.Peek(platform.HeaderPassedOn)))
+	runs, err := platform.ParsePassedOn(string(h.Peek(platform.HeaderPassedOn)))
 	if err != nil {
 		x.r.log.Warn().Str("request", x.req.ID).Bytes("value", h.Peek(platform.HeaderPassedOn)).Msg("passed on with an invalid number of runs; taken as 0")
 	}
