--- a/internal/placement/joint_test.go
+++ b/internal/placement/joint_test.go
@@ -105,7 +105,9 @@
 		}
 	}
 	first := slices.DeleteFunc(slices.Clone(byUse), func(s placement.Server) bool { return s.Held.From > 0 || s.Held.Len() == 0 })
-	slices.SortStableFunc(first, func(a, b placement.Server) int { return cmp.Compare(a.Accelerator.StepFactor, b.Accelerator.StepFactor) })
+	slices.SortStableFunc(first, func(a, b placement.Server) int {
+		return cmp.Compare(a.Accelerator.StepFactor, b.Accelerator.StepFactor)
+	})
 	var stages []backend.Instance
 	for _, s := range first[:min(len(first), placement.MaxJointLosses)] {
 		stages = append(stages, s.Instance)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -150,30 +150,39 @@
 		if s.Suspect || (s.OrderPending && !withPending) || (domain != "" && s.Domain != domain) {
 			continue
 		}
-		from := max(0, s.Held.From)
-		if s.Limited && from == 0 {
-			from = 1
-		}
-		for l := from; l < min(s.Held.To, p.spec.Layers); l++ {
-			n[l]++
-		}
+		addHolder(n, s)
 	}
 	return n
 }
 
+// addHolder adds a server to the number of holders of each layer. A limited server does not
+// count for the first layer.
+func addHolder(n []int, s *Server) {
+	from := max(0, s.Held.From)
+	if s.Limited && from == 0 {
+		from = 1
+	}
+	for l := from; l < min(s.Held.To, len(n)); l++ {
+		n[l]++
+	}
+}
+
 // fill adds orders for idle servers until all layers have minCopies copies in the domain
 // ("" for all domains) or no idle server is left.
 func (p *plan) fill(domain string, minCopies int) {
-	for {
-		copies := p.copies(domain)
-		if countBelow(copies, minCopies) == 0 {
-			return
-		}
+	copies := p.copies(domain)
+	if countBelow(copies, minCopies) == 0 {
+		return
+	}
+	speeds := p.speeds(domain)
+	for countBelow(copies, minCopies) > 0 {
 		s := p.fastestIdle(domain)
 		if s == nil {
 			return
 		}
-		p.addOrder(s, p.bestRange(domain, copies, minCopies, p.maxLayers(s)))
+		p.addOrder(s, p.bestRangeAt(speeds, copies, minCopies, p.maxLayers(s)))
+		addSpeed(speeds, s)
+		addHolder(copies, s)
 	}
 }
 
@@ -193,7 +202,12 @@
 // server that joins after small ones filled part of a gap takes as much of the gap as it
 // can hold, and the small ones become spare.
 func (p *plan) bestRange(domain string, copies []int, minCopies, n int) backend.Layers {
-	stepTimes := p.stepTimes(domain)
+	return p.bestRangeAt(p.speeds(domain), copies, minCopies, n)
+}
+
+// bestRangeAt is bestRange with the speeds of the domain's layers.
+func (p *plan) bestRangeAt(speeds []float64, copies []int, minCopies, n int) backend.Layers {
+	stepTimes := stepTimes(speeds)
 	gaps, total := 0, 0.0
 	best := backend.Layers{To: n}
 	maxGaps, maxTotal := -1, 0.0
@@ -219,25 +233,39 @@
 // depend on the order of summation.
 const roundingError = 1e-9
 
-// stepTimes returns for each layer the step time if all its servers share the requests,
-// as a multiple of the reference accelerator's; 0 for layers without a server.
-func (p *plan) stepTimes(domain string) []float64 {
-	speed := make([]float64, p.spec.Layers)
+// speeds returns for each layer the sum of its servers' speeds, as multiples of the
+// reference accelerator's.
+func (p *plan) speeds(domain string) []float64 {
+	out := make([]float64, p.spec.Layers)
 	for i := range p.servers {
 		s := &p.servers[i]
-		if s.Suspect || (domain != "" && s.Domain != domain) || s.Accelerator.StepFactor <= 0 {
-			continue
-		}
-		for l := max(0, s.Held.From); l < min(s.Held.To, p.spec.Layers); l++ {
-			speed[l] += 1 / s.Accelerator.StepFactor
+		if !s.Suspect && (domain == "" || s.Domain == domain) {
+			addSpeed(out, s)
 		}
 	}
-	for l, v := range speed {
+	return out
+}
+
+// addSpeed adds a server's speed to those of its layers.
+func addSpeed(speeds []float64, s *Server) {
+	if s.Accelerator.StepFactor <= 0 {
+		return
+	}
+	for l := max(0, s.Held.From); l < min(s.Held.To, len(speeds)); l++ {
+		speeds[l] += 1 / s.Accelerator.StepFactor
+	}
+}
+
+// stepTimes returns for each layer the step time if all its servers share the requests,
+// as a multiple of the reference accelerator's; 0 for layers without a server.
+func stepTimes(speeds []float64) []float64 {
+	out := make([]float64, len(speeds))
+	for l, v := range speeds {
 		if v > 0 {
-			speed[l] = 1 / v
+			out[l] = 1 / v
 		}
 	}
-	return speed
+	return out
 }
 
 // fastestIdle returns the fastest idle server of a domain, "" for all, or nil.
