--- a/internal/placement/cover.go
+++ b/internal/placement/cover.go
@@ -119,6 +119,31 @@
 	}
 }
 
+// fillIdle gives the idle servers further copies of the layers, in each domain those with
+// the fewest copies first. If a joint loss would take a noticeable part of what is served, it
+// also tries to copy first the layers that the fleet would then miss.
+func (p *plan) fillIdle(domains []string) {
+	if !p.hasIdle() {
+		return
+	}
+	start := p.clone()
+	p.addCopies(domains)
+	best := p.coverScore()
+	if best.afterLosses*minLossGain > best.served {
+		return
+	}
+	for _, lost := range start.jointLosses() {
+		trial := start.clone()
+		undo := trial.setSuspect(lost)
+		trial.fill("", 1)
+		undo()
+		trial.addCopies(domains)
+		if score := trial.coverScore(); score.isBetterThan(best) {
+			*p, best = *trial, score
+		}
+	}
+}
+
 // addCopies gives the idle servers of each domain the layers with the fewest copies.
 func (p *plan) addCopies(domains []string) {
 	for minCopies := 2; p.hasIdle() && minCopies <= len(p.servers); minCopies++ {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -83,7 +83,7 @@
 	p.fill("", 1)
 	p.moveSpares("")
 	p.relieveBottlenecks()
-	p.addCopies(domains)
+	p.fillIdle(domains)
 	return p.orders
 }
 
