placement: no spare server is moved if less is served afterwards

After the loss of the first stages of every domain, paths that cross can serve the requests with the servers where they are.

--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -47,7 +47,9 @@
 
 // fillGaps gives the missing layers of a domain to idle servers, then to the neighbours of
 // the gaps, then to spare servers. It reports whether the domain has a complete model copy.
-// If it has none either way, no spare server is moved: its load would bring nothing.
+// If it has none either way, no spare server is moved: its load would bring nothing. Nor is
+// one if less would be served: after a loss in every domain, the paths that cross need the
+// spare servers where they are.
 func (p *plan) fillGaps(domain string) bool {
 	p.fill(domain, 1)
 	p.extendNeighbours(domain)
@@ -56,6 +58,9 @@
 	if countBelow(moved.copies(domain), 1) > 0 {
 		return false
 	}
+	if len(moved.orders) > len(p.orders) && moved.served() < p.served() {
+		return false
+	}
 	*p = *moved
 	return true
 }
