placement: spare servers split a gap if that loads sooner

Spare servers took the largest ranges they can hold. They now share the gaps of a domain among up to MaxConcurrentLoads loads if all of the gaps still close and as much is served in the end.

--- a/internal/placement/extend.go
+++ b/internal/placement/extend.go
@@ -12,17 +12,65 @@
 }
 
 // moveSpares closes gaps of a domain, "" for all, by moving servers whose layers others
-// hold too. A gap that they cannot close completely stays as it is.
+// hold too. A gap that they cannot close completely stays as it is. A few large ranges need
+// fewer servers; more and smaller ones load sooner, as long as no more loads run than do so at
+// full speed. They are chosen if as many layers have a copy and as much is served in the end.
 func (p *plan) moveSpares(domain string) {
+	missing := countBelow(p.copies(domain), 1)
+	if missing == 0 {
+		return
+	}
+	best := p.clone()
+	best.moveSparesUpTo(domain, p.spec.Layers)
+	left, served, longest := countBelow(best.copies(domain), 1), best.served(), best.longestOrder(len(p.orders))
+	for parts := len(best.orders) - len(p.orders) + 1; longest > 0 && parts <= p.spec.MaxConcurrentLoads-p.pendingLoads(); parts++ {
+		limit := (missing - left + parts - 1) / parts
+		if limit >= longest {
+			continue
+		}
+		trial := p.clone()
+		trial.moveSparesUpTo(domain, limit)
+		if countBelow(trial.copies(domain), 1) <= left && trial.served() >= served {
+			best, longest = trial, limit
+		}
+	}
+	*p = *best
+}
+
+// moveSparesUpTo moves spare servers to the gaps of a domain that they can close, each to at
+// most limit layers.
+func (p *plan) moveSparesUpTo(domain string, limit int) {
 	for _, gap := range gaps(p.copies(domain)) {
-		if trial := p.clone(); trial.moveSparesTo(domain, gap) {
+		if trial := p.clone(); trial.moveSparesTo(domain, gap, limit) {
 			*p = *trial
 		}
 	}
 }
 
-// moveSparesTo moves spare servers to a gap until it is closed, and reports whether it is.
-func (p *plan) moveSparesTo(domain string, gap backend.Layers) bool {
+// longestOrder returns the number of layers of the largest range among the orders from the
+// given one on.
+func (p *plan) longestOrder(from int) int {
+	most := 0
+	for _, o := range p.orders[from:] {
+		most = max(most, o.Layers.Len())
+	}
+	return most
+}
+
+// pendingLoads returns the number of servers that load.
+func (p *plan) pendingLoads() int {
+	n := 0
+	for i := range p.servers {
+		if p.servers[i].OrderPending && !p.servers[i].Suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// moveSparesTo moves spare servers to a gap until it is closed, each to at most limit layers,
+// and reports whether it is closed.
+func (p *plan) moveSparesTo(domain string, gap backend.Layers, limit int) bool {
 	for {
 		left := firstGap(p.copies(domain), gap)
 		if left.Len() == 0 {
@@ -32,7 +80,7 @@
 		if s == nil {
 			return false
 		}
-		p.addOrder(s, p.rangeAround(left, p.maxLayers(s)))
+		p.addOrder(s, p.rangeAround(left, min(limit, p.maxLayers(s))))
 	}
 }
 
--- a/internal/placement/joint_test.go
+++ b/internal/placement/joint_test.go
@@ -251,3 +251,16 @@
 		}
 	}
 }
+
+// The plan with the most trials: a failure domain of 600 servers has lost all holders of its
+// first layer.
+func BenchmarkPlan600Gap(b *testing.B) {
+	s := spec(b)
+	servers, _ := settle(b, s, emptyServers(s, 20, 100, 80))
+	servers = slices.DeleteFunc(servers, func(srv placement.Server) bool { return srv.Domain == "a" && srv.Held.From == 0 })
+	require.False(b, covered(s, servers, "a"))
+	b.ReportAllocs()
+	for b.Loop() {
+		placement.Plan(placement.DefaultConfig(), s, servers)
+	}
+}
