placement: the cost of cover is bounded for the whole plan

Each step could give up 1 in 100 of the requests served without a loss, against a plan that was not complete yet.

--- a/internal/placement/cover.go
+++ b/internal/placement/cover.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
@@ -10,8 +11,8 @@
 	// minLossGain is the relative gain in requests served after a loss from which another
 	// placement is preferred. Smaller differences are below the accuracy of the estimate.
 	minLossGain = 1.02
-	// maxCoverCost is the share of the served requests without a loss that a placement may
-	// give up for those after one.
+	// maxCoverCost is the share of the served requests, and of the most that can be served, that
+	// a placement may give up without a loss for those after one.
 	maxCoverCost = 0.01
 )
 
@@ -75,12 +76,12 @@
 	}
 }
 
-// coverScore is what served returns for a placement, without a loss and as the mean over the
-// joint losses.
-type coverScore struct{ served, afterLosses float64 }
+// coverScore judges a placement: what served returns without a loss and as the mean over the
+// joint losses, and the requests per second served at any demand without a loss.
+type coverScore struct{ served, capacity, afterLosses float64 }
 
 func (p *plan) coverScore() coverScore {
-	score := coverScore{served: p.served()}
+	score := coverScore{served: p.served(), capacity: p.capacity()}
 	losses := p.jointLosses()
 	for _, lost := range losses {
 		undo := p.setSuspect(lost)
@@ -90,10 +91,65 @@
 	return score
 }
 
-// isBetterThan reports whether more is served after a joint loss and, without a loss, at
-// most the share maxCoverCost less.
-func (s coverScore) isBetterThan(o coverScore) bool {
-	return s.served >= o.served*(1-maxCoverCost) && s.afterLosses > o.afterLosses*minLossGain
+// capacity returns the requests per second that the planned servers serve at most, if each
+// failure domain has the same demand.
+func (p *plan) capacity() float64 {
+	demand := Demand{}
+	for _, d := range p.domains() {
+		demand[d] = math.MaxFloat32
+	}
+	return newFleet(p.spec, p.servers).serve(demand).Served()
+}
+
+// coverSearch looks for a placement that serves more after a joint loss.
+type coverSearch struct {
+	best  *plan
+	score coverScore
+	// leastServed and leastCapacity bound what all trials together give up without a loss.
+	leastServed, leastCapacity float64
+}
+
+func newCoverSearch(p *plan) *coverSearch {
+	score := p.coverScore()
+	return &coverSearch{best: p, score: score, leastServed: score.served * (1 - maxCoverCost), leastCapacity: score.capacity * (1 - maxCoverCost)}
+}
+
+func (c *coverSearch) try(p *plan) {
+	score := p.coverScore()
+	if score.afterLosses > c.score.afterLosses*minLossGain && score.served >= c.leastServed && score.capacity >= c.leastCapacity {
+		c.best, c.score = p, score
+	}
+}
+
+// lossesMatter reports whether a joint loss takes a noticeable part of what is served.
+func (c *coverSearch) lossesMatter() bool { return c.score.afterLosses*minLossGain < c.score.served }
+
+// coverRules are the rules of a plan that let it serve more after a joint loss.
+type coverRules struct {
+	stagger   bool // see plan.stagger
+	lostFirst int  // the number of a joint loss, from 1 on; see plan.fillIdle
+}
+
+// withCover returns the plan for p's servers with the rules that let most be served after a
+// joint loss. The cost of the rules without a loss shows only in a whole plan, because the
+// later orders of a plan depend on the earlier ones.
+func (p *plan) withCover() *plan {
+	plain := p.clone()
+	plain.run()
+	if len(plain.orders) == 0 {
+		return plain
+	}
+	search := newCoverSearch(plain)
+	if !search.lossesMatter() {
+		return plain
+	}
+	for _, rules := range []coverRules{{stagger: true}, {lostFirst: 1}, {lostFirst: 2}, {stagger: true, lostFirst: 1}, {stagger: true, lostFirst: 2}} {
+		trial := p.clone()
+		trial.rules = rules
+		trial.run()
+		search.try(trial)
+	}
+	return search.best
 }
 
 // stagger places the first model copy of an empty domain so that its largest range is
@@ -105,43 +161,29 @@
 	if s == nil {
 		return
 	}
-	n, best := empty.maxLayers(s), p.coverScore()
+	n, search := empty.maxLayers(s), newCoverSearch(p.clone())
+	search.leastServed, search.leastCapacity = 0, 0
 	for from := n; from+n <= p.spec.Layers; from += n {
 		trial := empty.clone()
 		trial.addOrder(trial.fastestIdle(domain), backend.Layers{From: from, To: from + n})
 		trial.fill(domain, 1)
-		if countBelow(trial.copies(domain), 1) > 0 {
-			continue
-		}
-		if score := trial.coverScore(); score.isBetterThan(best) {
-			*p, best = *trial, score
+		if countBelow(trial.copies(domain), 1) == 0 {
+			search.try(trial)
 		}
 	}
+	*p = *search.best
 }
 
 // fillIdle gives the idle servers further copies of the layers, in each domain those with
-// the fewest copies first. If a joint loss would take a noticeable part of what is served, it
-// also tries to copy first the layers that the fleet would then miss.
+// the fewest copies first. With lostFirst, the layers that the fleet would miss after that
+// joint loss come first.
 func (p *plan) fillIdle(domains []string) {
-	if !p.hasIdle() {
-		return
-	}
-	start := p.clone()
-	p.addCopies(domains)
-	best := p.coverScore()
-	if best.afterLosses*minLossGain > best.served {
-		return
-	}
-	for _, lost := range start.jointLosses() {
-		trial := start.clone()
-		undo := trial.setSuspect(lost)
-		trial.fill("", 1)
+	if p.rules.lostFirst > 0 && p.hasIdle() {
+		undo := p.setSuspect(p.jointLosses()[p.rules.lostFirst-1])
+		p.fill("", 1)
 		undo()
-		trial.addCopies(domains)
-		if score := trial.coverScore(); score.isBetterThan(best) {
-			*p, best = *trial, score
-		}
 	}
+	p.addCopies(domains)
 }
 
 // addCopies gives the idle servers of each domain the layers with the fewest copies.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -63,6 +63,7 @@
 	orders  []Order
 	// reserves holds the KV reserves of the failure domains that keep less than KVReserve.
 	reserves map[string]float64
+	rules    coverRules
 }
 
 // Plan returns the orders that bring the servers closer to the target placement, at most
@@ -75,6 +76,13 @@
 		}
 	}
 	sort.Slice(p.servers, func(a, b int) bool { return p.faster(&p.servers[a], &p.servers[b]) })
+	best := p.withCover()
+	best.deferLoads()
+	return best.orders
+}
+
+// run adds the orders of a plan.
+func (p *plan) run() {
 	domains := p.domains()
 	for _, d := range domains {
 		p.completeDomain(d)
@@ -84,8 +92,6 @@
 	p.moveSpares("")
 	p.relieveBottlenecks()
 	p.fillIdle(domains)
-	p.deferLoads()
-	return p.orders
 }
 
 // faster sorts servers by speed, then by ID, which makes plans deterministic.
