--- a/internal/placement/cover.go
+++ b/internal/placement/cover.go
@@ -7,14 +7,9 @@
 	"github.com/catkinstair/catkinstair/internal/backend"
 )
 
-const (
-	// minLossGain is the relative gain in requests served after a loss from which another
-	// placement is preferred. Smaller differences are below the accuracy of the estimate.
-	minLossGain = 1.02
-	// maxCoverCost is the share of the served requests, and of the most that can be served, that
-	// a placement may give up without a loss for those after one.
-	maxCoverCost = 0.01
-)
+// minLossGain is the relative gain in requests served after a loss from which another
+// placement is preferred. Smaller differences are below the accuracy of the estimate.
+const minLossGain = 1.02
 
 // jointLosses returns the sets of servers, as indexes into p.servers, whose joint loss a
 // placement is judged by: servers that serve the same streams fail together. These are the
@@ -111,7 +106,8 @@
 
 func newCoverSearch(p *plan) *coverSearch {
 	score := p.coverScore()
-	return &coverSearch{best: p, score: score, leastServed: score.served * (1 - maxCoverCost), leastCapacity: score.capacity * (1 - maxCoverCost)}
+	kept := 1 - p.cfg.MaxCoverCost
+	return &coverSearch{best: p, score: score, leastServed: score.served * kept, leastCapacity: score.capacity * kept}
 }
 
 func (c *coverSearch) try(p *plan) {
@@ -136,7 +132,7 @@
 func (p *plan) withCover() *plan {
 	plain := p.clone()
 	plain.run()
-	if len(plain.orders) == 0 {
+	if len(plain.orders) == 0 || !(p.cfg.MaxCoverCost > 0) {
 		return plain
 	}
 	search := newCoverSearch(plain)
@@ -162,7 +158,7 @@
 		return
 	}
 	n, search := empty.maxLayers(s), newCoverSearch(p.clone())
-	search.leastServed, search.leastCapacity = 0, 0
+	search.leastServed, search.leastCapacity = 0, 0 // withCover compares the whole plan
 	for from := n; from+n <= p.spec.Layers; from += n {
 		trial := empty.clone()
 		trial.addOrder(trial.fastestIdle(domain), backend.Layers{From: from, To: from + n})
--- a/internal/placement/joint_test.go
+++ b/internal/placement/joint_test.go
@@ -281,6 +281,27 @@
 	}
 }
 
+// Guards against cover that costs service while no server is lost: a plan with it serves at
+// least 0.99 of what a plan without it serves, also of more than all servers can.
+func TestCoverCostsLittle(t *testing.T) {
+	plain := placement.DefaultConfig()
+	plain.MaxCoverCost = 0
+	for _, fleets := range jointFleets(t) {
+		for _, f := range fleets {
+			with, without := placement.Plan(placement.DefaultConfig(), f.spec, f.servers), placement.Plan(plain, f.spec, f.servers)
+			for _, times := range []float64{0.5, 1, 2, 100} {
+				demand := placement.Demand{}
+				for d, rate := range f.demand {
+					demand[d] = rate * times
+				}
+				served := placement.Evaluate(f.spec, applyOrders(f.servers, with), demand).Served()
+				bound := placement.Evaluate(f.spec, applyOrders(f.servers, without), demand).Served()
+				require.GreaterOrEqual(t, served, 0.99*bound-1e-9, "%s at %.1f of its demand", f.name, times)
+			}
+		}
+	}
+}
+
 // Guards against loads of copies that slow down the loads of missing layers, and against copies
 // that are never loaded.
 func TestMissingLayersLoadFirst(t *testing.T) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,11 +48,15 @@
 	// a server leaves to the capacity of the layers it moves to, before the move. Default
 	// 1.3.
 	MinMoveGain float64
+	// MaxCoverCost is the share of the requests served, and of the most that can be served,
+	// that a plan may give up to serve more after a joint loss of MaxJointLosses servers; 0
+	// for plans that do not consider joint losses. Default 0.01.
+	MaxCoverCost float64
 }
 
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{KVReserve: 1.7, MinKVReserve: 0.3, LowCapacityShare: 0.6, MinMoveGain: 1.3}
+	return Config{KVReserve: 1.7, MinKVReserve: 0.3, LowCapacityShare: 0.6, MinMoveGain: 1.3, MaxCoverCost: 0.01}
 }
 
 // plan is the state of one call of Plan. The servers include the effect of the orders.
