--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -9,5 +9,9 @@
 // dead server of the same range at once, and the reserve's servers have little work, so
 // they can be moved.
 //
+// Servers that serve the same streams fail together. The ranges of empty servers are chosen
+// so that such a loss takes little (cover.go), and after it the missing layers load first
+// (loads.go).
+//
 // A plan is only a target. The next plan starts again from what the servers report.
 package placement
