--- a/internal/placement/cover.go
+++ b/internal/placement/cover.go
@@ -120,18 +120,14 @@
 // lossesMatter reports whether a joint loss takes a noticeable part of what is served.
 func (c *coverSearch) lossesMatter() bool { return c.score.afterLosses*minLossGain < c.score.served }
 
-// coverRules are the rules of a plan that let it serve more after a joint loss.
-type coverRules struct {
-	stagger   bool // see plan.stagger
-	lostFirst int  // the number of a joint loss, from 1 on; see plan.fillIdle
-}
-
-// withCover returns the plan for p's servers with the rules that let most be served after a
-// joint loss. The cost of the rules without a loss shows only in a whole plan, because the
-// later orders of a plan depend on the earlier ones.
+// withCover returns the plan for p's servers by which most is served after a joint loss. The
+// cost without a loss shows only in a whole plan, because the later orders of a plan depend on
+// the earlier ones.
 func (p *plan) withCover() *plan {
-	plain := p.clone()
-	plain.run()
+	domains := p.domains()
+	bases := []*plan{p.clone()}
+	bases[0].giveFirstCopies(domains)
+	plain := bases[0].withCopies(domains, nil)
 	if len(plain.orders) == 0 || !(p.cfg.MaxCoverCost > 0) {
 		return plain
 	}
@@ -139,15 +135,29 @@
 	if !search.lossesMatter() {
 		return plain
 	}
-	for _, rules := range []coverRules{{stagger: true}, {lostFirst: 1}, {lostFirst: 2}, {stagger: true, lostFirst: 1}, {stagger: true, lostFirst: 2}} {
-		trial := p.clone()
-		trial.rules = rules
-		trial.run()
-		search.try(trial)
+	if p.hasEmptyDomain(domains) {
+		staggered := p.clone()
+		staggered.staggered = true
+		staggered.giveFirstCopies(domains)
+		bases = append(bases, staggered)
+		search.try(staggered.withCopies(domains, nil))
+	}
+	for _, base := range bases {
+		if !base.hasIdle() {
+			continue
+		}
+		for _, lost := range base.jointLosses() {
+			search.try(base.withCopies(domains, lost))
+		}
 	}
 	return search.best
 }
 
+// hasEmptyDomain reports whether a failure domain has no copy of any layer.
+func (p *plan) hasEmptyDomain(domains []string) bool {
+	return slices.ContainsFunc(domains, func(d string) bool { return countBelow(p.copies(d), 1) == p.spec.Layers })
+}
+
 // stagger places the first model copy of an empty domain so that its largest range is
 // another than in the domains planned before. The fastest servers have the largest ranges,
 // and the domains would lose the same layers with them. empty is the plan without orders for
@@ -170,16 +180,18 @@
 	*p = *search.best
 }
 
-// fillIdle gives the idle servers further copies of the layers, in each domain those with
-// the fewest copies first. With lostFirst, the layers that the fleet would miss after that
-// joint loss come first.
-func (p *plan) fillIdle(domains []string) {
-	if p.rules.lostFirst > 0 && p.hasIdle() {
-		undo := p.setSuspect(p.jointLosses()[p.rules.lostFirst-1])
-		p.fill("", 1)
+// withCopies returns a copy of p in which the idle servers get further copies of the layers, in
+// each domain those with the fewest copies first. Before that, the layers that the fleet would
+// miss without the lost servers get one.
+func (p *plan) withCopies(domains []string, lost []int) *plan {
+	out := p.clone()
+	if len(lost) > 0 {
+		undo := out.setSuspect(lost)
+		out.fill("", 1)
 		undo()
 	}
-	p.addCopies(domains)
+	out.addCopies(domains)
+	return out
 }
 
 // addCopies gives the idle servers of each domain the layers with the fewest copies.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -67,7 +67,8 @@
 	orders  []Order
 	// reserves holds the KV reserves of the failure domains that keep less than KVReserve.
 	reserves map[string]float64
-	rules    coverRules
+	// staggered plans choose where the first copy of an empty domain begins.
+	staggered bool
 }
 
 // Plan returns the orders that bring the servers closer to the target placement, at most
@@ -85,9 +86,9 @@
 	return best.orders
 }
 
-// run adds the orders of a plan.
-func (p *plan) run() {
-	domains := p.domains()
+// giveFirstCopies gives a server to each layer that has none, in its domain or in the fleet, and
+// relieves the layers with the least KV cache.
+func (p *plan) giveFirstCopies(domains []string) {
 	for _, d := range domains {
 		p.completeDomain(d)
 	}
@@ -95,7 +96,6 @@
 	p.fill("", 1)
 	p.moveSpares("")
 	p.relieveBottlenecks()
-	p.fillIdle(domains)
 }
 
 // faster sorts servers by speed, then by ID, which makes plans deterministic.
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -31,7 +31,7 @@
 		complete := trial.fillGaps(domain)
 		if served := trial.served(); best == nil || served > bestServed*minServedGain {
 			best, bestServed = trial, served
-			if complete && p.rules.stagger && missing == p.spec.Layers {
+			if complete && p.staggered && missing == p.spec.Layers {
 				empty = start
 			}
 		}
