--- a/internal/placement/cover.go
+++ b/internal/placement/cover.go
@@ -120,6 +120,9 @@
 // lossesMatter reports whether a joint loss takes a noticeable part of what is served.
 func (c *coverSearch) lossesMatter() bool { return c.score.afterLosses*minLossGain < c.score.served }
 
+// covers reports whether plans consider joint losses.
+func (p *plan) covers() bool { return p.cfg.MaxCoverCost > 0 }
+
 // withCover returns the plan for p's servers by which most is served after a joint loss. The
 // cost without a loss shows only in a whole plan, because the later orders of a plan depend on
 // the earlier ones.
@@ -128,7 +131,7 @@
 	bases := []*plan{p.clone()}
 	bases[0].giveFirstCopies(domains)
 	plain := bases[0].withCopies(domains, nil)
-	if len(plain.orders) == 0 || !(p.cfg.MaxCoverCost > 0) {
+	if len(plain.orders) == 0 || !p.covers() {
 		return plain
 	}
 	search := newCoverSearch(plain)
--- a/internal/placement/extend.go
+++ b/internal/placement/extend.go
@@ -22,6 +22,10 @@
 	}
 	best := p.clone()
 	best.moveSparesUpTo(domain, p.spec.Layers)
+	if !p.covers() {
+		*p = *best
+		return
+	}
 	left, served, longest := countBelow(best.copies(domain), 1), best.served(), best.longestOrder(len(p.orders))
 	for parts := len(best.orders) - len(p.orders) + 1; longest > 0 && parts <= p.spec.MaxConcurrentLoads-p.pendingLoads(); parts++ {
 		limit := (missing - left + parts - 1) / parts
--- a/internal/placement/joint_test.go
+++ b/internal/placement/joint_test.go
@@ -165,7 +165,7 @@
 	changed, share := true, r.after
 	for now := time.Duration(0); now < playTime; now += playStep {
 		if changed { // otherwise the plan is empty as before
-			orders := placement.Plan(placement.DefaultConfig(), f.spec, servers)
+			orders := placement.Plan(withCover(), f.spec, servers)
 			for _, o := range orders {
 				i := slices.IndexFunc(servers, func(s placement.Server) bool { return s.Instance == o.Instance })
 				servers[i].Held, servers[i].OrderPending = o.Layers, true
@@ -242,7 +242,7 @@
 	for _, kind := range []string{"38 in 3", "98 in 3", "98 in 2", "generated"} {
 		sum, n := map[string]recovery{}, map[string]int{}
 		for _, f := range fleets[kind] {
-			servers, _ := settle(t, f.spec, f.servers)
+			servers, _ := settleWith(t, withCover(), f.spec, f.servers)
 			plays := map[string]recovery{}
 			for name, lost := range jointLosses(f, servers) {
 				plays[name] = playLoss(f, servers, lost)
@@ -256,7 +256,7 @@
 					present = append(present, srv)
 				}
 			}
-			present, _ = settle(t, f.spec, present)
+			present, _ = settleWith(t, withCover(), f.spec, present)
 			for name, lost := range jointLosses(f, present) {
 				plays[name+", joins"] = playLoss(f, present, lost, joining...)
 			}
@@ -285,10 +285,9 @@
 // least 0.99 of what a plan without it serves, also of more than all servers can.
 func TestCoverCostsLittle(t *testing.T) {
 	plain := placement.DefaultConfig()
-	plain.MaxCoverCost = 0
 	for _, fleets := range jointFleets(t) {
 		for _, f := range fleets {
-			with, without := placement.Plan(placement.DefaultConfig(), f.spec, f.servers), placement.Plan(plain, f.spec, f.servers)
+			with, without := placement.Plan(withCover(), f.spec, f.servers), placement.Plan(plain, f.spec, f.servers)
 			for _, times := range []float64{0.5, 1, 2, 100} {
 				demand := placement.Demand{}
 				for d, rate := range f.demand {
@@ -307,13 +306,13 @@
 func TestMissingLayersLoadFirst(t *testing.T) {
 	s := spec(t)
 	s.MaxConcurrentLoads = 2
-	servers, _ := settle(t, s, emptyServers(s, 1, 8, 6))
+	servers, _ := settleWith(t, withCover(), s, emptyServers(s, 1, 8, 6))
 	servers = slices.DeleteFunc(servers, func(srv placement.Server) bool { return srv.Domain == "a" && srv.Held.From < 20 })
 	require.False(t, covered(s, servers, "a"))
 	for i := range 10 {
 		servers = append(servers, placement.Server{Instance: backend.Instance{ID: backend.ID(fmt.Sprint("join", i))}, Domain: "a", Accelerator: s.Accelerators["l4"]})
 	}
-	orders := placement.Plan(placement.DefaultConfig(), s, servers)
+	orders := placement.Plan(withCover(), s, servers)
 	held := heldBy(s, servers, "a", nil)
 	require.NotEmpty(t, orders)
 	for _, o := range orders {
@@ -321,7 +320,7 @@
 			require.Contains(t, held[o.Layers.From:o.Layers.To], false, "a copy of served layers loads beside missing ones")
 		}
 	}
-	servers, _ = settle(t, s, servers)
+	servers, _ = settleWith(t, withCover(), s, servers)
 	require.True(t, covered(s, servers, "a"))
 	for _, srv := range servers {
 		require.Positive(t, srv.Held.Len(), "%s gets no layers", srv.Instance.ID)
@@ -337,6 +336,13 @@
 	require.False(b, covered(s, servers, "a"))
 	b.ReportAllocs()
 	for b.Loop() {
-		placement.Plan(placement.DefaultConfig(), s, servers)
+		placement.Plan(withCover(), s, servers)
 	}
 }
+
+// withCover returns the settings of plans that consider joint losses.
+func withCover() placement.Config {
+	cfg := placement.DefaultConfig()
+	cfg.MaxCoverCost = 0.01
+	return cfg
+}
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -9,7 +9,7 @@
 // start, when every load is of missing layers.
 func (p *plan) deferLoads() {
 	free := p.spec.MaxConcurrentLoads
-	if free <= 0 || len(p.orders) == 0 || p.pendingLoads() <= free {
+	if !p.covers() || free <= 0 || len(p.orders) == 0 || p.pendingLoads() <= free {
 		return
 	}
 	ordered := make(map[backend.Instance]bool, len(p.orders))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -49,14 +49,15 @@
 	// 1.3.
 	MinMoveGain float64
 	// MaxCoverCost is the share of the requests served, and of the most that can be served,
-	// that a plan may give up to serve more after a joint loss of MaxJointLosses servers; 0
-	// for plans that do not consider joint losses. Default 0.01.
+	// that a plan may give up to serve more after a joint loss of MaxJointLosses servers. 0,
+	// the default, plans as if servers failed one by one, and leaves out the order of loads
+	// after a loss (docs/design/cover.md).
 	MaxCoverCost float64
 }
 
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{KVReserve: 1.7, MinKVReserve: 0.3, LowCapacityShare: 0.6, MinMoveGain: 1.3, MaxCoverCost: 0.01}
+	return Config{KVReserve: 1.7, MinKVReserve: 0.3, LowCapacityShare: 0.6, MinMoveGain: 1.3}
 }
 
 // plan is the state of one call of Plan. The servers include the effect of the orders.
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -58,7 +58,7 @@
 	if countBelow(moved.copies(domain), 1) > 0 {
 		return false
 	}
-	if len(moved.orders) > len(p.orders) && moved.served() < p.served() {
+	if p.covers() && len(moved.orders) > len(p.orders) && moved.served() < p.served() {
 		return false
 	}
 	*p = *moved
