--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -19,27 +19,37 @@
 // too small for any copy, or the copy would serve less than the layers with more KV cache,
 // it uses the reserve that serves most.
 func (p *plan) completeDomain(domain string) {
-	if countBelow(p.copies(domain), 1) == 0 {
+	missing := countBelow(p.copies(domain), 1)
+	if missing == 0 {
 		return
 	}
-	var best *plan
+	var best, empty *plan
 	bestServed := 0.0
 	for reserve := p.cfg.KVReserve; reserve > p.cfg.MinKVReserve-reserveStep/2; reserve -= reserveStep {
 		trial := p.withReserve(domain, reserve)
+		start := trial.clone()
 		complete := trial.fillGaps(domain)
 		if served := trial.served(); best == nil || served > bestServed*minServedGain {
 			best, bestServed = trial, served
+			if complete && p.staggered && missing == p.spec.Layers {
+				empty = start
+			}
 		}
 		if complete {
 			break
 		}
 	}
 	*p = *best
+	if empty != nil {
+		p.stagger(domain, empty)
+	}
 }
 
 // fillGaps gives the missing layers of a domain to idle servers, then to the neighbours of
 // the gaps, then to spare servers. It reports whether the domain has a complete model copy.
-// If it has none either way, no spare server is moved: its load would bring nothing.
+// If it has none either way, no spare server is moved: its load would bring nothing. Nor is
+// one if less would be served: after a loss in every domain, the paths that cross need the
+// spare servers where they are.
 func (p *plan) fillGaps(domain string) bool {
 	p.fill(domain, 1)
 	p.extendNeighbours(domain)
@@ -48,6 +58,9 @@
 	if countBelow(moved.copies(domain), 1) > 0 {
 		return false
 	}
+	if p.covers() && len(moved.orders) > len(p.orders) && moved.served() < p.served() {
+		return false
+	}
 	*p = *moved
 	return true
 }
