--- a/internal/classes/core.go
+++ b/internal/classes/core.go
@@ -79,7 +79,7 @@
 	return &Core{cfg: cfg, byService: map[string]serviceClasses{}, states: map[string]*state{}}
 }
 
-// Apply replaces the classes by those of a configuration and returns its invalid words.
+// Apply replaces the classes by those of a configuration and returns its invalid values.
 func (c *Core) Apply(cfg *routes.Config) []Correction {
 	var corrections []Correction
 	c.byService, corrections = classesOf(cfg)
--- a/internal/classes/table.go
+++ b/internal/classes/table.go
@@ -10,10 +10,10 @@
 // maxPriority is the largest valid priority of a route or team; 0 is the most urgent.
 const maxPriority = 9
 
-// Correction is an invalid word of a configuration. The requests concerned get the default
+// Correction is an invalid value in a configuration. The requests concerned get the default
 // class: the lowest priority that the service's routes have.
 type Correction struct {
-	// Route or Team is the name of the route or team with the invalid word.
+	// Route or Team is the name of the route or team with the invalid value.
 	Route, Team string
 	Reason      string
 }
@@ -37,7 +37,7 @@
 // validObjective reports whether a route's objective can be met before its timeout.
 func validObjective(r *routes.Route) bool { return r.Timeout <= 0 || r.TargetLatency <= r.Timeout }
 
-// classesOf returns the classes of each service and the invalid words of a configuration.
+// classesOf returns the classes of each service and the invalid values of a configuration.
 func classesOf(cfg *routes.Config) (map[string]serviceClasses, []Correction) {
 	var corrections []Correction
 	var teamPriorities []int
--- a/internal/detector/core.go
+++ b/internal/detector/core.go
@@ -25,12 +25,12 @@
 	budget bucket
 	weak   bucket // of the checks by weak evidence
 
-	refused  []Server  // by a first try since the last Advance
-	held     []Verdict // of loss, until the time to settle is over
-	heldAt   time.Duration
-	untold   []Server // lost servers of which the other VMs have to be told
-	messages bucket
-	toldAt   time.Duration
+	refused     []Server  // by a first try since the last Advance
+	held        []Verdict // of loss, until the time to settle is over
+	heldAt      time.Duration
+	unannounced []Server // lost servers of which the other VMs have to be told
+	messages    bucket
+	announcedAt time.Duration
 
 	stats Stats
 }
@@ -212,7 +212,7 @@
 	if chk := c.byID[server.Instance]; chk != nil {
 		c.end(chk)
 	}
-	c.untold = append(c.untold, server)
+	c.unannounced = append(c.unannounced, server)
 	return true
 }
 
@@ -305,8 +305,8 @@
 	// Avoid holds servers that have refused a first try, or that are gone by a verdict which is
 	// still held. Streams that move now should not move to them: servers often fail together.
 	Avoid []Server
-	// Tell holds the lost servers to tell all VMs of, in one message.
-	Tell []Server
+	// Announce holds the lost servers to announce to all VMs, in one message.
+	Announce []Server
 	// Wake is when Advance has to be called again if nothing happens before; 0 for never.
 	Wake time.Duration
 }
@@ -332,7 +332,7 @@
 		}
 	}
 	c.release(now, &a)
-	c.tell(now, &a)
+	c.announce(now, &a)
 	return a
 }
 
@@ -553,7 +553,7 @@
 		}
 	}
 	if v.Result.Gone() && !v.FromNeighbor {
-		c.untold = append(c.untold, chk.server)
+		c.unannounced = append(c.unannounced, chk.server)
 	}
 	if !v.Result.Gone() {
 		a.Verdicts = append(a.Verdicts, v)
@@ -595,21 +595,21 @@
 	}
 }
 
-// tell puts what the other VMs have to be told into one message, within the bound.
-func (c *Core) tell(now time.Duration, a *Actions) {
-	if len(c.untold) == 0 {
+// announce puts what the other VMs have to be told into one message, within the bound.
+func (c *Core) announce(now time.Duration, a *Actions) {
+	if len(c.unannounced) == 0 {
 		return
 	}
-	if c.toldAt > 0 && now < c.toldAt+c.cfg.MessageInterval {
-		a.wakeAt(c.toldAt + c.cfg.MessageInterval)
+	if c.announcedAt > 0 && now < c.announcedAt+c.cfg.MessageInterval {
+		a.wakeAt(c.announcedAt + c.cfg.MessageInterval)
 		return
 	}
 	c.messages.refill(now, c.cfg.MessagesPerSecond, c.cfg.MessageBurst)
 	if c.messages.tokens < 1 {
-		c.stats.DroppedFindings += len(c.untold)
-		c.untold = nil
+		c.stats.DroppedFindings += len(c.unannounced)
+		c.unannounced = nil
 		return
 	}
 	c.messages.tokens--
-	a.Tell, c.untold, c.toldAt = c.untold, nil, now
+	a.Announce, c.unannounced, c.announcedAt = c.unannounced, nil, now
 }
--- a/internal/detector/core_test.go
+++ b/internal/detector/core_test.go
@@ -84,8 +84,8 @@
 	c.Observe(time.Second, Evidence{Server: servers[0], Kind: Neighbor})
 	verdict := play(t, c, time.Second, refuses(servers[0]))
 	require.Equal(t, Lost, verdict.Result)
-	require.Empty(t, c.untold)
-	require.Empty(t, c.Advance(2*time.Second, noStreams{}).Tell)
+	require.Empty(t, c.unannounced)
+	require.Empty(t, c.Advance(2*time.Second, noStreams{}).Announce)
 }
 
 func TestFindingsOfOneMomentShareAMessage(t *testing.T) {
@@ -95,12 +95,12 @@
 	for i := range 4 {
 		c.Reported(now, servers[i])
 	}
-	told = append(told, c.Advance(now, noStreams{}).Tell)
+	told = append(told, c.Advance(now, noStreams{}).Announce)
 	c.Reported(now+ms, servers[4])
 	a := c.Advance(now+ms, noStreams{})
-	require.Empty(t, a.Tell)
+	require.Empty(t, a.Announce)
 	require.Equal(t, now+c.cfg.MessageInterval, a.Wake)
-	told = append(told, c.Advance(a.Wake, noStreams{}).Tell)
+	told = append(told, c.Advance(a.Wake, noStreams{}).Announce)
 	require.Len(t, told[0], 4)
 	require.Len(t, told[1], 1)
 	for i := 5; i < 20; i++ {
@@ -201,7 +201,7 @@
 			a = c.Advance(a.Wake, silentStreams{})
 		}
 		require.Equal(t, want, a.Verdicts[0].Result, kind)
-		require.Empty(t, a.Tell)
+		require.Empty(t, a.Announce)
 	}
 }
 
--- a/internal/detector/sim_test.go
+++ b/internal/detector/sim_test.go
@@ -266,8 +266,8 @@
 		}
 		vm.verdicts = append(vm.verdicts, simVerdict{v, s.now, moved})
 	}
-	if len(a.Tell) > 0 {
-		s.tell(vm, a.Tell)
+	if len(a.Announce) > 0 {
+		s.announce(vm, a.Announce)
 	}
 	if a.Wake > 0 && (vm.wakeAt <= s.now || a.Wake < vm.wakeAt) {
 		vm.wakeAt = max(a.Wake, s.now)
@@ -324,7 +324,7 @@
 }
 
 // tell plays a message to all other VMs, in random order, 20 us for each.
-func (s *sim) tell(from *simVM, servers []Server) {
+func (s *sim) announce(from *simVM, servers []Server) {
 	s.told = append(s.told, s.now)
 	from.messages++
 	for i, k := range s.rnd.Perm(len(s.vms)) {
--- a/internal/router/classes.go
+++ b/internal/router/classes.go
@@ -146,6 +146,6 @@
 	for _, c := range r.core.Corrections() {
 		r.metrics.configCorrections.Inc()
 		r.log.Warn().Int64("version", version).Str("route", c.Route).Str("team", c.Team).Str("reason", c.Reason).
-			Msg("configuration: invalid word; its requests get the default class")
+			Msg("configuration: invalid value; its requests get the default class")
 	}
 }
--- a/internal/router/detector.go
+++ b/internal/router/detector.go
@@ -177,8 +177,8 @@
 		for _, v := range a.Verdicts {
 			r.applyVerdict(v)
 		}
-		if len(a.Tell) > 0 {
-			r.tellLost(a.Tell)
+		if len(a.Announce) > 0 {
+			r.announceLost(a.Announce)
 		}
 	})
 }
@@ -396,8 +396,8 @@
 	return isNew
 }
 
-// tellLost sends the loss of servers to all other VMs at once, in random order.
-func (r *Router) tellLost(servers []detector.Server) {
+// announceLost sends the loss of servers to all other VMs at once, in random order.
+func (r *Router) announceLost(servers []detector.Server) {
 	keys := make([]loads.Key, len(servers))
 	for i, s := range servers {
 		keys[i] = dispatch.LoadKey(s.Instance)
@@ -553,7 +553,7 @@
 	minWatchLife  = time.Second
 )
 
-// watchConn is the watch connection to a server, or the wish for one.
+// watchConn is the watch connection to a server, while it is wanted.
 type watchConn struct {
 	server detector.Server
 	cancel context.CancelFunc
--- a/internal/router/detector_test.go
+++ b/internal/router/detector_test.go
@@ -249,7 +249,7 @@
 	second.awaitWatches(t, len(engines))
 	responses := second.startStreams(t, 1)
 	path := second.pathOf("stream-0")
-	first.tellLost([]detector.Server{first.detected(t, path[1].Addr)})
+	first.announceLost([]detector.Server{first.detected(t, path[1].Addr)})
 	require.Eventually(t, func() bool {
 		second.mu.Lock()
 		defer second.mu.Unlock()
