--- a/internal/router/detector.go
+++ b/internal/router/detector.go
@@ -342,23 +342,24 @@
 	return !r.core.Reach.CutOff(service)
 }
 
-// moveOffGone moves all streams off a server that is gone, and looks later whether it was.
+// moveOffGone moves all streams off a server that is gone, those with the least slack first, and
+// looks later whether it was.
 func (r *Router) moveOffGone(v detector.Verdict) {
 	r.sendFindingsNow()
-	streams := r.streams.through(v.Server.Addr)
-	for _, st := range streams {
+	moves := r.streams.leastSlackFirst(time.Now(), []string{v.Server.Addr})
+	for _, m := range moves {
 		err := r.workers.Submit(func() {
-			st.moveOffLost(v.Server.Addr)
+			m.stream.moveOffLost(m.addr)
 			r.metrics.moved[v.Kind].Inc()
 			r.metrics.evidenceToMove.Update((r.clock.now() - v.EvidenceAt).Seconds())
 		})
 		if err != nil {
-			r.log.Warn().Err(err).Str("request", st.x.req.ID).Msg("stream not moved off a lost server: all workers are busy; its stall timer will do it")
+			r.log.Warn().Err(err).Str("request", m.stream.x.req.ID).Msg("stream not moved off a lost server: all workers are busy; its stall timer will do it")
 		}
 	}
-	if len(streams) > 0 && v.Result != detector.Stalled { // a connection does not show that a process hangs
+	if len(moves) > 0 && v.Result != detector.Stalled { // a connection does not show that a process hangs
 		time.AfterFunc(vainDelay, func() {
-			r.runGuarded("detector", string(v.Server.ID), func() { r.countMovedInVain(v.Server, len(streams)) })
+			r.runGuarded("detector", string(v.Server.ID), func() { r.countMovedInVain(v.Server, len(moves)) })
 		})
 	}
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -136,6 +136,26 @@
 	require.Equal(t, 2, s.backends.Runs("resumed"))
 }
 
+// A stream in progress that finds no capacity for its next run must wait for it: an answer that
+// breaks off halfway serves its caller nothing.
+func TestStreamInProgressWaitsForCapacity(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, 60, 10*time.Millisecond)
+	v.awaitReady(t)
+	resp := v.call(t, "POST", streamURI, "waits")
+	first := serverAt(engines, v.pathOf("waits")[0].Addr)
+	v.locked(func() {
+		for _, id := range v.core.Backends.IDs() {
+			v.core.Backends.Avoid(v.clock.now(), v.core.Backends.Get(id).Instance(), 700*time.Millisecond)
+		}
+	})
+	first.Crash()
+	requireCompleteStream(t, resp.Body, 60)
+	require.Equal(t, 2, s.backends.Runs("waits"))
+}
+
 func serverAt(engines []*standin.Server, addr string) *standin.Server {
 	for _, e := range engines {
 		if e.Addr == addr {
