--- a/internal/classes/core.go
+++ b/internal/classes/core.go
@@ -227,17 +227,5 @@
 // fraction returns a pseudo-random number in [0, 1), fixed for a request ID.
 func fraction(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
-// Size classes: the largest tenth of the requests, the fifth below it, and the others.
-const (
-	ordinarySize = iota
-	largeSize
-	largestSize
-	sizeClasses
-)
-
-// sizeSample is the number of recent requests from which the bounds of the size classes are
-// computed, anew after each quarter of them.
-const sizeSample = 128
-
 // Teams returns the number of teams of a service with statistics of their own.
 func (c *Core) Teams(service string) int { return len(c.state(service).teams) }
--- a/internal/classes/counts.go
+++ b/internal/classes/counts.go
@@ -138,6 +138,18 @@
 	}
 }
 
+// Size classes: the largest tenth of the requests, the fifth below it, and the others.
+const (
+	ordinarySize = iota
+	largeSize
+	largestSize
+	sizeClasses
+)
+
+// sizeSample is the number of recent requests from which the bounds of the size classes are
+// computed, anew after each quarter of them.
+const sizeSample = 128
+
 // sizeBounds holds the bounds of the size classes.
 type sizeBounds struct {
 	recent         [sizeSample]float64
