--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -202,14 +202,24 @@
 	if s.err != nil && s.outcome == verdict.NotRun {
 		*unsentAttempts++
 		// Another VM may reach the servers.
-		x.req.PeersOnly = *unsentAttempts >= maxUnsentAttempts
+		x.r.locked(func() { x.req.PeersOnly = *unsentAttempts >= maxUnsentAttempts })
 		return true
 	}
-	x.req.Sends++
-	x.req.SentTo[s.choice.Target().Instance.ID] = true
+	x.r.locked(func() {
+		x.req.Sends++
+		x.req.SentTo[s.choice.Target().Instance.ID] = true
+	})
 	return x.req.Sends < maxSends && x.mayRepeatAfterCrash(crashed)
 }
 
+// markBegun records that the caller has received part of the answer. Moves of streams read the
+// request from other goroutines, under Router.mu.
+func (x *exchange) markBegun() {
+	if !x.req.Begun { // only this goroutine changes it
+		x.r.locked(func() { x.req.Begun = true })
+	}
+}
+
 func (x *exchange) logSend(ev *zerolog.Event, s *sendResult, status int) *zerolog.Event {
 	return ev.Str("request", x.req.ID).Str("fingerprint", x.fingerprint).Str("route", x.req.Route.Name).Str("server", string(s.choice.Target().Instance.ID)).Int("parts", len(s.choice.Stages)).
 		Str("verdict", s.outcome.String()).Str("fault", s.faultAddr).Int("status", status).
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -201,7 +201,7 @@
 			}
 			st.eventCount++
 			st.result.events++
-			st.x.req.Begun = true
+			st.x.markBegun()
 			if st.result.events == minEventsOfSoundRun {
 				st.x.recordProgress()
 				st.x.recordPromptRead(st.choice())
