--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -141,6 +141,6 @@
 		return true
 	}
 	x.worstVerdict = verdict.Worse(x.worstVerdict, s.outcome)
-	x.req.Sends++
+	x.r.locked(func() { x.req.Sends++ })
 	return x.req.Route.Retryable() && x.req.Sends < maxSends
 }
