--- a/internal/detector/check.go
+++ b/internal/detector/check.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// announce puts what the other VMs have to be told into one message, within the bound.
+// announce batches the unannounced losses into one message, within the message budget.
 func (c *Core) announce(now time.Duration, a *Actions) {
 	if len(c.unannounced) == 0 {
 		return
--- a/internal/detector/core.go
+++ b/internal/detector/core.go
@@ -166,8 +166,8 @@
 	chk.kinds = chk.kinds.with(e.Kind)
 }
 
-// Reported records that a server was found lost by the report of another one, of which the
-// other VMs are told. It reports whether that is new, so that its streams have to be moved.
+// Reported records that another server's report names a server as lost, and queues the loss to
+// be announced. It reports whether that is new, so that its streams have to be moved.
 func (c *Core) Reported(now time.Duration, server Server) bool {
 	s := c.state(now, server.Instance)
 	if s == nil || now < s.lostUntil {
--- a/internal/router/changefeed_test.go
+++ b/internal/router/changefeed_test.go
@@ -10,8 +10,8 @@
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
 
-// A watcher that cannot be reached is no sign that the store is back. A VM that took it for
-// one told others that they had missed nothing, while it could not read the store itself.
+// A failed watcher must not count as a successful read of the store: the VM would report to its
+// followers that nothing had changed although it cannot read the store itself.
 func TestFailedWatcherIsNoReadOfTheStore(t *testing.T) {
 	s := newSite(t)
 	s.configure(7)
--- a/internal/router/verdicts.go
+++ b/internal/router/verdicts.go
@@ -38,8 +38,8 @@
 	return !r.core.Reach.CutOff(service)
 }
 
-// vainDelay is how long after a verdict a server is looked at again: streams were moved in vain
-// if it is well.
+// vainDelay is the time from a verdict of loss until the server is checked again. If it is healthy
+// then, its streams were moved unnecessarily.
 const vainDelay = time.Second
 
 // moveOffGone moves all streams off a server that is gone, those with the least slack first, and
@@ -64,7 +64,7 @@
 	}
 }
 
-// countMovedInVain counts streams as moved in vain if their server is well.
+// countMovedInVain counts the streams as moved unnecessarily if their server is healthy.
 func (r *Router) countMovedInVain(s detector.Server, streams int) {
 	conn, err := r.detector.dial(context.Background(), s.Addr, r.cfg.DialTimeout)
 	if err != nil {
