soak: servers that leave all through a run; who sent what a leaving server gets

A server that leaves says so in its record, in its responses, in both or by removing its record; with half of those that say so the record is gone for 0.3 s after 2.5 s. For each request that comes too late the message names the VM that sent it, when it started and what it had logged about the server.

--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -53,8 +53,7 @@
 		leaving.Drain()
 		v.simulatePause(10 * time.Second)
 		require.Equal(t, http.StatusOK, v.call(t, "GET", "/idempotent/x", "after").StatusCode)
-		lastRequest, _ := leaving.LastRequest()
-		require.True(t, lastRequest.Before(drained), "round %d: a request reached the replica that leaves", i)
+		require.True(t, leaving.LastRequest().At.Before(drained), "round %d: a request reached the replica that leaves", i)
 	}
 }
 
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -19,6 +19,7 @@
 const (
 	faultsPerRun     = 7
 	partitionsPerRun = 2
+	leavingPerRun    = 3
 	faultWindow      = 7 * time.Second
 	maxExtraDuration = 2500 * time.Millisecond
 )
@@ -38,7 +39,12 @@
 		out = append(out, r.drawn(r.partitionFault, at, duration))
 	}
 	at := time.Duration(r.rng.Int64N(int64(faultWindow)))
-	return append(out, r.drawn(r.changeDuringCutFault, at, time.Second))
+	out = append(out, r.drawn(r.changeDuringCutFault, at, time.Second))
+	for range leavingPerRun {
+		at := time.Duration(r.rng.Int64N(int64(faultWindow)))
+		out = append(out, r.drawn(r.leavingFault, at, leavingTime))
+	}
+	return out
 }
 
 func (r *run) drawn(kind func(time.Duration) fault, at, duration time.Duration) fault {
@@ -107,7 +113,7 @@
 	case 1:
 		return fault{name: fmt.Sprintf("server %d asks for pauses", i), inject: func() { r.changeServer(i, duration, pauseOn, pauseOff) }}
 	case 2:
-		return fault{name: fmt.Sprintf("server %d says it leaves and is replaced", i), inject: func() { r.leaveAndReplace(i) }}
+		return fault{name: fmt.Sprintf("server %d says it leaves and is replaced", i), inject: func() { r.leaveAndReplace(i, leaving{inResponses: true}) }}
 	case 3:
 		return fault{name: fmt.Sprintf("server %d dribbles and is replaced", i), inject: func() {
 			r.changeServer(i, duration, (*standin.Server).Dribble, func(*standin.Server) {})
@@ -134,27 +140,6 @@
 	off(s)
 }
 
-// leaveAndReplace makes a server say in its responses that it leaves. It checks that it gets no
-// request later than drainBound after the first of them, and replaces it.
-func (r *run) leaveAndReplace(i int) {
-	r.mu.Lock()
-	s := r.servers[i]
-	r.mu.Unlock()
-	before := len(s.Arrivals())
-	s.Leave()
-	time.Sleep(drainBound + time.Second)
-	if arrivals := s.Arrivals(); len(arrivals) > before {
-		if late := arrivals[len(arrivals)-1].Sub(arrivals[before]); late > drainBound+leavingSlack {
-			r.results.addViolation("server %s got a request %v after it first said that it leaves", s.ID, late)
-		}
-	}
-	r.replaceServer(i, false, 0)
-}
-
-// leavingSlack is for the time in which a request is on its way, and for VMs that were paused
-// or cut off when the finding was passed on.
-const leavingSlack = 500 * time.Millisecond
-
 func (r *run) linkFault(duration time.Duration) fault {
 	var p *proxy
 	name := ""
@@ -166,6 +151,7 @@
 	}
 	kind := r.rng.IntN(4)
 	inject := func() {
+		defer r.recordHarm(harm{server: p.addr, from: time.Now()})
 		switch kind {
 		case 0:
 			p.resetConns()
@@ -183,6 +169,9 @@
 	first, count := r.rng.IntN(len(r.vms)), 1+r.rng.IntN(len(r.vms)-1)
 	kind := r.rng.IntN(3)
 	inject := func() {
+		for i := range count {
+			defer r.recordHarm(harm{vm: r.vms[(first+i)%len(r.vms)].host, from: time.Now()})
+		}
 		r.setLinks(first, count, []standin.Link{standin.LinkSilent, standin.LinkReset, standin.LinkRefuse}[kind])
 		time.Sleep(2 * duration)
 		r.setLinks(first, count, standin.LinkUp)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -46,9 +46,11 @@
 	backends       *standin.Backends
 	mu             sync.Mutex // guards the fields up to config
 	servers        []*standin.Server
-	proxies        []*proxy // proxies[i] forwards to servers[i]
-	removedServers []string // IDs
-	config         []byte   // the newest one
+	allServers     []*standin.Server // also those that have been replaced
+	proxies        []*proxy          // proxies[i] forwards to servers[i]
+	removedServers []string          // IDs
+	harms          []harm
+	config         []byte // the newest one
 	vms            []*vm
 	results        callerResults
 	dir            string
@@ -149,7 +151,7 @@
 	s, err := r.backends.Start(cfg)
 	require.NoError(r.t, err)
 	r.t.Cleanup(s.Close)
-	r.servers, r.proxies = append(r.servers, s), append(r.proxies, p)
+	r.servers, r.proxies, r.allServers = append(r.servers, s), append(r.proxies, p), append(r.allServers, s)
 	return s
 }
 
@@ -159,6 +161,7 @@
 	r.mu.Lock()
 	s, p := r.servers[i], r.proxies[i]
 	r.mu.Unlock()
+	defer r.recordHarm(harm{server: s.Addr, from: time.Now()})
 	if silent {
 		s.Hang()
 		p.setLink(linkState{holdToTarget: true, holdToClient: true})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -93,6 +93,7 @@
 	r.checkDrain()
 	stop()
 	callers.Wait()
+	r.checkLeaving()
 	t.Logf("served %.3f during faults, %.3f after them", shareDuringFaults, shareAfterFaults)
 	r.results.mu.Lock()
 	defer r.results.mu.Unlock()
@@ -188,9 +189,9 @@
 	drainedAt := time.Now()
 	time.Sleep(drainBound + time.Second)
 	for _, s := range []*standin.Server{engine, replica} {
-		at, id := s.LastRequest()
-		if delay := at.Sub(drainedAt); delay > drainBound {
-			r.results.addViolation("draining server %s at %s got request %s %v after it reported draining", s.ID, s.Addr, id, delay)
+		last := s.LastRequest()
+		if delay := last.At.Sub(drainedAt); delay > drainBound {
+			r.results.addViolation("draining server %s at %s got request %s %v after it reported draining; %s", s.ID, s.Addr, last.ID, delay, r.describeSender(last, s))
 		}
 	}
 }
