backend: what is known of a leaving server outlives its record

Callers saw requests reach a server after the VM knew that it leaves (DRAIN).

Cause: the knowledge was a field of the registry's entry. The entry is dropped when the record is gone for a moment, unreadable, lost in an outage or when another server takes the address; the next record of the same incarnation made a new entry, which was ready. A record that says ready after one that said draining, such as a write that was carried out late, ended it as well. The class: state that only goes forward is kept by where it was learned (a record) instead of by whom it is about (an incarnation).

The registry now holds a departure for each incarnation: the evidence (record, response, another VM's finding), and the revision at which the record was gone. It only goes forward, is bounded, and is forgotten 10 min after the last evidence if there is no record. Two ways back keep a lie from taking a server for good: a finding of another VM is believed for 30 s, and a draining record does not count any more once three newer ones say ready over 10 s. A new incarnation starts anew.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -22,16 +22,30 @@
 	// MinSlowdownRequestInterval is the minimum time between two requests for a
 	// server's slowdown factor; each request is charged. Default 2 s.
 	MinSlowdownRequestInterval time.Duration
+	// FindingTTL is how long another VM's finding that a server leaves is believed. Default
+	// 30 s.
+	FindingTTL time.Duration
+	// WithdrawRecords and WithdrawAfter are how many newer records have to say ready, and for
+	// how long, until a record that said draining does not count any more. Defaults 3 and 10 s.
+	WithdrawRecords int
+	WithdrawAfter   time.Duration
+	// DepartureTTL is how long a server that left is remembered: for that time an older record
+	// of it may turn up. MaxDepartures bounds their number. Defaults 10 min and 4,096.
+	DepartureTTL  time.Duration
+	MaxDepartures int
 }
 
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
 	return Config{MissingRecordTTL: 2500 * time.Millisecond, Suspicion: 300 * time.Millisecond, MaxSuspicion: 5 * time.Second,
-		SlowdownTTL: 4 * time.Second, MinSlowdownRequestInterval: 2 * time.Second}
+		SlowdownTTL: 4 * time.Second, MinSlowdownRequestInterval: 2 * time.Second,
+		FindingTTL: 30 * time.Second, WithdrawRecords: 3, WithdrawAfter: 10 * time.Second, DepartureTTL: 10 * time.Minute, MaxDepartures: 4096}
 }
 
 // Server is the observed state of one backend server.
 type Server struct {
+	// Record is the record, but for its State: a server that is known to leave is Draining
+	// whatever its record says.
 	Record
 	// AcceptedOrders is the number of placement orders that this incarnation is known to
 	// have accepted.
@@ -41,7 +55,8 @@
 	// LastLoadReport is the last load report; its time is 0 if there was none.
 	LastLoadReport LoadReport
 
-	leaving             bool // it said so itself; its record may say so later
+	departure           *departure // nil if nothing says that it leaves
+	recordState         State
 	consecutiveFailures int
 	suspectUntil        time.Duration
 	avoidUntil          time.Duration
@@ -92,11 +107,13 @@
 	servers map[ID]*Server
 	byAddr  map[string]ID
 	version uint64
+
+	departures departures
 }
 
 // New returns an empty Registry.
 func New(cfg Config) *Registry {
-	return &Registry{cfg: cfg, servers: map[ID]*Server{}, byAddr: map[string]ID{}}
+	return &Registry{cfg: cfg, servers: map[ID]*Server{}, byAddr: map[string]ID{}, departures: newDepartures(cfg)}
 }
 
 // Version increases with each change of a record.
@@ -112,8 +129,12 @@
 func (reg *Registry) ByAddr(addr string) *Server { return reg.servers[reg.byAddr[addr]] }
 
 // Put adds or updates a record and reports whether it starts a new incarnation. A new
-// incarnation starts without the work and the failures of the previous one.
-func (reg *Registry) Put(r Record) (newIncarnation bool) {
+// incarnation starts without the work and the failures of the previous one. A record that was
+// written before the incarnation's record was gone is ignored.
+func (reg *Registry) Put(now time.Duration, r Record) (newIncarnation bool) {
+	if reg.departures.isOutdated(r) {
+		return false
+	}
 	reg.version++
 	if other := reg.ByAddr(r.Addr); other != nil && other.ID != r.ID {
 		if other.StartedMs > r.StartedMs {
@@ -122,28 +143,41 @@
 		reg.drop(other)
 	}
 	s := reg.servers[r.ID]
-	if s == nil || s.StartedMs != r.StartedMs {
-		if s != nil {
-			reg.removeAddr(s)
-		}
-		reg.servers[r.ID] = &Server{Record: r}
-		reg.byAddr[r.Addr] = r.ID
-		return true
-	}
-	if s.Addr != r.Addr {
+	if s != nil && s.Addr != r.Addr {
 		reg.removeAddr(s)
 	}
-	if s.leaving {
-		r.State = Draining
+	if newIncarnation = s == nil || s.StartedMs != r.StartedMs; newIncarnation {
+		s = &Server{}
+		reg.servers[r.ID] = s
 	}
-	s.Record, s.expiresAt = r, 0
+	s.Record, s.recordState, s.expiresAt = r, r.State, 0
 	reg.byAddr[r.Addr] = r.ID
-	return false
+	if r.State == Draining {
+		reg.departures.leaving(now, 0, r.Instance(), InRecord)
+	} else {
+		reg.departures.readyRecord(now, r)
+	}
+	reg.refreshState(now, s)
+	return newIncarnation
+}
+
+// refreshState sets the state of a server by its record and its departure.
+func (reg *Registry) refreshState(now time.Duration, s *Server) {
+	s.departure = reg.departures.byInstance[s.Instance()]
+	state := s.recordState
+	if s.departure.leaves(now) {
+		state = Draining
+	}
+	if s.State != state {
+		s.State = state
+		reg.version++
+	}
 }
 
-// Remove removes a record. If the store was unreachable, the record may have expired only
-// because it could not be renewed, so the server is kept for MissingRecordTTL.
-func (reg *Registry) Remove(now time.Duration, id ID, storeWasUnreachable bool) {
+// Remove removes a record that was gone at a revision of the store, 0 if that is unknown. If the
+// store was unreachable, the record may have expired only because it could not be renewed, so
+// the server is kept for MissingRecordTTL.
+func (reg *Registry) Remove(now time.Duration, id ID, revision uint64, storeWasUnreachable bool) {
 	s := reg.servers[id]
 	if s == nil {
 		return
@@ -154,6 +188,7 @@
 		}
 		return
 	}
+	reg.departures.removed(now, s.Instance(), revision)
 	reg.drop(s)
 }
 
@@ -172,15 +207,21 @@
 	for _, s := range reg.servers {
 		s.Revision = 0
 	}
+	reg.departures.forgetRevisions()
 }
 
-// Expire drops the servers whose records have been missing for MissingRecordTTL.
+// Expire drops the servers whose records have been missing for MissingRecordTTL, and findings
+// that are no longer believed.
 func (reg *Registry) Expire(now time.Duration) {
 	for _, s := range reg.servers {
-		if s.expiresAt > 0 && now >= s.expiresAt {
+		switch {
+		case s.expiresAt > 0 && now >= s.expiresAt:
 			reg.drop(s)
+		case s.departure != nil:
+			reg.refreshState(now, s)
 		}
 	}
+	reg.departures.trim(now, func(in Instance) bool { return reg.current(in) != nil })
 }
 
 func (reg *Registry) drop(s *Server) {
@@ -219,19 +260,29 @@
 	s.suspectUntil = max(s.suspectUntil, now+max(suspicion, minSuspicion))
 }
 
-// RecordLeaving records that an incarnation of a server said that it leaves, and reports
-// whether that is new.
-func (reg *Registry) RecordLeaving(in Instance) bool {
-	s := reg.current(in)
-	if s == nil || s.leaving {
-		return false
+// RecordLeaving records evidence of an age that an incarnation of a server leaves, known or not,
+// and reports whether that is new.
+func (reg *Registry) RecordLeaving(now, age time.Duration, in Instance, e Evidence) bool {
+	isNew := reg.departures.leaving(now, age, in, e)
+	if s := reg.current(in); s != nil {
+		reg.refreshState(now, s)
 	}
-	reg.version++
-	isNew := s.State != Draining
-	s.leaving, s.State = true, Draining
 	return isNew
 }
 
+// LeavingSince returns since when an incarnation is known to leave, false if it is not.
+func (reg *Registry) LeavingSince(now time.Duration, in Instance) (time.Duration, bool) {
+	d := reg.departures.byInstance[in]
+	if !d.leaves(now) {
+		return 0, false
+	}
+	return d.since, true
+}
+
+// Departures returns the number of incarnations that are remembered because they leave or have
+// left.
+func (reg *Registry) Departures() int { return len(reg.departures.byInstance) }
+
 // Avoid makes requests avoid an incarnation of a server for d.
 func (reg *Registry) Avoid(now time.Duration, in Instance, d time.Duration) {
 	if s := reg.current(in); s != nil {
--- a/internal/backend/suspicion_test.go
+++ b/internal/backend/suspicion_test.go
@@ -82,7 +82,7 @@
 func newRegistryPolicy() registryPolicy {
 	registry := backend.New(backend.DefaultConfig())
 	for i := range servers {
-		registry.Put(backend.Record{ID: instance(i).ID, Addr: fmt.Sprint(i), StartedMs: 1, State: backend.Ready})
+		registry.Put(0, backend.Record{ID: instance(i).ID, Addr: fmt.Sprint(i), StartedMs: 1, State: backend.Ready})
 	}
 	return registryPolicy{registry}
 }
@@ -263,7 +263,7 @@
 func TestSuspicionIsBoundedAndEndsWithSuccess(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		registry := backend.New(backend.DefaultConfig())
-		registry.Put(backend.Record{ID: instance(0).ID, Addr: "0", StartedMs: 1, State: backend.Ready})
+		registry.Put(0, backend.Record{ID: instance(0).ID, Addr: "0", StartedMs: 1, State: backend.Ready})
 		now, last := time.Duration(0), time.Duration(-1)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap")) * time.Millisecond
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -57,11 +57,11 @@
 	for _, o := range placement.Plan(placement.DefaultConfig(), spec, servers) {
 		r := records[o.Instance.ID]
 		r.Held = o.Layers
-		c.Backends.Put(r)
+		c.Backends.Put(0, r)
 	}
 	for i, d := range []string{"a", "b", "c"} {
 		id := backend.ID(fmt.Sprintf("app%d", i))
-		c.Backends.Put(backend.Record{ID: id, Service: plain, Addr: string(id), Domain: d, Slots: 6, State: backend.Ready, StartedMs: 1})
+		c.Backends.Put(0, backend.Record{ID: id, Service: plain, Addr: string(id), Domain: d, Slots: 6, State: backend.Ready, StartedMs: 1})
 	}
 	return c
 }
@@ -136,7 +136,7 @@
 	for i := range 3 {
 		s := c.Backends.Get(backend.ID(fmt.Sprintf("app%d", i))).Record
 		s.State = backend.Draining
-		c.Backends.Put(s)
+		c.Backends.Put(0, s)
 	}
 	_, refusal := c.Choose(0, plainRequest(c, 2))
 	require.Equal(t, verdict.CauseNoBackend, refusal.Cause)
@@ -249,15 +249,15 @@
 		"draining": func(c *dispatch.Core, stage paths.Stage, _ *dispatch.Request) {
 			rec := c.Backends.Get(stage.Instance.ID).Record
 			rec.State = backend.Draining
-			c.Backends.Put(rec)
+			c.Backends.Put(0, rec)
 		},
 		"released": func(c *dispatch.Core, stage paths.Stage, _ *dispatch.Request) {
 			rec := c.Backends.Get(stage.Instance.ID).Record
 			rec.Held = backend.Layers{}
-			c.Backends.Put(rec)
+			c.Backends.Put(0, rec)
 		},
 		"gone": func(c *dispatch.Core, stage paths.Stage, _ *dispatch.Request) {
-			c.Backends.Remove(0, stage.Instance.ID, false)
+			c.Backends.Remove(0, stage.Instance.ID, 0, false)
 		},
 		"refused": func(_ *dispatch.Core, stage paths.Stage, r *dispatch.Request) { r.Avoid[stage.Instance.ID] = true },
 	} {
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -102,7 +102,7 @@
 		if factor, ok := received.Slow[key]; ok && c.Backends.SetSlowdown(now, s.Instance(), factor) {
 			findings.Slow = append(findings.Slow, s)
 		}
-		if leaving[key] && c.Backends.RecordLeaving(s.Instance()) {
+		if leaving[key] && c.Backends.RecordLeaving(now, 0, s.Instance(), backend.Finding) {
 			findings.Leaving = append(findings.Leaving, s)
 		}
 		if failing[key] {
@@ -144,7 +144,7 @@
 // RecordLeaving records that a server said in a response that it leaves. It reports whether
 // that is new, so that the other VMs need to know.
 func (c *Core) RecordLeaving(now time.Duration, in backend.Instance) bool {
-	if !c.Backends.RecordLeaving(in) {
+	if !c.Backends.RecordLeaving(now, 0, in, backend.Response) {
 		return false
 	}
 	c.Loads.RecordLeaving(now, LoadKey(in))
--- a/internal/dispatch/move_sim_test.go
+++ b/internal/dispatch/move_sim_test.go
@@ -93,7 +93,7 @@
 		instance := e.Instance()
 		s.after(recordTTL, func() {
 			for _, v := range s.vms {
-				v.core.Backends.Remove(s.now, instance.ID, false)
+				v.core.Backends.Remove(s.now, instance.ID, 0, false)
 			}
 		})
 	}
--- a/internal/dispatch/moves_test.go
+++ b/internal/dispatch/moves_test.go
@@ -32,7 +32,7 @@
 		like := c.Backends.Get(lost.Instance.ID).Record
 		like.ID = backend.ID(fmt.Sprint("like", i))
 		like.Addr = string(like.ID)
-		c.Backends.Put(like)
+		c.Backends.Put(0, like)
 	}
 	return c, choices[0], lost
 }
--- a/internal/dispatch/prompts_test.go
+++ b/internal/dispatch/prompts_test.go
@@ -51,7 +51,7 @@
 
 	restarted := c.Backends.Get(first.Stages[1].Instance.ID).Record
 	restarted.StartedMs++
-	c.Backends.Put(restarted)
+	c.Backends.Put(0, restarted)
 	require.Less(t, serve(t, c, promptRequest(c, "r4", "clubs")).HeldTokens, 700.0)
 }
 
@@ -74,7 +74,7 @@
 
 	released := c.Backends.Get(next.Stages[0].Instance.ID).Record
 	released.Held = backend.Layers{}
-	c.Backends.Put(released)
+	c.Backends.Put(0, released)
 	c.RecordPromptRead(0, promptRequest(c, "r2", "clubs"), next)
 	require.Equal(t, 2*(len(next.Stages)-1), c.Prompts.Len())
 }
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -271,7 +271,7 @@
 	}
 	s.after(lag, func() {
 		for _, v := range s.vms {
-			v.core.Backends.Put(r)
+			v.core.Backends.Put(s.now, r)
 		}
 	})
 }
@@ -401,7 +401,7 @@
 	s.after(recordTTL, func() {
 		for _, v := range s.vms {
 			if server := v.core.Backends.Get(instance.ID); server != nil && server.StartedMs == instance.StartedMs {
-				v.core.Backends.Remove(s.now, instance.ID, false)
+				v.core.Backends.Remove(s.now, instance.ID, 0, false)
 			}
 		}
 	})
--- a/internal/dispatch/unconfirmed_test.go
+++ b/internal/dispatch/unconfirmed_test.go
@@ -61,8 +61,8 @@
 		at := time.Duration(i+1) * 100 * time.Millisecond
 		c.RecordCrash(at, at-10*time.Millisecond, r, c.Backends.Get(backend.ID(id)).Instance(), i == 0)
 	}
-	c.Backends.Remove(time.Second, "app0", false)
-	c.Backends.Remove(time.Second, "app1", false)
+	c.Backends.Remove(time.Second, "app0", 0, false)
+	c.Backends.Remove(time.Second, "app1", 0, false)
 	c.ConfirmCrashes(time.Second)
 	_, refusal := c.Choose(2*time.Second, r)
 	require.NotNil(t, refusal)
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -111,16 +111,16 @@
 	if r.eraChanges != eraChanges {
 		return 0, nil // the pages are of different eras
 	}
-	r.replaceAll(items, r.eraToRead)
+	r.replaceAll(items, since, r.eraToRead)
 	r.eraToRead = false
 	r.changeLog.Reset(since)
 	return since, nil
 }
 
-// replaceAll applies all keys of the store and removes what is missing from them. older is set
-// for the first state of a new era, which is older than what is known: servers keep their
-// state, and what is missing is kept until it can be written again.
-func (r *Router) replaceAll(items []platform.Item, older bool) {
+// replaceAll applies all keys of the store and removes what is missing from them as of a
+// revision. older is set for the first state of a new era, which is older than what is known:
+// servers keep their state, and what is missing is kept until it can be written again.
+func (r *Router) replaceAll(items []platform.Item, asOf uint64, older bool) {
 	present := make(map[string]bool, len(items))
 	for _, it := range items {
 		present[it.Key] = true
@@ -132,7 +132,7 @@
 	}
 	for _, id := range r.core.Backends.IDs() {
 		if key := platform.ServersPrefix + string(id); !present[key] {
-			r.removeServer(r.clock.now(), id, r.storeDown || older)
+			r.removeServer(r.clock.now(), id, asOf, r.storeDown || older)
 		}
 	}
 	for vm := range r.members {
@@ -219,13 +219,13 @@
 		// A record that vanished during an outage is read while storeDown is still set and
 		// may only have expired. One that vanishes while the store is watched is a server
 		// that leaves.
-		r.removeServer(now, id, r.storeDown)
+		r.removeServer(now, id, it.Revision, r.storeDown)
 		return
 	}
 	rec, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 	if err != nil {
 		r.log.Warn().Err(err).Msg("invalid backend server record")
-		r.core.Backends.Remove(now, id, false)
+		r.core.Backends.Remove(now, id, it.Revision, false)
 		return
 	}
 	old := r.core.Backends.Get(id)
@@ -234,7 +234,7 @@
 	}
 	if err := r.checkServer(rec); err != nil {
 		r.log.Warn().Err(err).Msg("backend server not used")
-		r.core.Backends.Remove(now, id, false)
+		r.core.Backends.Remove(now, id, it.Revision, false)
 		return
 	}
 	if old == nil || old.State != rec.State || old.Held != rec.Held || old.StartedMs != rec.StartedMs {
@@ -242,7 +242,7 @@
 			Bool("draining", rec.State == backend.Draining).Int("from", rec.Held.From).Int("to", rec.Held.To).Msg("backend server")
 	}
 	releasesLayers := old != nil && old.StartedMs == rec.StartedMs && !rec.Held.Contains(old.Held)
-	if r.core.Backends.Put(rec) {
+	if r.core.Backends.Put(now, rec) {
 		r.lastServerAdded = now
 		r.core.Reach.ServerAdded(now, rec.Service)
 	}
@@ -257,13 +257,13 @@
 	}
 }
 
-// removeServer removes a server whose record is gone, or keeps it for a while if the store was
-// away. The caller holds mu.
-func (r *Router) removeServer(now time.Duration, id backend.ID, storeWasAway bool) {
+// removeServer removes a server whose record was gone at a revision, or keeps it for a while if
+// the store was away. The caller holds mu.
+func (r *Router) removeServer(now time.Duration, id backend.ID, revision uint64, storeWasAway bool) {
 	if r.core.Backends.Get(id) != nil {
 		r.log.Info().Str("server", string(id)).Bool("storeWasAway", storeWasAway).Msg("backend server's record is gone")
 	}
-	r.core.Backends.Remove(now, id, storeWasAway)
+	r.core.Backends.Remove(now, id, revision, storeWasAway)
 }
 
 // checkServer checks a record against the model in the configuration. The caller holds mu.
