router: records of an older copy of the store are older at each read

A server that was gone got requests again (DRAIN) after the store had come back from an older copy.

Cause: only the first state read in a new era was taken as older than what is known. If the history was dropped before the VM could follow it, the VM read the same copy a second time, and took its records as new: revisions had been forgotten.

The VM remembers the revision of the first state of an era; records up to it are older whenever they are read.

--- a/internal/router/era.go
+++ b/internal/router/era.go
@@ -33,7 +33,7 @@
 	now := r.clock.now()
 	r.log.Warn().Uint64("era", era).Uint64("before", r.storeEra).Msg("store came back from an older copy: what is known stays in force, everything is read again")
 	r.metrics.storeEraChanges.Inc()
-	r.storeEra, r.eraToRead = era, true
+	r.storeEra, r.eraToRead, r.olderUpTo = era, true, 0
 	r.eraChanges++
 	r.election.EraChanged(now, era)
 	r.core.Backends.ForgetRevisions()
@@ -42,7 +42,8 @@
 	r.notifyChangeWaiters()
 }
 
-// applyOlderServer applies a server's record of a state that is older than what is known.
+// applyOlderServer applies a server's record of a state that is older than what is known. The
+// caller holds mu.
 func (r *Router) applyOlderServer(it platform.Item) {
 	rec, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 	if err != nil {
--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -81,6 +81,7 @@
 		"record, a late write says ready":         {(*leavingTest).sayInRecord, func(l *leavingTest) { l.store.Put(l.key, l.ready) }},
 		"record, gone and a late write":           {(*leavingTest).sayInRecord, func(l *leavingTest) { l.remove(); l.store.Put(l.key, l.ready) }},
 		"record, store back from an older copy":   {(*leavingTest).sayInRecord, (*leavingTest).goBack},
+		"gone, store back from an older copy":     {(*leavingTest).remove, (*leavingTest).goBack},
 		"response, store back from an older copy": {(*leavingTest).sayInResponse, (*leavingTest).goBack},
 	}
 	for name, test := range tests {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,7 @@
 	eraKnown        bool          // storeEra has been read
 	eraChanges      int           // changes of storeEra
 	eraToRead       bool          // the first state of this era has not been read yet
+	olderUpTo       uint64        // records of servers up to this revision of the era are older than what is known
 	pendingOrders   map[backend.Instance]pendingOrder
 	// recordsReturnUntil is the time on clock until which servers may still write records
 	// that expired while the store was unreachable.
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -121,13 +121,12 @@
 // revision. older is set for the first state of a new era, which is older than what is known:
 // servers keep their state, and what is missing is kept until it can be written again.
 func (r *Router) replaceAll(items []platform.Item, asOf uint64, older bool) {
+	if older {
+		r.olderUpTo = asOf
+	}
 	present := make(map[string]bool, len(items))
 	for _, it := range items {
 		present[it.Key] = true
-		if older && platform.IsServerKey(it.Key) {
-			r.runGuarded("store", it.Key, func() { r.applyOlderServer(it) })
-			continue
-		}
 		r.applyItem(it)
 	}
 	for _, id := range r.core.Backends.IDs() {
@@ -222,6 +221,10 @@
 		r.removeServer(now, id, it.Revision, r.storeDown)
 		return
 	}
+	if it.Revision <= r.olderUpTo {
+		r.applyOlderServer(it)
+		return
+	}
 	rec, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 	if err != nil {
 		r.log.Warn().Err(err).Msg("invalid backend server record")
