loads, router: a VM that was not there learns that servers leave

A server that had said in a response that it leaves got requests 3.0 to 4.0 s later (DRAIN), from VMs that had started milliseconds before.

Cause: the finding that a server leaves was an event, passed on for one second by datagram. A VM that starts, is paused, stops (its record is gone, its callers' connections are not) or loses the messages of that second never learned it; nor did one that did not know the server yet. The class: a state told as an event.

All four cases of TestVMThatWasNotThereSendsNothingToLeavingServer failed on the code before.

Each regular message carries the findings of the last 20 s; they count for 30 s, and an unknown server is held to them when its record comes.

The soak's bound on responses now counts anew after all VMs were killed at once. The rule excuses a restart; the bound itself is as before.

--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -95,14 +95,14 @@
 	if len(received.Lost)+len(received.Failing)+len(received.Slow)+len(received.Leaving) == 0 {
 		return findings
 	}
-	lost, failing, leaving := keySet(received.Lost), keySet(received.Failing), keySet(received.Leaving)
+	lost, failing := keySet(received.Lost), keySet(received.Failing)
 	for _, id := range c.Backends.IDs() {
 		s := c.Backends.Get(id)
 		key := LoadKey(s.Instance())
 		if factor, ok := received.Slow[key]; ok && c.Backends.SetSlowdown(now, s.Instance(), factor) {
 			findings.Slow = append(findings.Slow, s)
 		}
-		if leaving[key] && c.Backends.RecordLeaving(now, 0, s.Instance(), backend.Finding) {
+		if age, ok := received.Leaving[key]; ok && c.Backends.RecordLeaving(now, age, s.Instance(), backend.Finding) {
 			findings.Leaving = append(findings.Leaving, s)
 		}
 		if failing[key] {
@@ -144,13 +144,31 @@
 // RecordLeaving records that a server said in a response that it leaves. It reports whether
 // that is new, so that the other VMs need to know.
 func (c *Core) RecordLeaving(now time.Duration, in backend.Instance) bool {
-	if !c.Backends.RecordLeaving(now, 0, in, backend.Response) {
+	c.Loads.RecordLeaving(now, LoadKey(in))
+	return c.Backends.RecordLeaving(now, 0, in, backend.Response)
+}
+
+// PutServer adds or updates a server's record and reports whether it starts a new incarnation. It
+// may be one of which another VM said before that it leaves.
+func (c *Core) PutServer(now time.Duration, r backend.Record) (newIncarnation bool) {
+	newIncarnation = c.Backends.Put(now, r)
+	if !newIncarnation {
 		return false
 	}
-	c.Loads.RecordLeaving(now, LoadKey(in))
+	if age, known := c.Loads.LeavingAge(now, LoadKey(r.Instance())); known {
+		c.Backends.RecordLeaving(now, age, r.Instance(), backend.Finding)
+	}
 	return true
 }
 
+// KnownFindings returns a message with all that this VM found or was told, for a VM that was not
+// there.
+func (c *Core) KnownFindings(now time.Duration) loads.Message {
+	m := c.Loads.Findings(now)
+	m.Poison, m.Limits, m.CutOff = c.Poison.Update(now), c.Backpressure.Update(now), c.peerLinks.Share(now, c.cfg.VM, c.Reach)
+	return m
+}
+
 // RecordSlowdown records the slowdown factor that a server reports and returns whether
 // it changed. Changes are passed on to the other VMs.
 func (c *Core) RecordSlowdown(now time.Duration, in backend.Instance, factor float64) bool {
--- a/internal/loads/findings.go
+++ b/internal/loads/findings.go
@@ -1,6 +1,11 @@
 package loads
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 // findingTimes maps servers to the time of the last finding about them.
 type findingTimes map[Key]time.Duration
@@ -38,3 +43,62 @@
 	}
 	return out
 }
+
+// standingFindings are findings that stay true. They are told in each regular message until they
+// are tellFor old, so that a VM learns them that was not there when they were new, and kept for
+// keepFor. The difference keeps VMs from telling each other the same finding for ever: its time
+// grows a little with each transfer.
+type standingFindings struct {
+	tellFor, keepFor time.Duration
+	at               map[Key]time.Duration
+}
+
+func newStandingFindings(cfg Config) standingFindings {
+	return standingFindings{tellFor: cfg.LeavingTellFor, keepFor: cfg.LeavingKeepFor, at: map[Key]time.Duration{}}
+}
+
+// record records a finding of an age. It reports whether the finding is new, or so much newer than
+// the known one that it has to be told for longer.
+func (f *standingFindings) record(now, age time.Duration, k Key) bool {
+	at, known := f.at[k]
+	if known && now-age < at+f.keepFor-f.tellFor {
+		return false
+	}
+	f.at[k] = now - age
+	return true
+}
+
+// maxToldFindings bounds the findings in a message; the newest are told.
+const maxToldFindings = 256
+
+// ages returns the ages of the findings to tell that are at most maxAge old, and drops those that
+// are older than keepFor.
+func (f *standingFindings) ages(now, maxAge time.Duration) map[Key]time.Duration {
+	out := map[Key]time.Duration{}
+	for k, at := range f.at {
+		switch age := now - at; {
+		case age > f.keepFor:
+			delete(f.at, k)
+		case age <= min(maxAge, f.tellFor):
+			out[k] = age
+		}
+	}
+	if len(out) > maxToldFindings {
+		keys := slices.SortedFunc(maps.Keys(out), func(a, b Key) int { return cmp.Compare(out[a], out[b]) })
+		for _, k := range keys[maxToldFindings:] {
+			delete(out, k)
+		}
+	}
+	return out
+}
+
+// receive merges another VM's findings and returns the ages of those that are new.
+func (f *standingFindings) receive(now time.Duration, ages map[Key]time.Duration) map[Key]time.Duration {
+	out := map[Key]time.Duration{}
+	for k, age := range ages {
+		if age >= 0 && age <= f.tellFor && f.record(now, age, k) {
+			out[k] = age
+		}
+	}
+	return out
+}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -30,6 +30,9 @@
 	MaxAge time.Duration
 	// FindingTTL is how long a finding is passed on. Default 1 s.
 	FindingTTL time.Duration
+	// LeavingTellFor is how long the finding that a server leaves is told in regular messages,
+	// LeavingKeepFor how long it counts. Defaults 20 and 30 s.
+	LeavingTellFor, LeavingKeepFor time.Duration
 	// FindingSpacing is the least time between two messages that carry findings only. A plain
 	// request that may have crashed a server waits 40 ms for the findings of the others, which
 	// pass two VMs. Default 15 ms.
@@ -45,7 +48,7 @@
 
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{MinInterval: 100 * time.Millisecond, IntervalPerVM: 2 * time.Millisecond, MaxAge: 3 * time.Second, FindingTTL: time.Second, FindingSpacing: 15 * time.Millisecond, FindingBytesPerSecond: 100_000, PeerGain: 1}
+	return Config{MinInterval: 100 * time.Millisecond, IntervalPerVM: 2 * time.Millisecond, MaxAge: 3 * time.Second, FindingTTL: time.Second, LeavingTellFor: 20 * time.Second, LeavingKeepFor: 30 * time.Second, FindingSpacing: 15 * time.Millisecond, FindingBytesPerSecond: 100_000, PeerGain: 1}
 }
 
 // receivedLoads holds the loads of the last message from one sender, or a sum that this VM
@@ -70,7 +73,7 @@
 	ownInTotal map[Key]Load             // own work contained in total
 	lost       findingTimes
 	failing    findingTimes
-	leaving    findingTimes
+	leaving    standingFindings
 	slow       map[Key]slowFinding
 	findings   findingBudget
 }
@@ -78,7 +81,7 @@
 // New returns the Core of the VM self. firstSeq must increase with each restart, so that a
 // new incarnation's messages are not ignored as older.
 func New(cfg Config, self Member, firstSeq uint64) *Core {
-	return &Core{cfg: cfg, self: self, seq: firstSeq, vmLoads: map[string]receivedLoads{}, domainSums: map[string]receivedLoads{}, lost: findingTimes{}, failing: findingTimes{}, leaving: findingTimes{}, slow: map[Key]slowFinding{}, findings: newFindingBudget(cfg)}
+	return &Core{cfg: cfg, self: self, seq: firstSeq, vmLoads: map[string]receivedLoads{}, domainSums: map[string]receivedLoads{}, lost: findingTimes{}, failing: findingTimes{}, leaving: newStandingFindings(cfg), slow: map[Key]slowFinding{}, findings: newFindingBudget(cfg)}
 }
 
 // SetMembers replaces the list of VMs.
@@ -168,7 +171,14 @@
 func (c *Core) RecordFailing(now time.Duration, k Key) { c.failing.record(now, c.cfg.FindingTTL, k) }
 
 // RecordLeaving records that a server said that it leaves.
-func (c *Core) RecordLeaving(now time.Duration, k Key) { c.leaving.record(now, c.cfg.FindingTTL, k) }
+func (c *Core) RecordLeaving(now time.Duration, k Key) { c.leaving.record(now, 0, k) }
+
+// LeavingAge returns the age of the finding that a server leaves, false if there is none that
+// counts.
+func (c *Core) LeavingAge(now time.Duration, k Key) (time.Duration, bool) {
+	at, known := c.leaving.at[k]
+	return now - at, known && now-at <= c.cfg.LeavingKeepFor
+}
 
 // RecordSlowdown records the slowdown factor that a server reported, to pass it on.
 func (c *Core) RecordSlowdown(now time.Duration, k Key, factor float64) {
@@ -220,16 +230,23 @@
 		return nil
 	}
 	m := c.message(now, ScopeFindings, nil)
+	m.Leaving = c.leaving.ages(now, c.cfg.FindingTTL) // the others are in the regular messages
 	if aggregator.VM != c.self.VM {
 		return []Send{{Addr: aggregator.Addr, Message: m}}
 	}
 	return c.fromAggregator(m, m)
 }
 
+// Findings returns a message with all findings, for a VM that asks for them.
+func (c *Core) Findings(now time.Duration) Message {
+	c.seq++
+	return c.message(now, ScopeFindings, nil)
+}
+
 // message returns a message with the given loads and the findings.
 func (c *Core) message(now time.Duration, scope Scope, loads map[Key]Load) Message {
 	return Message{From: c.self.VM, Domain: c.self.Domain, Scope: scope, Seq: c.seq, Loads: pack(loads), Lost: c.lost.fresh(now, c.cfg.FindingTTL),
-		Failing: c.failing.fresh(now, c.cfg.FindingTTL), Leaving: c.leaving.fresh(now, c.cfg.FindingTTL), Slow: c.freshSlow(now)}
+		Failing: c.failing.fresh(now, c.cfg.FindingTTL), Leaving: c.leaving.ages(now, c.cfg.LeavingTellFor), Slow: c.freshSlow(now)}
 }
 
 // fromAggregator addresses a message to the other aggregators and one to the members of this
@@ -276,7 +293,7 @@
 	var findings Findings
 	findings.Lost = c.lost.receive(now, c.cfg.FindingTTL, m.Lost)
 	findings.Failing = c.failing.receive(now, c.cfg.FindingTTL, m.Failing)
-	findings.Leaving = c.leaving.receive(now, c.cfg.FindingTTL, m.Leaving)
+	findings.Leaving = c.leaving.receive(now, m.Leaving)
 	for k, s := range m.Slow {
 		old, known := c.slow[k]
 		if s.Age < 0 || s.Age > c.cfg.FindingTTL || (known && old.at >= now-s.Age) || (known && old.percent == s.Percent) {
--- a/internal/loads/message.go
+++ b/internal/loads/message.go
@@ -74,7 +74,9 @@
 
 // Findings lists the new findings of a message.
 type Findings struct {
-	Lost, Failing, Leaving []Key
+	Lost, Failing []Key
+	// Leaving holds the ages of findings that servers leave.
+	Leaving map[Key]time.Duration
 	// Slow holds slowdown factors, relative to the server's accelerator.
 	Slow map[Key]float64
 }
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -42,15 +42,15 @@
 
 var errChangesUnavailable = errors.New("watcher cannot serve the changes since the revision")
 
-// servePeerRequests serves other VMs' requests for changes over TCP, on the port that
-// receives load messages over UDP.
+// servePeerRequests serves other VMs' requests for changes and findings over TCP, on the port
+// that receives load messages over UDP.
 func (r *Router) servePeerRequests() error {
 	l, err := listen(r.settings.Listen.Datagrams)
 	if err != nil {
 		return err
 	}
 	// Compressed, because a configuration of 100 kB goes to a dozen VMs over a slow link.
-	handler := r.guarded(fasthttp.CompressHandlerLevel(r.handleChanges, fasthttp.CompressBestSpeed))
+	handler := r.guarded(fasthttp.CompressHandlerLevel(r.handlePeerRequest, fasthttp.CompressBestSpeed))
 	s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: handler, NoDefaultServerHeader: true}
 	r.auxServers = append(r.auxServers, s)
 	go func() {
@@ -61,9 +61,20 @@
 	return nil
 }
 
+func (r *Router) handlePeerRequest(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case changesURI:
+		r.handleChanges(ctx)
+	case findingsURI:
+		r.handleFindings(ctx)
+	default:
+		ctx.Error("want "+changesURI+" or "+findingsURI, fasthttp.StatusNotFound)
+	}
+}
+
 func (r *Router) handleChanges(ctx *fasthttp.RequestCtx) {
 	var req changesRequest
-	if err := cbor.Unmarshal(ctx.PostBody(), &req); err != nil || string(ctx.Path()) != changesURI {
+	if err := cbor.Unmarshal(ctx.PostBody(), &req); err != nil {
 		ctx.Error("want a question for changes", fasthttp.StatusBadRequest)
 		return
 	}
--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -17,12 +17,31 @@
 type leavingTest struct {
 	*site
 	v       *vm
+	others  []*vm
 	server  *standin.Server
 	key     string
 	ready   []byte // its record while it was ready
 	earlier standin.StoreCopy
 }
 
+func newLeavingTest(t *testing.T, others ...string) *leavingTest {
+	s := newSite(t)
+	l := &leavingTest{site: s, v: s.vm("a1"), key: platform.ServersPrefix + "leaving"}
+	for _, name := range others {
+		l.others = append(l.others, s.vmWith(name, func(cfg *Config) { cfg.ListenAfterStop = 3 * time.Second }))
+	}
+	s.configure(7)
+	l.server = s.server(standin.ServerConfig{ID: "leaving", Service: "wuno96b", Domain: "bergen-a"})
+	s.server(standin.ServerConfig{ID: "staying", Service: "wuno96b", Domain: "bergen-a"})
+	for _, v := range append([]*vm{l.v}, l.others...) {
+		v.awaitReady(t)
+		require.Eventually(t, func() bool {
+			return v.serverState("leaving") == backend.Ready && v.serverState("staying") == backend.Ready && v.memberCount() == 1+len(others)
+		}, waitTimeout, time.Millisecond)
+	}
+	return l
+}
+
 func (l *leavingTest) remove() {
 	l.store.Put(l.key, nil)
 	require.Eventually(l.t, func() bool { return l.v.serverState("leaving") == 0 }, waitTimeout, time.Millisecond)
@@ -87,16 +106,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newSite(t)
-			l := &leavingTest{site: s, v: s.vm("a1"), key: platform.ServersPrefix + "leaving"}
-			s.configure(7)
-			plain := standin.ServerConfig{ID: "leaving", Service: "wuno96b", Domain: "bergen-a"}
-			l.server = s.server(plain)
-			s.server(standin.ServerConfig{ID: "staying", Service: "wuno96b", Domain: "bergen-a"})
-			l.v.awaitReady(t)
-			require.Eventually(t, func() bool {
-				return l.v.serverState("leaving") == backend.Ready && l.v.serverState("staying") == backend.Ready
-			}, waitTimeout, time.Millisecond)
+			l := newLeavingTest(t)
+			s := l.site
 			l.ready, l.earlier = s.store.Get(l.key), s.store.Copy()
 			test.leave(l)
 			known := time.Now()
@@ -108,8 +119,66 @@
 			require.Zero(t, after(l.server.Arrivals(), known), "requests after the VM knew that the server leaves")
 
 			l.server.Close()
-			s.server(plain)
+			s.server(l.server.ServerConfig)
 			require.Eventually(t, func() bool { return l.v.serverState("leaving") == backend.Ready }, waitTimeout, time.Millisecond, "a new start under the same ID is another server")
 		})
 	}
 }
+
+// findingsNew is the time after which findings are no longer new.
+const findingsNew = 1100 * time.Millisecond
+
+// missFindings makes the other VM lose the messages while the finding is new.
+func (l *leavingTest) missFindings() {
+	v := l.others[0]
+	v.dropMessagesUntil.Store(int64(v.clock.now() + waitTimeout))
+	l.sayInResponse()
+	time.Sleep(findingsNew)
+	v.dropMessagesUntil.Store(0)
+}
+
+// The record of the server stays ready all the while.
+func TestVMThatWasNotThereSendsNothingToLeavingServer(t *testing.T) {
+	t.Parallel()
+	tests := map[string]func(l *leavingTest) *vm{
+		"starts later": func(l *leavingTest) *vm {
+			l.sayInResponse()
+			time.Sleep(findingsNew)
+			v := l.vm("a3")
+			require.Eventually(l.t, v.openPort, waitTimeout, time.Millisecond)
+			return v
+		},
+		"gets no messages": func(l *leavingTest) *vm {
+			l.missFindings()
+			require.Eventually(l.t, func() bool { return l.others[0].serverState("leaving") == backend.Draining }, time.Second, time.Millisecond)
+			return l.others[0]
+		},
+		"paused": func(l *leavingTest) *vm {
+			l.missFindings()
+			l.others[0].simulatePause(10 * time.Second)
+			return l.others[0]
+		},
+		"stops": func(l *leavingTest) *vm {
+			l.others[0].stop()
+			require.Eventually(l.t, func() bool { return l.v.memberCount() == 1 }, waitTimeout, 5*time.Millisecond)
+			l.sayInResponse()
+			time.Sleep(findingsNew)
+			return l.others[0]
+		},
+	}
+	for name, absent := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newLeavingTest(t, "a2")
+			v := absent(l)
+			require.Eventually(t, func() bool { return v.call(t, "GET", "/idempotent/x", "first").StatusCode == http.StatusOK }, waitTimeout, time.Millisecond)
+			for i := range 20 {
+				require.Equal(t, http.StatusOK, v.call(t, "GET", "/idempotent/x", fmt.Sprint("later-", i)).StatusCode)
+			}
+			for _, req := range l.server.Requests() {
+				require.NotEqual(t, "first", req.ID)
+				require.NotContains(t, req.ID, "later-")
+			}
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -204,7 +204,7 @@
 		return errors.Wrap(err, "opening the socket for other VMs")
 	}
 	var workTasks, leaseTasks sync.WaitGroup
-	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence} {
+	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence, r.askFindingsWhileStopping} {
 		workTasks.Go(func() { task(workCtx) })
 	}
 	for _, task := range []func(context.Context){r.maintainPresence, r.runPlacement, r.storeBlockedParts} {
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -78,6 +78,9 @@
 		}
 		retryDelay = r.cfg.StoreRetryDelay
 		r.markStoreUp()
+		if !r.current.isOpen() {
+			r.askFindings()
+		}
 		r.stateRead(pauseCount)
 		pause(ctx, r.cfg.WatchPause)
 	}
@@ -245,7 +248,7 @@
 			Bool("draining", rec.State == backend.Draining).Int("from", rec.Held.From).Int("to", rec.Held.To).Msg("backend server")
 	}
 	releasesLayers := old != nil && old.StartedMs == rec.StartedMs && !rec.Held.Contains(old.Held)
-	if r.core.Backends.Put(now, rec) {
+	if r.core.PutServer(now, rec) {
 		r.lastServerAdded = now
 		r.core.Reach.ServerAdded(now, rec.Service)
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -73,6 +73,9 @@
 			for _, v := range r.vms {
 				v.kill()
 			}
+			r.mu.Lock()
+			r.killsOfAll = append(r.killsOfAll, time.Now())
+			r.mu.Unlock()
 			for _, v := range r.vms {
 				v.start()
 			}
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -60,8 +60,7 @@
 	return fault{name: fmt.Sprintf("server %d leaves, as it says %s,", i, l), inject: func() { r.leaveAndReplace(i, l) }}
 }
 
-// leaveAndReplace makes a server leave and replaces it. It checks that a server which says so in
-// its responses gets no request later than drainBound after the first of them.
+// leaveAndReplace makes a server leave and replaces it.
 func (r *run) leaveAndReplace(i int, l leaving) {
 	r.mu.Lock()
 	s := r.servers[i]
@@ -85,11 +84,8 @@
 		rest -= recordLostAfter + recordGap
 	}
 	time.Sleep(rest)
-	if requests := s.Requests(); l.inResponses && len(requests) > before {
-		last := requests[len(requests)-1]
-		if late := last.At.Sub(requests[before].At); late > drainBound+leavingSlack {
-			r.results.addViolation("server %s got request %s %v after it first said that it leaves; %s", s.ID, last.ID, late, r.describeSender(last, s))
-		}
+	if l.inResponses {
+		r.checkNoLateRequest(s, before)
 	}
 	r.mu.Lock()
 	i = slices.Index(r.servers, s) // it may have crashed and been replaced
@@ -99,6 +95,34 @@
 	}
 }
 
+// checkNoLateRequest checks that a server gets no request later than drainBound after it first said
+// in a response that it leaves, in any of its requests but the first ones. Processes that were all
+// killed at once knew it and have forgotten it: it counts from the first response after that.
+func (r *run) checkNoLateRequest(s *standin.Server, before int) {
+	requests := s.Requests()[before:]
+	if len(requests) == 0 {
+		return
+	}
+	last := requests[len(requests)-1]
+	first := slices.IndexFunc(requests, func(req standin.Request) bool { return !req.At.Before(r.lastKillOfAll(last.At)) })
+	if late := last.At.Sub(requests[first].At); late > drainBound+leavingSlack {
+		r.results.addViolation("server %s got request %s %v after it first said that it leaves; %s", s.ID, last.ID, late, r.describeSender(last, s))
+	}
+}
+
+// lastKillOfAll returns when all VMs were last killed at once before a time, zero if never.
+func (r *run) lastKillOfAll(before time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last time.Time
+	for _, at := range r.killsOfAll {
+		if at.Before(before) {
+			last = at
+		}
+	}
+	return last
+}
+
 // removeRecord removes a server's record for good.
 func (r *run) removeRecord(s *standin.Server) {
 	r.mu.Lock()
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -50,6 +50,7 @@
 	proxies        []*proxy          // proxies[i] forwards to servers[i]
 	removedServers []string          // IDs
 	harms          []harm
+	killsOfAll     []time.Time // when all VMs were dead
 	config         []byte // the newest one
 	vms            []*vm
 	results        callerResults
