poison: a response ends only the blocks that its server's crash counted for

A request that crashes servers was let through again by one VM, and with it by all, while other VMs were cut off: two more servers crashed.

Cause: each response of a server that had been thought dead made the VM look at all blocks again, and end those for which it knew fewer than two crashes. A VM that has a block from the store, since it started later, knows none of them.

TestResponseEndsOnlyBlocksThatItConcerns failed before: [request:deadly] was unblocked.

Only blocks for which the refuted crash can have counted lose it, and end with fewer than two left.

--- a/internal/poison/requests.go
+++ b/internal/poison/requests.go
@@ -159,13 +159,22 @@
 	if !slices.ContainsFunc(g.runs, refuted) {
 		return p
 	}
+	concerned := map[Part]bool{} // blocks for which the crash counted
+	for _, r := range g.runs {
+		if b, blocked := g.blocked[r.Request]; refuted(r) && blocked && b.Crashes > 0 && r.EndedAt <= b.Since {
+			concerned[r.Request] = true
+		}
+	}
 	g.runs = slices.DeleteFunc(g.runs, refuted)
 	maps.DeleteFunc(g.respondedAt, func(_ uint32, at time.Duration) bool { return now-at > g.cfg.EvidenceTTL })
 	if len(g.respondedAt) < g.cfg.MaxRuns {
 		g.respondedAt[server] = sentAt // otherwise another VM's report may bring the run back
 	}
-	for part, b := range g.blocked {
-		if part.IsRequest() && b.Crashes > 0 && len(g.crashesWith(part)) < crashesOfLoneRequest {
+	for part := range concerned {
+		b := g.blocked[part]
+		b.Crashes-- // this VM may not know the other crashes
+		g.blocked[part] = b
+		if max(b.Crashes, len(g.crashesWith(part))) < crashesOfLoneRequest {
 			g.recordProgress(now, part, now, &p)
 		}
 	}
--- a/internal/poison/requests_test.go
+++ b/internal/poison/requests_test.go
@@ -88,6 +88,18 @@
 	require.False(t, g.Restore(second, Block{Part: "request:sound", Since: 310 * time.Millisecond, Seen: second}))
 }
 
+// A VM that started later has the block from the store, without the crashes.
+func TestResponseEndsOnlyBlocksThatItConcerns(t *testing.T) {
+	g := New(DefaultConfig())
+	require.True(t, g.Restore(0, Block{Part: "request:deadly", Crashes: 2}))
+	recordCrashes(g, cutRequest(1, 100, 200, "sound"))
+	require.Empty(t, g.RecordResponse(second, 400*time.Millisecond, 1).Unblocked)
+	require.True(t, requestBlocked(g, second, "deadly"))
+
+	recordCrashes(g, cutRequest(2, 1100, 1200, "deadly"))
+	require.Empty(t, g.RecordResponse(2*second, 1400*time.Millisecond, 2).Unblocked, "the block does not rest on this crash")
+}
+
 func TestSuspectsOfACrashFollowEachOther(t *testing.T) {
 	cfg := DefaultConfig()
 	g := New(cfg)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -51,7 +51,7 @@
 	removedServers []string          // IDs
 	harms          []harm
 	killsOfAll     []time.Time // when all VMs were dead
-	config         []byte // the newest one
+	config         []byte      // the newest one
 	vms            []*vm
 	results        callerResults
 	dir            string
