dispatch: a crash seen on a new connection needs a response over a new one to count

Cause: while a VM's new connections to all servers are cut and its open ones go on, requests that must not run twice, which always get a new connection, are cut at one server after the other, and requests that may be repeated are answered over open connections. Such an answer counted as the sign that the VM's own links are sound, so the cuts counted as crashes.

A failure on a new connection is now confirmed only by a response over a new one.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,6 +107,7 @@
 	peers           []Peer
 	peerRefusals    map[peerRefusal]time.Duration // until when
 	unconfirmed     unconfirmedFailures
+	heardOnNewConn  map[string]time.Duration // by service: last response over a new connection
 	budgets         map[string]*retry.Budget
 	vmCount         int
 	crossDomainLink linkMeter
@@ -119,7 +120,7 @@
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedUse: map[string]observedUse{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedUse: map[string]observedUse{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}, heardOnNewConn: map[string]time.Duration{}}
 }
 
 // Table returns the configuration in force, or nil.
--- a/internal/dispatch/unconfirmed.go
+++ b/internal/dispatch/unconfirmed.go
@@ -17,12 +17,14 @@
 )
 
 // unconfirmedFailure is a failure of a server that may be one of this VM's own links. It is
-// confirmed once another server of the service has responded.
+// confirmed once another server of the service has responded; if the connection was new, over a
+// new one: open connections may outlive the links that new ones need.
 type unconfirmedFailure struct {
 	key     loads.Key
 	service string
 	at      time.Duration
 	crash   bool // the server cut a run; otherwise it failed a request
+	newConn bool
 }
 
 type unconfirmedFailures []unconfirmedFailure
@@ -41,7 +43,7 @@
 	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(f unconfirmedFailure) bool {
 		switch {
 		case now-f.at > confirmTTL:
-		case !c.Reach.HeardSince(f.service, f.at):
+		case !c.Reach.HeardSince(f.service, f.at), f.newConn && c.heardOnNewConn[f.service] <= f.at:
 			return false
 		case f.crash:
 			crashed[uint32(f.key)] = true
