router: no request goes to a server that left since it was chosen

Between the choice of a server and the first byte lie the dial (up to 500 ms), a second try on another connection and pauses of the process; the check before the first byte asked for the caller, the deadline and blocks, not for the servers. A request could reach a server after the VM knew that it leaves.

The check now asks the same question as the choice, of all servers of the path, and the request is chosen again. TestRequestIsWithdrawnAfterPause covers a server that leaves or is gone; the check returned no error before.

Two other places in the same function: the header is booked after it is known that the response belongs to the request, and not from a 421, which another server at the address may have sent.

--- a/internal/router/backpressure.go
+++ b/internal/router/backpressure.go
@@ -71,20 +71,6 @@
 	})
 }
 
-// recordLeaving records that a server leaves if a header of its response says so, and passes
-// that on to the other VMs.
-func (r *Router) recordLeaving(in backend.Instance, header string) {
-	if !platform.ParseServerLeaving(header) {
-		return
-	}
-	isNew := false
-	r.locked(func() { isNew = r.core.RecordLeaving(r.clock.now(), in) })
-	if isNew {
-		r.log.Info().Str("server", string(in.ID)).Msg("backend server leaves, by its response")
-		r.sendFindingsNow()
-	}
-}
-
 // recordControlResponse records what the response to a report or an order says of the server
 // at addr. Without a limit in its header it ends none.
 func (r *Router) recordControlResponse(addr string, h *fasthttp.ResponseHeader) {
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -91,7 +91,7 @@
 	left := x.timeLeft()
 	header := platform.EncodePassedOnHeader(nil, h, len(body), platform.PassedOnHeaders{TimeLeft: left, ResumeAfter: resumeAfter, Runs: x.req.Sends})
 	opt := httpcall.Options{Deadline: time.Now().Add(left), MaxIdleTime: x.r.cfg.ConnReuseTimeout, NewConnection: !x.req.Route.Retryable(),
-		BeforeSend: func() error { return x.checkBeforeSend(left) }}
+		BeforeSend: func() error { return x.checkBeforeSend(left, ch) }}
 	x.r.metrics.passedOn.Inc()
 	call, err := x.r.backendClient.Open(ctx, ch.Target().Addr, string(h.Method()), header, body, opt)
 	if err != nil {
--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/paths"
 	"github.com/catkinstair/catkinstair/platform"
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
@@ -93,16 +95,22 @@
 	require.Zero(t, engine.Held())
 }
 
-// A request whose deadline passed while its connection was being opened, or whose header
-// states more time than is left, is not sent.
+// A request whose deadline passed while its connection was being opened, whose header states more
+// time than is left, or whose server has begun to leave, is not sent.
 func TestRequestIsWithdrawnAfterPause(t *testing.T) {
-	s := newSite(t)
-	v := s.vm("a1")
-	x := &exchange{r: v.Router, callerCtx: t.Context(), deadline: v.clock.now() + time.Second}
-	require.NoError(t, x.checkBeforeSend(time.Second))
-	require.ErrorIs(t, x.checkBeforeSend(time.Second+2*maxHeaderAge), errHeaderOutdated)
-	x.deadline = v.clock.now() - time.Millisecond
-	require.ErrorIs(t, x.checkBeforeSend(time.Second), errDeadlinePassed)
+	l := newLeavingTest(t)
+	x := &exchange{r: l.v.Router, callerCtx: t.Context(), deadline: l.v.clock.now() + time.Minute}
+	in := backend.Instance{ID: "leaving"}
+	l.v.locked(func() { in = l.v.core.Backends.Get("leaving").Instance() })
+	ch := &dispatch.Choice{Stages: []paths.Stage{{Instance: in}}}
+	require.NoError(t, x.checkBeforeSend(time.Minute, ch))
+	require.ErrorIs(t, x.checkBeforeSend(time.Minute+2*maxHeaderAge, ch), errHeaderOutdated)
+	l.sayInRecord()
+	require.ErrorIs(t, x.checkBeforeSend(time.Minute, ch), errServerLeft)
+	l.remove()
+	require.ErrorIs(t, x.checkBeforeSend(time.Minute, ch), errServerLeft, "gone")
+	x.deadline = l.v.clock.now() - time.Millisecond
+	require.ErrorIs(t, x.checkBeforeSend(time.Minute, ch), errDeadlinePassed)
 }
 
 // While the store is down, its few watchers find out when it is back. With a try of each VM
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -51,7 +51,7 @@
 	sentAt := x.r.clock.now()
 	header := platform.EncodeRequestHeader(nil, h, len(body), headers)
 	opt := httpcall.Options{Deadline: time.Now().Add(headers.TimeLeft), MaxIdleTime: x.r.cfg.ConnReuseTimeout, NewConnection: !x.req.Route.Retryable(),
-		BeforeSend: func() error { return x.checkBeforeSend(headers.TimeLeft) }}
+		BeforeSend: func() error { return x.checkBeforeSend(headers.TimeLeft, ch) }}
 	target := ch.Target()
 	call, err := x.r.backendClient.Open(ctx, target.Addr, string(h.Method()), header, body, opt)
 	if httpcall.KindOf(err) == httpcall.KindWithdrawn {
@@ -69,13 +69,16 @@
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		x.r.recordPause(target.Instance, resp.Header.Get(platform.HeaderRetryAfter))
 	}
-	x.r.recordLeaving(target.Instance, resp.Header.Get(platform.HeaderServerLeaving))
 	if id := resp.Header.Get(platform.HeaderRequestID); id != "" && id != x.req.ID {
 		// The response belongs to an earlier request on this connection.
 		call.DisableReuse()
 		call.Close()
 		return sendResult{choice: ch, err: errResponseMismatch, outcome: verdict.MayHaveRun}
 	}
+	if resp.StatusCode != platform.StatusWrongServer { // which may come from another server
+		x.r.reportSentToLeaving(x.req.ID, target.Instance, sentAt)
+		x.r.recordLeaving(target.Instance, resp.Header.Get(platform.HeaderServerLeaving))
+	}
 	if addr := resp.Header.Get(platform.HeaderFailedServer); addr != "" {
 		x.r.suspect(addr, detector.Refusal)
 	}
@@ -93,11 +96,15 @@
 // time left, and its first byte.
 const maxHeaderAge = 400 * time.Millisecond
 
-var errHeaderOutdated = errors.New("the time left has changed since the header was encoded")
+var (
+	errHeaderOutdated = errors.New("the time left has changed since the header was encoded")
+	errServerLeft     = errors.New("a server of the path leaves or is gone since it was chosen")
+)
 
-// checkBeforeSend returns an error if the request must not be sent any more: the process may
-// have been paused since its header was encoded with the given time left.
-func (x *exchange) checkBeforeSend(stated time.Duration) error {
+// checkBeforeSend returns an error if the request must not be sent any more: connecting may have
+// taken a while, and the process may have been paused, since the servers were chosen and the
+// header was encoded with the given time left.
+func (x *exchange) checkBeforeSend(stated time.Duration, ch *dispatch.Choice) error {
 	left := x.timeLeft()
 	switch {
 	case x.callerGone():
@@ -108,6 +115,8 @@
 		return errHeaderOutdated
 	case x.blocked():
 		return errBlocked
+	case x.r.hasLeft(ch):
+		return errServerLeft
 	}
 	return nil
 }
