router: a VM that passes another VM's response on learns that its server leaves

A VM that is cut off from the servers passes requests to another VM and passes the responses on, with Server-Leaving in them, and did not read it. If it missed the other VM's finding too, it sent requests to that server once its links were back: later than drainMs after it had passed the response on.

Found by reading. The new case of TestVMThatWasNotThereSendsNothingToLeavingServer fails without the change: the VM has passed on a response that says so, and knows the server as ready.

A VM names the incarnation that responded in its responses to other VMs (Catkin-Served-By); it is not passed on to callers. VMs of builds before do not name it; then the finding is all there is.

--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -28,7 +28,7 @@
 	s := newSite(t)
 	l := &leavingTest{site: s, v: s.vm("a1"), key: platform.ServersPrefix + "leaving"}
 	for _, name := range others {
-		l.others = append(l.others, s.vmWith(name, func(cfg *Config) { cfg.ListenAfterStop = 3 * time.Second }))
+		l.others = append(l.others, s.vmWith(name, func(cfg *Config) { cfg.ListenAfterStop, cfg.BindOutgoing = 3*time.Second, true }))
 	}
 	s.configure(7)
 	l.server = s.server(standin.ServerConfig{ID: "leaving", Service: "wuno96b", Domain: "bergen-a"})
@@ -158,6 +158,20 @@
 			l.others[0].simulatePause(10 * time.Second)
 			return l.others[0]
 		},
+		"passes the response of another VM on": func(l *leavingTest) *vm {
+			v := l.others[0]
+			v.dropMessagesUntil.Store(int64(v.clock.now() + time.Minute))
+			l.setLink(v, standin.LinkReset)
+			l.server.Leave()
+			require.Eventually(l.t, func() bool {
+				resp := v.call(l.t, "GET", "/idempotent/x", fmt.Sprint("passed-", time.Now().UnixNano()))
+				require.Empty(l.t, resp.Header.Get(platform.HeaderServedBy), "it is for VMs only")
+				return resp.Header.Get(platform.HeaderServerLeaving) != ""
+			}, waitTimeout, time.Millisecond)
+			require.Equal(l.t, backend.Draining, v.serverState("leaving"))
+			l.setLink(v, standin.LinkUp)
+			return v
+		},
 		"stops": func(l *leavingTest) *vm {
 			l.others[0].stop()
 			require.Eventually(l.t, func() bool { return l.v.memberCount() == 1 }, waitTimeout, 5*time.Millisecond)
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -98,6 +98,9 @@
 		return sendResult{choice: ch, err: err, cancelled: ctx.Err() != nil, outcome: httpcall.SentOf(err).Verdict()}
 	}
 	s := sendResult{choice: ch, call: call, outcome: verdict.Ran}
+	if in, ok := platform.ParseServedBy(call.Response.Header.Get(platform.HeaderServedBy)); ok {
+		x.r.recordLeaving(in, call.Response.Header.Get(platform.HeaderServerLeaving))
+	}
 	if call.Response.Header.Get(platform.HeaderSignature) != "" || call.Response.StatusCode < fasthttp.StatusBadRequest {
 		return s
 	}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -94,7 +94,7 @@
 	}
 	s.call.Close()
 	x.recordSuccess(s.choice)
-	x.copyHeader(resp)
+	x.copyHeader(resp, s.choice)
 	x.ctx.Response.SetBodyRaw(body)
 	x.r.metrics.served.Inc()
 	x.r.metrics.plainDuration.UpdateDuration(x.receivedAt)
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -295,8 +295,9 @@
 	x.releaseHeld(ch)
 }
 
-// copyHeader copies the status and headers of a backend server's response to the caller's.
-func (x *exchange) copyHeader(resp *http.Response) {
+// copyHeader copies the status and headers of a backend server's response to the caller's. A VM
+// that passed the request on is told which server it was.
+func (x *exchange) copyHeader(resp *http.Response, ch *dispatch.Choice) {
 	out := &x.ctx.Response
 	out.SetStatusCode(resp.StatusCode)
 	for key, values := range resp.Header {
@@ -307,4 +308,7 @@
 			out.Header.Add(key, v)
 		}
 	}
+	if x.req.FromPeer {
+		out.Header.Set(platform.HeaderServedBy, platform.EncodeServedBy(ch.Target().Instance))
+	}
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -75,7 +75,7 @@
 		return
 	}
 	resp := st.result.call.Response
-	x.copyHeader(resp)
+	x.copyHeader(resp, st.choice())
 	x.r.metrics.firstEventDelay.UpdateDuration(x.receivedAt)
 	x.ctx.Response.SetBodyStream(st, -1)
 }
