router: messages of lost servers name the sender's feature level

Cause: the detector's messages of lost servers were encoded in a place of their own, without the feature level, and a missing level was taken for level 0, with an empty build.

One function encodes all messages to other VMs. A message that names no level says nothing, unless it holds the VM's own work, which has named it since there are levels: still sends the others. A build or level out of bounds is counted and ignored. Two log lines had the key vm twice.

--- a/internal/router/askfindings.go
+++ b/internal/router/askfindings.go
@@ -9,11 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
-	"github.com/catkinstair/catkinstair/internal/featurelevel"
 	"github.com/catkinstair/catkinstair/internal/loads"
 )
 
@@ -34,8 +32,7 @@
 func (r *Router) handleFindings(ctx *fasthttp.RequestCtx) {
 	var m loads.Message
 	r.locked(func() { m = r.core.KnownFindings(r.clock.now()) })
-	m.FeatureLevel = featurelevel.Current
-	body, err := cbor.Marshal(m)
+	body, err := encodeMessage(m)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
--- a/internal/router/builds.go
+++ b/internal/router/builds.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"unicode"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
@@ -19,6 +20,9 @@
 // maxBuildBytes bounds the name of a build in another VM's message; obs.Version is shorter.
 const maxBuildBytes = 128
 
+// maxFeatureLevel bounds the feature level in another VM's message.
+const maxFeatureLevel = 1 << 16
+
 // registerBuildInfo registers the metric whose label names the build.
 func registerBuildInfo() {
 	metrics.GetOrCreateGauge(fmt.Sprintf("catkin_router_build_info{build=%q}", obs.Version()), func() float64 { return 1 })
@@ -50,16 +54,29 @@
 	ctx.SetBody(body)
 }
 
-// noteBuild takes over the feature level of a message's sender, and its build if the message
-// names it. They differ from those in the VM's record after the VM was replaced while the store
-// is down. The caller holds mu.
+// noteBuild takes over what a message says of its sender's build. That differs from the VM's record
+// after the VM was replaced while the store is down. Only messages with a VM's own work name the
+// build; a level that differs makes the build unknown. Of other messages some builds leave the level
+// out, so those that name none say nothing. The caller holds mu.
 func (r *Router) noteBuild(m loads.Message) {
+	if !validBuild(m) {
+		r.metrics.invalidMessages.Inc()
+		r.log.Warn().Str("from", m.From).Int("featureLevel", m.FeatureLevel).Int("bytes", len(m.Build)).Msg("loads: invalid build or feature level, ignored")
+		return
+	}
 	known, ok := r.members[m.From]
-	sameBuild := m.Build == "" || m.Build == known.Build
-	if !ok || len(m.Build) > maxBuildBytes || (sameBuild && known.FeatureLevel == m.FeatureLevel) {
+	if saysNothing := m.FeatureLevel == 0 && m.Scope != loads.ScopeVM; !ok || saysNothing {
 		return
 	}
-	r.log.Info().Str("vm", m.From).Str("was", known.Build).Str("build", m.Build).Int("featureLevel", m.FeatureLevel).Msg("VM runs another build than its record says")
+	if m.FeatureLevel == known.FeatureLevel && (m.Build == "" || m.Build == known.Build) {
+		return
+	}
+	r.log.Info().Str("of", m.From).Str("was", known.Build).Str("build", m.Build).Int("featureLevel", m.FeatureLevel).Msg("VM runs another build than its record says")
 	known.Build, known.FeatureLevel = m.Build, m.FeatureLevel
 	r.members[m.From] = known
 }
+
+// validBuild reports whether the build and the feature level of a message are within bounds.
+func validBuild(m loads.Message) bool {
+	return m.FeatureLevel >= 0 && m.FeatureLevel <= maxFeatureLevel && len(m.Build) <= maxBuildBytes && !strings.ContainsFunc(m.Build, unicode.IsControl)
+}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -244,13 +244,19 @@
 	}
 }
 
+// encodeMessage encodes a message to other VMs. It names the sender's feature level, and its build
+// if it holds the work of one VM: those of aggregators go to dozens of VMs.
+func encodeMessage(m loads.Message) ([]byte, error) {
+	m.FeatureLevel = featurelevel.Current
+	if m.Scope == loads.ScopeVM {
+		m.Build = obs.Version()
+	}
+	return cbor.Marshal(m)
+}
+
 // sendMessage sends a message and returns its size in bytes.
 func (r *Router) sendMessage(s loads.Send) int {
-	s.Message.FeatureLevel = featurelevel.Current
-	if s.Message.Scope == loads.ScopeVM { // those of aggregators go to dozens of VMs
-		s.Message.Build = obs.Version()
-	}
-	body, err := cbor.Marshal(s.Message)
+	body, err := encodeMessage(s.Message)
 	if err == nil && len(body) > maxDatagram {
 		r.log.Warn().Int("bytes", len(body)).Msg("loads: message exceeds the size of a datagram")
 		return 0
--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -51,7 +51,7 @@
 		r.log.Info().Str("store", loaded.Store.Addr).Msg("settings: address of the store changed")
 	}
 	if loaded.VM != current.VM || loaded.Domain != current.Domain || loaded.Listen != current.Listen {
-		r.log.Warn().Str("vm", loaded.VM).Str("domain", loaded.Domain).Interface("listen", loaded.Listen).
+		r.log.Warn().Str("loadedVM", loaded.VM).Str("domain", loaded.Domain).Interface("listen", loaded.Listen).
 			Msg("settings: changed names and listen addresses take effect at the next start")
 	}
 	return *loaded
--- a/internal/router/verdicts.go
+++ b/internal/router/verdicts.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
@@ -106,7 +104,7 @@
 	var m loads.Message
 	var others []loads.Member
 	r.locked(func() { m, others = r.core.Loads.LostMessage(keys), r.core.Loads.Others() })
-	body, err := cbor.Marshal(m)
+	body, err := encodeMessage(m)
 	if err != nil {
 		r.log.Error().Err(err).Msg("encoding a message of lost servers failed")
 		return
