--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -22,8 +22,8 @@
 	// MinSlowdownRequestInterval is the minimum time between two requests for a
 	// server's slowdown factor; each request is charged. Default 2 s.
 	MinSlowdownRequestInterval time.Duration
-	// FindingTTL is how long another VM's finding that a server leaves is believed. Default
-	// 30 s.
+	// FindingTTL is how long another VM's finding that a server leaves is believed, as
+	// loads.Config.LeavingKeepFor. Default 30 s.
 	FindingTTL time.Duration
 	// WithdrawRecords and WithdrawAfter are how many newer records have to say ready, and for
 	// how long, until a record that said draining does not count any more. Defaults 3 and 10 s.
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -164,7 +164,7 @@
 // KnownFindings returns a message with all that this VM found or was told, for a VM that was not
 // there.
 func (c *Core) KnownFindings(now time.Duration) loads.Message {
-	m := c.Loads.Findings(now)
+	m := c.Loads.AllFindings(now)
 	m.Poison, m.Limits, m.CutOff = c.Poison.Update(now), c.Backpressure.Update(now), c.peerLinks.Share(now, c.cfg.VM, c.Reach)
 	return m
 }
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -237,8 +237,8 @@
 	return c.fromAggregator(m, m)
 }
 
-// Findings returns a message with all findings, for a VM that asks for them.
-func (c *Core) Findings(now time.Duration) Message {
+// AllFindings returns a message with all findings, for a VM that asks for them.
+func (c *Core) AllFindings(now time.Duration) Message {
 	c.seq++
 	return c.message(now, ScopeFindings, nil)
 }
--- a/internal/router/builds_test.go
+++ b/internal/router/builds_test.go
@@ -24,7 +24,7 @@
 		"own work":        func() loads.Message { return one(sender.Tick(0, nil), 0) },
 		"findings":        func() loads.Message { return one(sender.TickFindings(0), 0) },
 		"lost servers":    func() loads.Message { return sender.LostMessage([]loads.Key{1}) },
-		"asked findings":  func() loads.Message { return sender.Findings(0) },
+		"asked findings":  func() loads.Message { return sender.AllFindings(0) },
 		"total":           func() loads.Message { return one(aggregator.Tick(0, nil), 0) },
 		"sum of a domain": func() loads.Message { return one(aggregator.Tick(0, nil), 1) },
 	}
