--- a/internal/backend/departures.go
+++ b/internal/backend/departures.go
@@ -74,9 +74,9 @@
 	return isNew
 }
 
-// readyRecord records that a record says ready. A server does not come back from leaving, so this
-// is an older record that was written late, unless newer ones go on saying so: then the one that
-// said otherwise was not the server's.
+// readyRecord records that a record says ready. Leaving is final for an incarnation, so this is an
+// older record that was written late. If newer records go on saying so, the draining one was not
+// the server's.
 func (ds *departures) readyRecord(now time.Duration, r Record) {
 	d := ds.byInstance[r.Instance()]
 	if d == nil || !d.inRecord || r.Revision <= d.readyRevision {
--- a/internal/dispatch/findings.go
+++ b/internal/dispatch/findings.go
@@ -161,8 +161,8 @@
 	return true
 }
 
-// KnownFindings returns a message with all that this VM found or was told, for a VM that was not
-// there.
+// KnownFindings returns a message with all findings of this VM and of others, for a VM that missed
+// their messages.
 func (c *Core) KnownFindings(now time.Duration) loads.Message {
 	m := c.Loads.AllFindings(now)
 	m.Poison, m.Limits, m.CutOff = c.Poison.Update(now), c.Backpressure.Update(now), c.peerLinks.Share(now, c.cfg.VM, c.Reach)
--- a/internal/dispatch/leaving_sim_test.go
+++ b/internal/dispatch/leaving_sim_test.go
@@ -33,7 +33,7 @@
 	up, frozen bool
 	cut        bool // from the other VMs
 	away       time.Duration
-	told       time.Duration // when it passed on a response that says so, 0 if it has not
+	passedOnAt time.Duration // when it passed on a response that says so, 0 if it has not
 	nextTick   time.Duration
 }
 
@@ -134,12 +134,12 @@
 		return
 	}
 	switch {
-	case v.told > 0:
-		f.late = append(f.late, fmt.Sprintf("%v: %s, which passed the response on at %v", f.now, v.member.VM, v.told))
+	case v.passedOnAt > 0:
+		f.late = append(f.late, fmt.Sprintf("%v: %s, which passed the response on at %v", f.now, v.member.VM, v.passedOnAt))
 	case f.now > leavingFrom+leavingDrainBound && f.now > v.away:
 		f.late = append(f.late, fmt.Sprintf("%v: %s, which was there", f.now, v.member.VM))
 	}
-	v.told = f.now
+	v.passedOnAt = f.now
 	if v.core.RecordLeaving(f.now, ch.Target().Instance) {
 		f.send(v, v.core.TickFindings(f.now))
 	}
--- a/internal/dispatch/poison.go
+++ b/internal/dispatch/poison.go
@@ -60,7 +60,7 @@
 	if s := c.Backends.Get(in.ID); s != nil {
 		c.Reach.Heard(now, s.Service)
 		if newConn {
-			c.heardOnNewConn[s.Service] = now
+			c.respondedOnNewConn[s.Service] = now
 		}
 	}
 	result := c.confirmFailures(now)
--- a/internal/dispatch/unconfirmed.go
+++ b/internal/dispatch/unconfirmed.go
@@ -43,7 +43,7 @@
 	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(f unconfirmedFailure) bool {
 		switch {
 		case now-f.at > confirmTTL:
-		case !c.Reach.HeardSince(f.service, f.at), f.newConn && c.heardOnNewConn[f.service] <= f.at:
+		case !c.Reach.HeardSince(f.service, f.at), f.newConn && c.respondedOnNewConn[f.service] <= f.at:
 			return false
 		case f.crash:
 			crashed[uint32(f.key)] = true
--- a/internal/loads/findings.go
+++ b/internal/loads/findings.go
@@ -44,34 +44,34 @@
 	return out
 }
 
-// standingFindings are findings that stay true. They are told in each regular message until they
-// are tellFor old, so that a VM learns them that was not there when they were new, and kept for
-// keepFor. The difference keeps VMs from telling each other the same finding for ever: its time
-// grows a little with each transfer.
+// standingFindings are findings that stay true. Each regular message carries them until they are
+// shareFor old, so that a VM that missed the first message still receives them; they are kept for
+// keepFor. The difference keeps VMs from renewing each other's findings without end, as the time of
+// a finding grows by the delay of each transfer.
 type standingFindings struct {
-	tellFor, keepFor time.Duration
-	at               map[Key]time.Duration
+	shareFor, keepFor time.Duration
+	at                map[Key]time.Duration
 }
 
 func newStandingFindings(cfg Config) standingFindings {
-	return standingFindings{tellFor: cfg.LeavingTellFor, keepFor: cfg.LeavingKeepFor, at: map[Key]time.Duration{}}
+	return standingFindings{shareFor: cfg.LeavingShareFor, keepFor: cfg.LeavingKeepFor, at: map[Key]time.Duration{}}
 }
 
 // record records a finding of an age. It reports whether the finding is new, or so much newer than
-// the known one that it has to be told for longer.
+// the known one that it has to be shared for longer.
 func (f *standingFindings) record(now, age time.Duration, k Key) bool {
 	at, known := f.at[k]
-	if known && now-age < at+f.keepFor-f.tellFor {
+	if known && now-age < at+f.keepFor-f.shareFor {
 		return false
 	}
 	f.at[k] = now - age
 	return true
 }
 
-// maxToldFindings bounds the findings in a message; the newest are told.
-const maxToldFindings = 256
+// maxSharedFindings bounds the findings in a message; the oldest are left out.
+const maxSharedFindings = 256
 
-// ages returns the ages of the findings to tell that are at most maxAge old, and drops those that
+// ages returns the ages of the findings to share that are at most maxAge old, and drops those that
 // are older than keepFor.
 func (f *standingFindings) ages(now, maxAge time.Duration) map[Key]time.Duration {
 	out := map[Key]time.Duration{}
@@ -79,13 +79,13 @@
 		switch age := now - at; {
 		case age > f.keepFor:
 			delete(f.at, k)
-		case age <= min(maxAge, f.tellFor):
+		case age <= min(maxAge, f.shareFor):
 			out[k] = age
 		}
 	}
-	if len(out) > maxToldFindings {
+	if len(out) > maxSharedFindings {
 		keys := slices.SortedFunc(maps.Keys(out), func(a, b Key) int { return cmp.Compare(out[a], out[b]) })
-		for _, k := range keys[maxToldFindings:] {
+		for _, k := range keys[maxSharedFindings:] {
 			delete(out, k)
 		}
 	}
@@ -96,7 +96,7 @@
 func (f *standingFindings) receive(now time.Duration, ages map[Key]time.Duration) map[Key]time.Duration {
 	out := map[Key]time.Duration{}
 	for k, age := range ages {
-		if age >= 0 && age <= f.tellFor && f.record(now, age, k) {
+		if age >= 0 && age <= f.shareFor && f.record(now, age, k) {
 			out[k] = age
 		}
 	}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -30,9 +30,9 @@
 	MaxAge time.Duration
 	// FindingTTL is how long a finding is passed on. Default 1 s.
 	FindingTTL time.Duration
-	// LeavingTellFor is how long the finding that a server leaves is told in regular messages,
+	// LeavingShareFor is how long regular messages carry the finding that a server leaves,
 	// LeavingKeepFor how long it counts. Defaults 20 and 30 s.
-	LeavingTellFor, LeavingKeepFor time.Duration
+	LeavingShareFor, LeavingKeepFor time.Duration
 	// FindingSpacing is the least time between two messages that carry findings only. A plain
 	// request that may have crashed a server waits 40 ms for the findings of the others, which
 	// pass two VMs. Default 15 ms.
@@ -48,7 +48,7 @@
 
 // DefaultConfig returns the defaults documented on Config.
 func DefaultConfig() Config {
-	return Config{MinInterval: 100 * time.Millisecond, IntervalPerVM: 2 * time.Millisecond, MaxAge: 3 * time.Second, FindingTTL: time.Second, LeavingTellFor: 20 * time.Second, LeavingKeepFor: 30 * time.Second, FindingSpacing: 15 * time.Millisecond, FindingBytesPerSecond: 100_000, PeerGain: 1}
+	return Config{MinInterval: 100 * time.Millisecond, IntervalPerVM: 2 * time.Millisecond, MaxAge: 3 * time.Second, FindingTTL: time.Second, LeavingShareFor: 20 * time.Second, LeavingKeepFor: 30 * time.Second, FindingSpacing: 15 * time.Millisecond, FindingBytesPerSecond: 100_000, PeerGain: 1}
 }
 
 // receivedLoads holds the loads of the last message from one sender, or a sum that this VM
@@ -246,7 +246,7 @@
 // message returns a message with the given loads and the findings.
 func (c *Core) message(now time.Duration, scope Scope, loads map[Key]Load) Message {
 	return Message{From: c.self.VM, Domain: c.self.Domain, Scope: scope, Seq: c.seq, Loads: pack(loads), Lost: c.lost.fresh(now, c.cfg.FindingTTL),
-		Failing: c.failing.fresh(now, c.cfg.FindingTTL), Leaving: c.leaving.ages(now, c.cfg.LeavingTellFor), Slow: c.freshSlow(now)}
+		Failing: c.failing.fresh(now, c.cfg.FindingTTL), Leaving: c.leaving.ages(now, c.cfg.LeavingShareFor), Slow: c.freshSlow(now)}
 }
 
 // fromAggregator addresses a message to the other aggregators and one to the members of this
--- a/internal/router/askfindings.go
+++ b/internal/router/askfindings.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// findingsURI is the path under which a VM serves what it found or was told to the VMs that
-	// were not there.
+	// findingsURI is the path under which a VM serves its findings and those that it received, for
+	// VMs that missed the messages.
 	findingsURI = "/findings"
 	// askedVMs is the number of VMs that are asked: one of them may have just started as well.
 	askedVMs = 2
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -295,8 +295,8 @@
 	x.releaseHeld(ch)
 }
 
-// copyHeader copies the status and headers of a backend server's response to the caller's. A VM
-// that passed the request on is told which server it was.
+// copyHeader copies the status and headers of a backend server's response to the caller's. If
+// another VM passed the request on, the response names the server.
 func (x *exchange) copyHeader(resp *http.Response, ch *dispatch.Choice) {
 	out := &x.ctx.Response
 	out.SetStatusCode(resp.StatusCode)
