backend: a VM's work at a server outlives the server's record

After a record that was gone for a moment, a VM counted its streams in progress at that server as none, told the other VMs so, and sent it more than fits.

Work that ended later was then taken off the work of the new entry, or lost.

TestWorkOutlivesTheRecordOfItsServer failed before: no work, two streams wanted. Work at incarnations without a record is kept by incarnation until it ends, and taken over when the record is back.

--- a/internal/backend/departures_test.go
+++ b/internal/backend/departures_test.go
@@ -82,3 +82,27 @@
 	reg.Expire(now + cfg.DepartureTTL + time.Second)
 	require.Zero(t, reg.Departures())
 }
+
+func TestWorkOutlivesTheRecordOfItsServer(t *testing.T) {
+	reg := backend.New(backend.DefaultConfig())
+	r := backend.Record{ID: "a", Addr: "1", StartedMs: 5, State: backend.Ready, Revision: 1}
+	stream := backend.Work{Streams: 1, FirstStage: 1, TokenLayers: 100}
+	reg.Put(0, r)
+	for range 3 {
+		reg.AddWork(r.Instance(), stream)
+	}
+	reg.Remove(0, "a", 2, false)
+	reg.RemoveWork(r.Instance(), stream) // it ended meanwhile
+	r.Revision = 3
+	reg.Put(0, r)
+	require.Equal(t, backend.Work{Streams: 2, FirstStage: 2, TokenLayers: 200}, reg.Get("a").OwnWork)
+
+	next := r
+	next.StartedMs, next.Revision = 6, 4
+	reg.Put(0, next)
+	require.Zero(t, reg.Get("a").OwnWork, "another incarnation")
+	reg.RemoveWork(r.Instance(), stream)
+	reg.RemoveWork(r.Instance(), stream)
+	reg.Put(0, r) // as a late record would
+	require.Zero(t, reg.Get("a").OwnWork)
+}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -101,6 +101,15 @@
 	TokenLayers float64
 }
 
+func (w Work) plus(o Work) Work {
+	return Work{Streams: w.Streams + o.Streams, FirstStage: w.FirstStage + o.FirstStage, TokenLayers: w.TokenLayers + o.TokenLayers}
+}
+
+// minus returns the difference, clamped to zero because rounding errors could make it negative.
+func (w Work) minus(o Work) Work {
+	return Work{Streams: max(0, w.Streams-o.Streams), FirstStage: max(0, w.FirstStage-o.FirstStage), TokenLayers: max(0, w.TokenLayers-o.TokenLayers)}
+}
+
 // Registry holds one VM's view of all backend servers.
 type Registry struct {
 	cfg     Config
@@ -109,11 +118,13 @@
 	version uint64
 
 	departures departures
+	// unlistedWork is this VM's work in progress at incarnations without a record.
+	unlistedWork map[Instance]Work
 }
 
 // New returns an empty Registry.
 func New(cfg Config) *Registry {
-	return &Registry{cfg: cfg, servers: map[ID]*Server{}, byAddr: map[string]ID{}, departures: newDepartures(cfg)}
+	return &Registry{cfg: cfg, servers: map[ID]*Server{}, byAddr: map[string]ID{}, departures: newDepartures(cfg), unlistedWork: map[Instance]Work{}}
 }
 
 // Version increases with each change of a record.
@@ -147,7 +158,11 @@
 		reg.removeAddr(s)
 	}
 	if newIncarnation = s == nil || s.StartedMs != r.StartedMs; newIncarnation {
-		s = &Server{}
+		if s != nil {
+			reg.setUnlistedWork(s.Instance(), s.OwnWork)
+		}
+		s = &Server{OwnWork: reg.unlistedWork[r.Instance()]}
+		delete(reg.unlistedWork, r.Instance())
 		reg.servers[r.ID] = s
 	}
 	s.Record, s.recordState, s.expiresAt = r, r.State, 0
@@ -226,6 +241,7 @@
 
 func (reg *Registry) drop(s *Server) {
 	reg.version++
+	reg.setUnlistedWork(s.Instance(), s.OwnWork)
 	reg.removeAddr(s)
 	delete(reg.servers, s.ID)
 }
@@ -337,19 +353,31 @@
 	}
 }
 
-// AddWork adds work of this VM at a server; RemoveWork removes it.
+// AddWork adds work of this VM at a server; RemoveWork removes it. Work outlives the record of its
+// server, which may come back.
 func (reg *Registry) AddWork(in Instance, w Work) {
 	if s := reg.current(in); s != nil {
-		s.OwnWork = Work{Streams: s.OwnWork.Streams + w.Streams, FirstStage: s.OwnWork.FirstStage + w.FirstStage, TokenLayers: s.OwnWork.TokenLayers + w.TokenLayers}
+		s.OwnWork = s.OwnWork.plus(w)
+		return
 	}
+	reg.unlistedWork[in] = reg.unlistedWork[in].plus(w)
 }
 
-// RemoveWork removes what AddWork added. Rounding errors could make the result negative, so
-// it is clamped to zero.
+// RemoveWork removes what AddWork added.
 func (reg *Registry) RemoveWork(in Instance, w Work) {
 	if s := reg.current(in); s != nil {
-		s.OwnWork = Work{Streams: max(0, s.OwnWork.Streams-w.Streams), FirstStage: max(0, s.OwnWork.FirstStage-w.FirstStage), TokenLayers: max(0, s.OwnWork.TokenLayers-w.TokenLayers)}
+		s.OwnWork = s.OwnWork.minus(w)
+		return
+	}
+	reg.setUnlistedWork(in, reg.unlistedWork[in].minus(w))
+}
+
+func (reg *Registry) setUnlistedWork(in Instance, w Work) {
+	if w.Streams == 0 {
+		delete(reg.unlistedWork, in)
+		return
 	}
+	reg.unlistedWork[in] = w
 }
 
 // current returns the server if in is its current incarnation, otherwise nil.
