router: a 421 that names a server at fault counts as its server's response

A server that does not hold its part of the path names itself in At-Server and may say in the same response that it leaves; only a 421 without that comes from another server at the address.

--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -75,7 +75,7 @@
 		call.Close()
 		return sendResult{choice: ch, err: errResponseMismatch, outcome: verdict.MayHaveRun}
 	}
-	if resp.StatusCode != platform.StatusWrongServer { // which may come from another server
+	if wrongServer := resp.StatusCode == platform.StatusWrongServer && resp.Header.Get(platform.HeaderFailedServer) == ""; !wrongServer {
 		x.r.reportSentToLeaving(x.req.ID, target.Instance, sentAt)
 		x.r.recordLeaving(target.Instance, resp.Header.Get(platform.HeaderServerLeaving))
 	}
