Revert "dispatch: a crash seen on a new connection needs a response over a new one to count"

Requests that crash servers over new connections are confirmed too late when the others use open connections.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -92,35 +92,34 @@
 
 // Core holds the dispatch state of one VM. It is not safe for concurrent use.
 type Core struct {
-	cfg                Config
-	table              *routes.Table
-	Backends           *backend.Registry
-	Loads              *loads.Core
-	Poison             *poison.Guard
-	Reach              *reach.Core
-	peerLinks          *reach.Peers
-	Backpressure       *backpressure.Core
-	Prompts            *prefixcache.Core
-	Classes            *classes.Core
-	corrections        []classes.Correction   // of the configuration in force
-	observedUse        map[string]observedUse // by service
-	peers              []Peer
-	peerRefusals       map[peerRefusal]time.Duration // until when
-	unconfirmed        unconfirmedFailures
-	respondedOnNewConn map[string]time.Duration // by service: last response over a new connection
-	budgets            map[string]*retry.Budget
-	vmCount            int
-	crossDomainLink    linkMeter
-	loadsUnknownAt     time.Duration // last time at which the load of the other VMs was unknown
-	poisonSent         poison.Mark   // of the last messages to other VMs
-	moves              map[backend.Instance]*move
+	cfg             Config
+	table           *routes.Table
+	Backends        *backend.Registry
+	Loads           *loads.Core
+	Poison          *poison.Guard
+	Reach           *reach.Core
+	peerLinks       *reach.Peers
+	Backpressure    *backpressure.Core
+	Prompts         *prefixcache.Core
+	Classes         *classes.Core
+	corrections     []classes.Correction   // of the configuration in force
+	observedUse     map[string]observedUse // by service
+	peers           []Peer
+	peerRefusals    map[peerRefusal]time.Duration // until when
+	unconfirmed     unconfirmedFailures
+	budgets         map[string]*retry.Budget
+	vmCount         int
+	crossDomainLink linkMeter
+	loadsUnknownAt  time.Duration // last time at which the load of the other VMs was unknown
+	poisonSent      poison.Mark   // of the last messages to other VMs
+	moves           map[backend.Instance]*move
 }
 
 // New returns a Core without a configuration.
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
 	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
-		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedUse: map[string]observedUse{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}, respondedOnNewConn: map[string]time.Duration{}}
+		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedUse: map[string]observedUse{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
 }
 
 // Table returns the configuration in force, or nil.
--- a/internal/dispatch/poison.go
+++ b/internal/dispatch/poison.go
@@ -38,30 +38,27 @@
 
 // RecordCrash records that the first server of a path reset the run of r, which was sent at
 // sentAt, before its second event if it is a stream. It returns what is blocked from now on.
-// newConn is set if the connection was opened for the run. A server that is leaving ends by plan. A server that was only silent has crashed if its
+// A server that is leaving ends by plan. A server that was only silent has crashed if its
 // record is gone by now, or soon is.
-func (c *Core) RecordCrash(now, sentAt time.Duration, r *Request, in backend.Instance, newConn, silent bool) []poison.Block {
+func (c *Core) RecordCrash(now, sentAt time.Duration, r *Request, in backend.Instance, silent bool) []poison.Block {
 	s := c.Backends.Get(in.ID)
 	gone := s == nil
 	if (gone && !silent) || (!gone && s.State != backend.Ready) {
 		return nil
 	}
 	if !silent {
-		c.unconfirmed.add(unconfirmedFailure{key: LoadKey(in), service: s.Service, at: now, crash: true, newConn: newConn})
+		c.unconfirmed.add(unconfirmedFailure{key: LoadKey(in), service: s.Service, at: now, crash: true})
 	}
 	return c.Poison.RecordCrash(now, poison.CutRun{Server: uint32(LoadKey(in)), Subject: r.Subject, SentAt: sentAt, EndedAt: now, Doubtful: !gone})
 }
 
-// RecordResponse records that a server responded to a request that was sent at sentAt, over a new
-// connection or an open one, so that it has not crashed before, and that its service can be
-// reached. It returns what that changes of the blocked requests.
-func (c *Core) RecordResponse(now, sentAt time.Duration, in backend.Instance, newConn bool) poison.Result {
+// RecordResponse records that a server responded to a request that was sent at sentAt, so
+// that it has not crashed before, and that its service can be reached. It returns what that
+// changes of the blocked requests.
+func (c *Core) RecordResponse(now, sentAt time.Duration, in backend.Instance) poison.Result {
 	p := c.Poison.RecordResponse(now, sentAt, uint32(LoadKey(in)))
 	if s := c.Backends.Get(in.ID); s != nil {
 		c.Reach.Heard(now, s.Service)
-		if newConn {
-			c.respondedOnNewConn[s.Service] = now
-		}
 	}
 	result := c.confirmFailures(now)
 	result.New, result.Unblocked = result.New || p.News, p.Unblocked
--- a/internal/dispatch/unconfirmed.go
+++ b/internal/dispatch/unconfirmed.go
@@ -17,14 +17,12 @@
 )
 
 // unconfirmedFailure is a failure of a server that may be one of this VM's own links. It is
-// confirmed once another server of the service has responded; if the connection was new, over a
-// new one: open connections may outlive the links that new ones need.
+// confirmed once another server of the service has responded.
 type unconfirmedFailure struct {
 	key     loads.Key
 	service string
 	at      time.Duration
 	crash   bool // the server cut a run; otherwise it failed a request
-	newConn bool
 }
 
 type unconfirmedFailures []unconfirmedFailure
@@ -43,7 +41,7 @@
 	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(f unconfirmedFailure) bool {
 		switch {
 		case now-f.at > confirmTTL:
-		case !c.Reach.HeardSince(f.service, f.at), f.newConn && c.respondedOnNewConn[f.service] <= f.at:
+		case !c.Reach.HeardSince(f.service, f.at):
 			return false
 		case f.crash:
 			crashed[uint32(f.key)] = true
--- a/internal/dispatch/unconfirmed_test.go
+++ b/internal/dispatch/unconfirmed_test.go
@@ -37,7 +37,7 @@
 	r.Subject.Request = poison.RequestPart("popular")
 	crash := func(at time.Duration, id string) {
 		s := c.Backends.Get(backend.ID(id))
-		c.RecordCrash(at, at-10*time.Millisecond, r, s.Instance(), false, false)
+		c.RecordCrash(at, at-10*time.Millisecond, r, s.Instance(), false)
 	}
 	blocked := func(now time.Duration) bool {
 		c.ConfirmCrashes(now)
@@ -48,31 +48,10 @@
 	crash(200*time.Millisecond, "app1")
 	crash(300*time.Millisecond, "app2")
 	require.False(t, blocked(500*time.Millisecond))
-	c.RecordResponse(600*time.Millisecond, 550*time.Millisecond, c.Backends.Get("app0").Instance(), true)
+	c.RecordResponse(600*time.Millisecond, 550*time.Millisecond, c.Backends.Get("app0").Instance())
 	require.False(t, blocked(700*time.Millisecond), "the links may have been down until a moment ago")
 }
 
-// New connections of a VM are cut, and open ones go on: the servers that respond over these seem to
-// confirm each other's crashes.
-func TestCrashesOfNewConnectionsCountOnlyAfterAResponseOverANewOne(t *testing.T) {
-	c := newCore(t)
-	r := plainRequest(c, 3)
-	r.Subject.Request = poison.RequestPart("popular")
-	instance := func(id string) backend.Instance { return c.Backends.Get(backend.ID(id)).Instance() }
-	blocked := func(newConn bool) bool {
-		for i, id := range []string{"app0", "app1"} {
-			at := time.Duration(i+1) * 100 * time.Millisecond
-			c.RecordCrash(at, at-10*time.Millisecond, r, instance(id), true, false)
-			c.RecordResponse(at+20*time.Millisecond, at+10*time.Millisecond, instance("app2"), newConn)
-		}
-		c.ConfirmCrashes(time.Second)
-		_, blocked := c.Poison.Find(time.Second, r.Subject)
-		return blocked
-	}
-	require.False(t, blocked(false))
-	require.True(t, blocked(true))
-}
-
 // What the store says of a server is evidence without a response of another.
 func TestCrashesOfServersThatAreGoneCount(t *testing.T) {
 	c := newCore(t)
@@ -80,7 +59,7 @@
 	r.Subject.Request = poison.RequestPart("deadly")
 	for i, id := range []string{"app0", "app1"} {
 		at := time.Duration(i+1) * 100 * time.Millisecond
-		c.RecordCrash(at, at-10*time.Millisecond, r, c.Backends.Get(backend.ID(id)).Instance(), false, i == 0)
+		c.RecordCrash(at, at-10*time.Millisecond, r, c.Backends.Get(backend.ID(id)).Instance(), i == 0)
 	}
 	c.Backends.Remove(time.Second, "app0", 0, false)
 	c.Backends.Remove(time.Second, "app1", 0, false)
--- a/internal/router/poison.go
+++ b/internal/router/poison.go
@@ -38,9 +38,9 @@
 }
 
 // recordResponse records that a server responded to a request that was sent at sentAt.
-func (r *Router) recordResponse(in backend.Instance, sentAt time.Duration, newConn bool) {
+func (r *Router) recordResponse(in backend.Instance, sentAt time.Duration) {
 	var found poison.Result
-	r.locked(func() { found = r.core.RecordResponse(r.clock.now(), sentAt, in, newConn) })
+	r.locked(func() { found = r.core.RecordResponse(r.clock.now(), sentAt, in) })
 	r.applyBlocks(found, r.settings.VM)
 }
 
@@ -64,22 +64,11 @@
 	}
 	x.crashes++
 	var blocked []poison.Block
-	x.r.locked(func() {
-		blocked = x.r.core.RecordCrash(now, s.sentAt, &x.req, s.choice.Target().Instance, onNewConn(s), silent)
-	})
+	x.r.locked(func() { blocked = x.r.core.RecordCrash(now, s.sentAt, &x.req, s.choice.Target().Instance, silent) })
 	x.r.applyBlocks(poison.Result{New: true, Blocked: blocked}, x.r.settings.VM)
 	return true
 }
 
-// onNewConn reports whether a failed send had opened its connection.
-func onNewConn(s *sendResult) bool {
-	if s.call != nil {
-		return !s.call.Reused()
-	}
-	var e *httpcall.Error
-	return errors.As(s.err, &e) && !e.Reused
-}
-
 // isReset reports whether a send failed, some time after it began, because the server closed
 // the connection. A connection that was idle before may have been closed earlier.
 func (x *exchange) isReset(err error, after time.Duration) bool {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -62,7 +62,7 @@
 	}
 	call.SetMaxIdleConns(x.maxIdleConns)
 	s := sendResult{choice: ch, sentAt: sentAt, call: call, outcome: verdict.Ran}
-	x.r.recordResponse(target.Instance, sentAt, !call.Reused())
+	x.r.recordResponse(target.Instance, sentAt)
 	resp := call.Response
 	x.recordLoadReport(ch, resp.Header.Get(platform.HeaderLoad))
 	x.r.recordLimit(target.Instance, resp.Header.Get(platform.HeaderServerLimit))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,7 +18,6 @@
 
 // regressionSeeds are seeds that have failed; each has a comment with the cause.
 var regressionSeeds = []uint64{
-	10, // a sound request was blocked by cuts of new connections
 	12, // what was known of a leaving server ended with its record
 }
 
