--- a/review/harness/conflict.go
+++ b/review/harness/conflict.go
@@ -28,7 +28,7 @@
 			return Outcome{Status: http.StatusOK, Ran: true, Body: "reserved", Work: 20 * time.Millisecond}
 		}
 	}
-	for i := range 6 {
+	for i := range 11 {
 		if _, err := f.StartReplica(fmt.Sprintf("i-desk-%d", i+1), "ordrebok", zones[i%len(zones)], answer(i == 0)); err != nil {
 			return false, err
 		}
--- a/review/harness/stale.go
+++ b/review/harness/stale.go
@@ -75,7 +75,7 @@
 			return Outcome{Status: http.StatusOK, Ran: true, Body: "reserved", Work: 20 * time.Millisecond}
 		}
 	}
-	for i := range 6 {
+	for i := range 11 {
 		zone := zones[i%len(zones)]
 		if _, err := f.StartReplica(fmt.Sprintf("i-old-%d", i+1), "ordrebok", zone, answer(false)); err != nil {
 			return false, err
