--- a/review/harness/channels.go
+++ b/review/harness/channels.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/catkinstair/catkinstair/platform"
 )
 
 func init() { cases["channels"] = playChannels }
@@ -105,7 +107,7 @@
 		time.Sleep(333 * time.Millisecond)
 	}
 	wg.Wait()
-	status, _, rerr := get(left.Ready, "/catkinstair/ready")
+	status, _, rerr := get(left.Ready, platform.ReadyURI)
 	rec.Printf("ready on a new channel: %d %v; %.1f s passed", status, rerr, time.Since(begun).Seconds())
 	rec.Printf("of 12 consumers on new channels %d were answered", ok.Load())
 	if lines, err := os.ReadFile(f.dir + "/" + left.Name + ".log"); err == nil {
@@ -120,6 +122,6 @@
 
 // readyOnKeptChannel asks for readiness as the platform does.
 func readyOnKeptChannel(vm *VM) (bool, error) {
-	status, _, err := get(vm.Ready, "/catkinstair/ready")
+	status, _, err := get(vm.Ready, platform.ReadyURI)
 	return status == http.StatusOK, err
 }
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/catkinstair/catkinstair/platform"
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
 
@@ -164,7 +165,7 @@
 	if vm.MaxFds > 0 {
 		cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/catkin-router --metrics-port 9464", vm.MaxFds))
 	}
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LANG=C", "CATKINSTAIR_BOOT=" + vm.Settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LANG=C", platform.SettingsVariable + "=" + vm.Settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -198,11 +199,11 @@
 	for {
 		ready := 0
 		for _, vm := range f.VMs {
-			status, _, err := get(vm.Ready, "/catkinstair/ready")
+			status, _, err := get(vm.Ready, platform.ReadyURI)
 			if err != nil || status != http.StatusOK {
 				continue
 			}
-			_, body, err := get(vm.Directory, "/catkinstair/resolve?name=h&region=vestland&zone=none")
+			_, body, err := get(vm.Directory, platform.ResolveURI+"?name=h&region=vestland&zone=none")
 			var a struct{ Addresses []string }
 			if err == nil && json.Unmarshal(body, &a) == nil && len(a.Addresses) == len(f.VMs) {
 				ready++
@@ -249,7 +250,7 @@
 	value, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{"name": "team-a", "apiKeys": []string{f.key}, "priority": 1}}})
-	f.Store.Put("op/config", value)
+	f.Store.Put(platform.ConfigKey, value)
 	f.rec.Printf("manifest version %d acknowledged", version)
 }
 
@@ -312,27 +313,27 @@
 
 // ServeHTTP answers as PROTOCOL says of a replica.
 func (rep *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(platform.HeaderRequestID)
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", rep.ID)
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	w.Header().Set("X-Request-Id", id)
-	w.Header().Set("X-Server-Load", "1,0,6")
-	if e := r.Header.Get("X-Expect-Instance"); e != "" && e != rep.ID {
+	w.Header().Set(platform.HeaderRequestID, id)
+	w.Header().Set(platform.HeaderLoad, "1,0,6")
+	if e := r.Header.Get(platform.HeaderServerID); e != "" && e != rep.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if id == "" {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	o := rep.Answer(id, r)
 	rep.fleet.rec.Run(id, rep, o)
 	if !o.Ran {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(o.Status)
 		return
 	}
@@ -349,7 +350,7 @@
 		return
 	}
 	if !o.Unsigned {
-		w.Header().Set("X-Response-Signature", "sig."+rep.ID+"."+id)
+		w.Header().Set(platform.HeaderSignature, "sig."+rep.ID+"."+id)
 	}
 	w.WriteHeader(o.Status)
 	_, _ = io.WriteString(w, o.Body)
@@ -384,8 +385,8 @@
 	if method == "POST" {
 		body = "pallets=4"
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, id, wait.Milliseconds(), key, len(body), body)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, platform.HeaderRequestID, id, platform.HeaderTimeLeft, wait.Milliseconds(), key, len(body), body)
 	if _, err := io.WriteString(c, head); err != nil {
 		return Reply{Err: err}
 	}
@@ -399,7 +400,7 @@
 		return Reply{Err: err}
 	}
 	_ = c.SetDeadline(time.Time{})
-	return Reply{Status: resp.StatusCode, Signed: resp.Header.Get("X-Response-Signature") != "", Body: strings.TrimSpace(string(b))}
+	return Reply{Status: resp.StatusCode, Signed: resp.Header.Get(platform.HeaderSignature) != "", Body: strings.TrimSpace(string(b))}
 }
 
 // Recorder writes record.txt and keeps which replica ran which request.
