router: not-run takes a statement of the VM that a request was passed to

Cause: passOn inferred from the status whose a response was. Without a signature, which only a success has to have, each status below 500 and 503 counted as the other VM's refusal, so a server's 400, 404, 409 or 422 made the request go to the next VM.

Change: a VM states its verdict (Catkin-Verdict) on its own responses to requests that were passed on; Catkin-Served-By marks a server's response, which is final. Responses of earlier builds count as not run only if they are a 503 with Catkin-Refusal-Cause.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -119,11 +119,17 @@
 		ctx.Error(fasthttp.StatusMessage(status), status)
 		r.log.Info().Bytes("request", ctx.Request.Header.Peek(platform.HeaderRequestID)).Int("status", status).
 			Bytes("uri", ctx.RequestURI()).Msg("refused by the configuration")
+		if fromPeer {
+			setPeerRefusal(ctx, verdict.NotRun, verdict.CauseNotConfigured)
+		}
 		return
 	}
 	if x == nil {
 		id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
 		r.refuse(ctx, r.log.Info().Str("request", id), verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
+		if fromPeer {
+			setPeerRefusal(ctx, verdict.NotRun, verdict.CauseNoConfig)
+		}
 		return
 	}
 	x.setOrigin(fromPeer)
@@ -330,6 +336,6 @@
 	logLine := x.r.log.Info().Str("request", x.req.ID).Str("fingerprint", x.fingerprint)
 	x.r.refuse(x.ctx, x.refuseByClass(logLine, &refusal), refusal)
 	if x.req.FromPeer {
-		x.ctx.Response.Header.Set(platform.HeaderRefusalCause, string(refusal.Cause))
+		setPeerRefusal(x.ctx, refusal.Verdict, refusal.Cause)
 	}
 }
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -46,6 +47,12 @@
 	}
 	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
 	r.refuse(ctx, r.log.Info().Str("request", id), verdict.Refusal{Verdict: verdict.NotRun, Cause: cause, RetryAfter: noConfigRetryAfter, Detail: "another VM passed the request on"})
+	setPeerRefusal(ctx, verdict.NotRun, cause)
+}
+
+// setPeerRefusal sets the headers of a refusal of this VM that another VM reads.
+func setPeerRefusal(ctx *fasthttp.RequestCtx, v verdict.Verdict, cause verdict.Cause) {
+	ctx.Response.Header.Set(platform.HeaderVerdict, v.String())
 	ctx.Response.Header.Set(platform.HeaderRefusalCause, string(cause))
 }
 
@@ -84,7 +91,6 @@
 }
 
 // passOn passes the request on to another VM and classifies the response by its header.
-// Responses of backend servers are signed; without a signature, the VM itself has responded.
 func (x *exchange) passOn(ctx context.Context, ch *dispatch.Choice, resumeAfter string) sendResult {
 	h := &x.ctx.Request.Header
 	body := x.ctx.Request.Body()
@@ -97,22 +103,35 @@
 	if err != nil {
 		return sendResult{choice: ch, err: err, cancelled: ctx.Err() != nil, outcome: httpcall.SentOf(err).Verdict()}
 	}
-	s := sendResult{choice: ch, call: call, outcome: verdict.Ran}
+	s := sendResult{choice: ch, call: call, outcome: outcomeOfPassedOn(call.Response)}
 	if in, ok := platform.ParseServedBy(call.Response.Header.Get(platform.HeaderServedBy)); ok {
 		x.r.recordLeaving(in, call.Response.Header.Get(platform.HeaderServerLeaving))
 	}
-	if call.Response.Header.Get(platform.HeaderSignature) != "" || call.Response.StatusCode < fasthttp.StatusBadRequest {
-		return s
-	}
-	s.outcome = verdict.MayHaveRun
-	if status := call.Response.StatusCode; status < fasthttp.StatusInternalServerError || status == fasthttp.StatusServiceUnavailable {
-		s.outcome = verdict.NotRun
+	if s.outcome != verdict.Ran {
 		s.refusedBy = verdict.Cause(call.Response.Header.Get(platform.HeaderRefusalCause))
 		s.retryAfter, _ = platform.ParseRetryAfter(call.Response.Header.Get(platform.HeaderRetryAfter)) // zero without one
 	}
 	return s
 }
 
+// outcomeOfPassedOn returns verdict.Ran for the response of a backend server, which goes to the
+// caller, and otherwise whether the request may have run. The status does not tell whose a
+// response is, so NotRun takes a statement of the VM.
+func outcomeOfPassedOn(resp *http.Response) verdict.Verdict {
+	h := resp.Header
+	if h.Get(platform.HeaderServedBy) != "" || h.Get(platform.HeaderSignature) != "" || resp.StatusCode < fasthttp.StatusBadRequest {
+		return verdict.Ran
+	}
+	stated, err := verdict.Parse(h.Get(platform.HeaderVerdict))
+	if err != nil && h.Get(platform.HeaderRefusalCause) != "" && resp.StatusCode == fasthttp.StatusServiceUnavailable {
+		stated = verdict.NotRun // a build without HeaderVerdict
+	}
+	if stated == verdict.NotRun {
+		return verdict.NotRun
+	}
+	return verdict.MayHaveRun
+}
+
 // peerUnable reports whether the failure of a send to another VM means that it can't serve other
 // requests of the service either for now.
 func peerUnable(s *sendResult) bool {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/verdict"
+	"github.com/catkinstair/catkinstair/platform"
 )
 
 var errResponseMismatch = errors.New("response belongs to another request")
@@ -79,7 +80,7 @@
 }
 
 // forwardResponse reads the response and forwards it to the caller. It returns false if
-// reading failed or the request should be retried.
+// reading failed, the request should be retried, or the response must not be forwarded.
 func (x *exchange) forwardResponse(s *sendResult) bool {
 	resp := s.call.Response
 	body, err := s.call.ReadAll(maxResponseBytes)
@@ -89,6 +90,9 @@
 		return false
 	}
 	x.recordProgress()
+	if x.misstates(resp.StatusCode) {
+		return false
+	}
 	if resp.StatusCode >= 500 && !s.choice.IsPeer() && x.req.Route.Retryable() && x.req.Sends+1 < x.req.Route.MaxAttempts && x.timeLeft() > 0 {
 		return false
 	}
@@ -102,6 +106,12 @@
 	return true
 }
 
+// misstates reports whether the status of a backend server that ran the request would tell the
+// caller that it did not run, so that the caller repeats what may run once only.
+func (x *exchange) misstates(status int) bool {
+	return !x.req.Route.Retryable() && platform.StatesNotRun(status)
+}
+
 // failRequest refuses a request whose sends have all failed, or that could not be sent. The
 // cause is changed if the caller has left or the deadline has passed.
 func (x *exchange) failRequest(refusal verdict.Refusal) {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -128,7 +128,7 @@
 	resp := st.result.call.Response
 	if st.result.outcome == verdict.NotRun || resp.StatusCode != http.StatusOK {
 		st.endRun()
-		if st.result.outcome != verdict.NotRun && st.eventCount == 0 && !x.req.Route.Retryable() {
+		if st.result.outcome != verdict.NotRun && st.eventCount == 0 && !x.req.Route.Retryable() && !x.misstates(resp.StatusCode) {
 			return st.forwardFailure()
 		}
 		return errNotServed
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -87,6 +87,7 @@
 	CauseNoCapacity      Cause = "no-room"
 	CauseLayersMissing   Cause = "layers-held-by-nobody"
 	CauseNoConfig        Cause = "no-configuration"
+	CauseNotConfigured   Cause = "not-configured"
 	CauseBadRequest      Cause = "bad-request"
 	CauseLeaving         Cause = "leaving"
 	CauseBackendLost     Cause = "backend-server-lost"
