platform, router: odd records of servers name no server

Callers saw: one record of another writer at a sound server's address, with a start far in the future, took the sound server out of use for good; records with impossible addresses or no slots cost a failed send each.

Cause: records were checked for their types only. Layers were not checked when the configuration came after the record.

--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -210,6 +210,7 @@
 		return
 	}
 	if r.core.Apply(routes.NewTable(cfg)) {
+		r.recheckServers()
 		r.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Int("teams", len(cfg.Teams)).Msg("configuration in force")
 		r.logCorrections(cfg.Version)
 	}
@@ -272,8 +273,28 @@
 	r.core.Backends.Remove(now, id, revision, storeWasAway)
 }
 
-// checkServer checks a record against the model in the configuration. The caller holds mu.
+// recheckServers drops the servers whose records the new configuration does not allow: they may
+// have been read before it. The caller holds mu.
+func (r *Router) recheckServers() {
+	for _, id := range r.core.Backends.IDs() {
+		s := r.core.Backends.Get(id)
+		if err := r.checkServer(s.Record); err != nil {
+			r.log.Warn().Err(err).Msg("backend server not used")
+			r.core.Backends.Remove(r.clock.now(), id, s.Revision, false)
+		}
+	}
+}
+
+// maxStartAhead bounds how far the start of a server may lie in the future of this VM's clock. A
+// later record of the same address would never count as a newer one.
+const maxStartAhead = time.Hour
+
+// checkServer checks a record against the time and the model in the configuration. The caller
+// holds mu.
 func (r *Router) checkServer(rec backend.Record) error {
+	if started := time.UnixMilli(rec.StartedMs); time.Until(started) > maxStartAhead {
+		return errors.Newf("record %s: born %d lies in the future (%s)", rec.ID, rec.StartedMs, started)
+	}
 	spec := r.core.Spec(rec.Service)
 	if spec == nil {
 		return nil
