router: a response on a reused connection must name its request

Callers saw: a 503, "not run", of a request that ran, after a replica wrote an earlier refusal without an ID once more on a kept connection. With an ID, the pause and the limit of the earlier refusal were recorded a second time.

Cause: send used a response's statements before it compared the ID, and took a response without one for the request's own.

Change: isOwnResponse comes first and asks for the ID on reused connections.

Result: TestRepeatedRefusalIsNotTheNextResponse failed before in both cases (503 instead of 502; still paused) and passes.

--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -60,21 +60,20 @@
 	if err != nil {
 		return sendResult{choice: ch, sentAt: sentAt, err: err, cancelled: ctx.Err() != nil, outcome: httpcall.SentOf(err).Verdict(), faultAddr: faultAddrOf(ctx, target.Addr)}
 	}
+	resp := call.Response
+	if !x.isOwnResponse(call) {
+		call.DisableReuse()
+		call.Close()
+		return sendResult{choice: ch, err: errResponseMismatch, outcome: verdict.MayHaveRun}
+	}
 	call.SetMaxIdleConns(x.maxIdleConns)
 	s := sendResult{choice: ch, sentAt: sentAt, call: call, outcome: verdict.Ran}
 	x.r.recordResponse(target.Instance, sentAt)
-	resp := call.Response
 	x.recordLoadReport(ch, resp.Header.Get(platform.HeaderLoad))
 	x.r.recordLimit(target.Instance, resp.Header.Get(platform.HeaderServerLimit))
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		x.r.recordPause(target.Instance, resp.Header.Get(platform.HeaderRetryAfter))
 	}
-	if id := resp.Header.Get(platform.HeaderRequestID); id != "" && id != x.req.ID {
-		// The response belongs to an earlier request on this connection.
-		call.DisableReuse()
-		call.Close()
-		return sendResult{choice: ch, err: errResponseMismatch, outcome: verdict.MayHaveRun}
-	}
 	if wrongServer := resp.StatusCode == platform.StatusWrongServer && resp.Header.Get(platform.HeaderFailedServer) == ""; !wrongServer {
 		x.r.reportSentToLeaving(x.req.ID, target.Instance, sentAt)
 		x.r.recordLeaving(target.Instance, resp.Header.Get(platform.HeaderServerLeaving))
@@ -92,6 +91,14 @@
 	return s
 }
 
+// isOwnResponse reports whether a response belongs to this request. An earlier one may arrive late or
+// twice on a reused connection, so a response there must name the request; nothing that another one
+// says is used.
+func (x *exchange) isOwnResponse(call *httpcall.Exchange) bool {
+	id := call.Response.Header.Get(platform.HeaderRequestID)
+	return id == x.req.ID || id == "" && !call.Reused()
+}
+
 // maxHeaderAge bounds the time between the encoding of a request's header, which states the
 // time left, and its first byte.
 const maxHeaderAge = 400 * time.Millisecond
