router, relay: a run goes on with a stream only by events that follow

Change: relay.Sequence checks that events consist of fields and that IDs increase over the runs; a run must have the first one's media type, and an unframed end takes an event of the same run. Otherwise the run has failed.

--- a/internal/router/site_test.go
+++ b/internal/router/site_test.go
@@ -53,6 +53,8 @@
 	}
 	routes = append(routes, map[string]any{"name": "many-attempts", "host": "ficu95.example", "prefix": "/many_attempts/", "kind": "idempotent",
 		"timeoutMs": 3000, "service": "wuno96b", "attempts": 4})
+	routes = append(routes, map[string]any{"name": "resumable", "host": "ficu95.example", "prefix": "/resumable/", "kind": "streaming",
+		"timeoutMs": 10000, "service": "wuno96b", "attempts": 4, "streamResume": true})
 	doc["routes"], doc["version"] = routes, version
 	text, err = json.Marshal(doc)
 	require.NoError(s.t, err)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,8 @@
 	x              *exchange
 	result         sendResult
 	splitter       relay.Splitter
+	sequence       relay.Sequence
+	mediaType      string // of the first run's response
 	lastEventID    string // of the last complete event read
 	eventCount     int
 	pending        []byte // complete events not yet read by the server
@@ -67,6 +70,7 @@
 // to the server for callers, which reads it as the response body.
 func (x *exchange) serveStream() {
 	st := &stream{x: x, lastEventID: string(x.ctx.Request.Header.Peek(platform.HeaderLastEventID))}
+	st.sequence.Resume(st.lastEventID)
 	x.r.streams.add(st)
 	if refusal := st.start(); refusal != nil {
 		x.r.streams.remove(st)
@@ -112,6 +116,8 @@
 	}
 }
 
+var errOtherContent = errors.New("response is of another type than the stream so far")
+
 var errNotServed = errors.New("backend server did not serve the request")
 
 // open sends the request once and reads up to the first event.
@@ -133,7 +139,10 @@
 		}
 		return errNotServed
 	}
-	err := st.readEvents()
+	err := st.checkContinues(resp)
+	if err == nil {
+		err = st.readEvents()
+	}
 	if err != nil {
 		if stalled := context.Cause(st.runCtx); stalled != nil {
 			err = stalled
@@ -147,6 +156,18 @@
 	return err
 }
 
+// checkContinues returns an error if a response can't go on with the stream that the caller has
+// begun to receive. The caller keeps the header of the first response.
+func (st *stream) checkContinues(resp *http.Response) error {
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	mediaType = strings.ToLower(strings.TrimSpace(mediaType))
+	if st.eventCount > 0 && mediaType != st.mediaType {
+		return errors.Wrapf(errOtherContent, "%q, not %q", mediaType, st.mediaType)
+	}
+	st.mediaType = mediaType
+	return nil
+}
+
 // beginRun starts a new run over ch.
 func (st *stream) beginRun(ch *dispatch.Choice) {
 	st.mu.Lock()
@@ -195,6 +216,9 @@
 			st.recordProgress()
 		}
 		for _, e := range events {
+			if invalid := st.sequence.Add(e); invalid != nil {
+				return invalid
+			}
 			st.pending = append(st.pending, e.Bytes...)
 			if e.ID != "" {
 				st.lastEventID = e.ID
@@ -214,7 +238,7 @@
 		case tooLong != nil:
 			return tooLong
 		case errors.Is(err, io.EOF):
-			if len(st.splitter.Incomplete()) > 0 || (st.eventCount == 0 && isUnframed(st.result.call.Response)) {
+			if len(st.splitter.Incomplete()) > 0 || (st.result.events == 0 && isUnframed(st.result.call.Response)) {
 				return io.ErrUnexpectedEOF
 			}
 			st.complete = true
