router, soak: timers are guarded against panics, the soak reads the VMs' logs

Cause: two timers ran outside the guard, so a panic in them would end the process with all its requests; none was seen. The soak did not notice a process that ended by itself or a data race.

Change: both timers are guarded. The soak fails on a panic, a fatal error, an abandoned task or a data race in a log; CATKIN_SOAK_RACE=1 builds the router with the race detector.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -104,6 +104,7 @@
 var (
 	errCallerGone     = errors.New("the caller has closed the connection")
 	errDeadlinePassed = errors.New("the deadline has passed")
+	errVMStopping     = errors.New("the VM stops before the request could end")
 )
 
 // handle serves one caller's request, which another VM may have passed on.
@@ -130,6 +131,7 @@
 		return
 	}
 	if !r.takes(x.deadline, x.req.Route.Kind == routes.Stream) {
+		x.cancel(errVMStopping)
 		r.refuseUnserved(ctx, fromPeer, x.req.ID, verdict.Refusal{Cause: verdict.CauseLeaving, RetryAfter: leavingRetryAfter})
 		return
 	}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -33,7 +33,9 @@
 			last.RetryAfter = max(last.RetryAfter, refusal.RetryAfter)
 			break
 		}
-		lateTimer := time.AfterFunc(x.lateAfter(), func() { x.recordLate(ch) })
+		lateTimer := time.AfterFunc(x.lateAfter(), func() {
+			x.r.runGuarded("late replica", x.req.ID, func() { x.recordLate(ch) })
+		})
 		s := x.send(x.callerCtx, ch, "")
 		lateTimer.Stop()
 		served := s.call != nil && s.outcome == verdict.Ran && x.forwardResponse(&s)
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -141,7 +141,9 @@
 		switch key := membersPrefix + vm; {
 		case present[key]:
 		case older:
-			time.AfterFunc(r.cfg.Leader.TTL, func() { r.dropMissingMember(vm) })
+			time.AfterFunc(r.cfg.Leader.TTL, func() {
+				r.runGuarded("store", key, func() { r.dropMissingMember(vm) })
+			})
 		default:
 			r.applyItem(platform.Item{Key: key, Removed: true})
 		}
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -119,6 +119,7 @@
 	callers.Wait()
 	p.checkLost()
 	r.checkRuns()
+	r.checkLogs()
 	t.Logf("%d cut or closed, statuses %v", len(p.requests), p.statuses)
 	t.Logf("served %.3f of %d", float64(r.results.served)/float64(max(1, r.results.requests)), r.results.requests)
 	require.Empty(t, r.results.violations)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -83,7 +83,11 @@
 		return "", err
 	}
 	file := filepath.Join(dir, "catkin-router")
-	out, err := exec.Command("go", "build", "-o", file, "../../cmd/catkin-router").CombinedOutput()
+	args := []string{"build", "-o", file}
+	if os.Getenv("CATKIN_SOAK_RACE") != "" {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args, "../../cmd/catkin-router")...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
@@ -252,7 +256,7 @@
 	log, err := os.OpenFile(filepath.Join(v.run.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(v.run.t, err)
 	cmd := exec.Command(binary)
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settingsFile, "CATKIN_BIND_OUTGOING=true")
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settingsFile, "CATKIN_BIND_OUTGOING=true", "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout, cmd.Stderr = log, log
 	require.NoError(v.run.t, startOnOneThread(cmd))
 	done := make(chan struct{})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -107,9 +108,29 @@
 		r.results.addViolation("only %.3f served after the faults", shareAfterFaults)
 	}
 	r.checkRuns()
+	r.checkLogs()
 	require.Empty(t, r.results.violations)
 }
 
+// endMarks are what a Go program writes when it ends by itself, or has a data race.
+var endMarks = []string{"panic:", "fatal error:", "WARNING: DATA RACE", "internal error: the task was abandoned"}
+
+// checkLogs checks that no process has ended by itself.
+func (r *run) checkLogs() {
+	for _, v := range r.vms {
+		text, err := os.ReadFile(filepath.Join(r.dir, v.name+".log"))
+		if err != nil {
+			r.results.addViolation("log of %s: %v", v.name, err)
+			continue
+		}
+		for _, mark := range endMarks {
+			if at := strings.Index(string(text), mark); at >= 0 {
+				r.results.addViolation("log of %s: %.1500s", v.name, text[at:])
+			}
+		}
+	}
+}
+
 // checkRuns checks the promises on how often requests run.
 func (r *run) checkRuns() {
 	for _, id := range r.results.nonIdempotent {
