shutdown: the decision of a planned stop is a core of its own

Cause: the schedule and the choice of requests stood in the router's shell.

Change: internal/shutdown holds both, with their Config; internal/router/stop.go carries them out. No other behaviour.

Result: TestTakesOnlyWhatEndsBeforeExit, purity and the router's tests of stops and passed-on requests pass.

--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -36,6 +36,7 @@
 	"internal/retry",
 	"internal/routes",
 	"internal/routing",
+	"internal/shutdown",
 	"internal/store",
 	"internal/stream",
 	"internal/verdict",
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -9,6 +9,7 @@
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/leader"
 	"github.com/catkinstair/catkinstair/internal/placement"
+	"github.com/catkinstair/catkinstair/internal/shutdown"
 )
 
 // Config holds the settings of a Router that the platform's settings file does not set.
@@ -97,15 +98,8 @@
 	// ConnReuseTimeout is how long an idle connection may be reused for a retryable
 	// request; other requests get a new connection. Default 1 s.
 	ConnReuseTimeout time.Duration
-	// ListenAfterStop is how long a stopping process still accepts connections: callers
-	// cache its address for the lifetime of the directory's response. Default 3 s.
-	ListenAfterStop time.Duration
-	// LastStreamAfterStop is how long a stopping process still takes streams on open
-	// connections; later ones are refused, since they may not end before it exits. Default 2.5 s.
-	LastStreamAfterStop time.Duration
-	// StopMargin is how long before the end of its grace period, when the platform kills
-	// it, a stopping process exits at the latest. Default 500 ms.
-	StopMargin time.Duration
+	// Shutdown holds the times of a planned stop.
+	Shutdown shutdown.Config
 	// AddressLifetime is the lifetime of the directory's responses; the platform's limit
 	// applies if it is lower. Default 2 s.
 	AddressLifetime time.Duration
@@ -133,7 +127,7 @@
 		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, StateWait: 1500 * time.Millisecond,
 		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, OwnTryInterval: 2 * time.Second, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
 		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PeerStallTimeout: 1200 * time.Millisecond, ResumeWait: 1500 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, SuspectWait: 800 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
-		ConnReuseTimeout: time.Second, ListenAfterStop: 3 * time.Second, LastStreamAfterStop: 2500 * time.Millisecond, StopMargin: 500 * time.Millisecond,
+		ConnReuseTimeout: time.Second, Shutdown: shutdown.DefaultConfig(),
 		AddressLifetime: 2 * time.Second, SettingsInterval: 5 * time.Second, LogLevel: "info", Workers: 64,
 	}
 }
--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -28,7 +28,7 @@
 	s := newSite(t)
 	l := &leavingTest{site: s, v: s.vm("a1"), key: platform.ServersPrefix + "leaving"}
 	for _, name := range others {
-		l.others = append(l.others, s.vmWith(name, func(cfg *Config) { cfg.ListenAfterStop, cfg.BindOutgoing = 3*time.Second, true }))
+		l.others = append(l.others, s.vmWith(name, func(cfg *Config) { cfg.Shutdown.ListenFor, cfg.BindOutgoing = 3*time.Second, true }))
 	}
 	s.configure(7)
 	l.server = s.server(standin.ServerConfig{ID: "leaving", Service: "wuno96b", Domain: "bergen-a"})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/catkinstair/catkinstair/internal/leader"
 	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/retry"
+	"github.com/catkinstair/catkinstair/internal/shutdown"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -88,9 +89,9 @@
 	// dropMessagesUntil is the time on clock until which load messages are dropped.
 	dropMessagesUntil atomic.Int64
 	stopping          atomic.Bool
-	shutdown          atomic.Pointer[shutdown] // nil unless the VM is stopping
-	openRequests      atomic.Int64             // requests in progress
-	passedOnRequests  atomic.Int64             // those of them that other VMs passed on
+	shutdown          atomic.Pointer[shutdown.Schedule] // nil unless the VM is stopping
+	openRequests      atomic.Int64                      // requests in progress
+	passedOnRequests  atomic.Int64                      // those of them that other VMs passed on
 }
 
 // pendingOrder is an order in progress: the layers that a server will hold, and the time
@@ -221,7 +222,7 @@
 	})
 	r.drain(callers)
 	cancelWork()
-	r.waitUntilExit(&leaving, &workTasks)
+	r.awaitTasks(&leaving, &workTasks)
 	r.closeAuxServers()
 	r.log.Info().Msg("stop: done")
 	return nil
--- a/internal/router/site_test.go
+++ b/internal/router/site_test.go
@@ -137,7 +137,7 @@
 	require.NoError(s.t, err)
 	cfg := DefaultConfig()
 	cfg.SettleTime, cfg.PlanInterval, cfg.WatchPause = 100*time.Millisecond, 20*time.Millisecond, 10*time.Millisecond
-	cfg.ListenAfterStop, cfg.LogLevel = 300*time.Millisecond, "error"
+	cfg.Shutdown.ListenFor, cfg.LogLevel = 300*time.Millisecond, "error"
 	cfg.SettingsFile, cfg.SettingsInterval = filepath.Join(s.t.TempDir(), "node.toml"), 20*time.Millisecond
 	tune(&cfg)
 	require.NoError(s.t, os.WriteFile(cfg.SettingsFile, []byte(text), 0o600))
--- a/internal/router/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -1,4 +1,4 @@
-package router
+package shutdown
 
 import (
 	"testing"
@@ -8,12 +8,11 @@
 )
 
 // Guards against requests that are taken during a planned stop and cut by the exit (LOST).
-func TestShutdownTakesOnlyWhatEndsBeforeExit(t *testing.T) {
-	cfg := DefaultConfig()
+func TestTakesOnlyWhatEndsBeforeExit(t *testing.T) {
 	const begun, grace = 100 * time.Second, 8 * time.Second
-	s := planShutdown(begun, grace, &cfg)
-	require.Less(t, s.lastStreamAt, begun+3*time.Second, "a stream that is sent later must not be cut")
-	require.Less(t, s.exitAt, begun+grace)
+	s := DefaultConfig().Plan(begun, grace)
+	require.Less(t, s.LastStreamAt, begun+3*time.Second, "a stream that is sent later must not be cut")
+	require.Less(t, s.LeaveAt, begun+grace)
 	for _, c := range []struct {
 		name     string
 		after    time.Duration // since the signal
@@ -31,6 +30,6 @@
 		{"a stream after the grace period", 7500 * time.Millisecond, time.Millisecond, true, false},
 	} {
 		now := begun + c.after
-		require.Equal(t, c.want, s.takes(now, now+c.timeLeft, c.stream), c.name)
+		require.Equal(t, c.want, s.Takes(now, now+c.timeLeft, c.stream), c.name)
 	}
 }
