--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"sync"
@@ -122,8 +123,9 @@
 // eventually waits until want holds on every VM. failure is the message if it does not.
 func (f *testFleet) eventually(within time.Duration, failure string, want func(e *fakeEntry) bool) {
 	f.t.Helper()
+	vms := maps.Clone(f.vms) // holds may still run when the test has ended and its VMs are killed
 	holds := func() bool {
-		for _, v := range f.vms {
+		for _, v := range vms {
 			if !v.entry.check(want) {
 				return false
 			}
--- a/internal/control/shell_test.go
+++ b/internal/control/shell_test.go
@@ -144,8 +144,9 @@
 	require.Eventually(t, func() bool {
 		return entry.check(func(e *fakeEntry) bool { return e.snapshot.Versions.Control == restarted.shell.cfg.Self.Incarnation })
 	}, 10*time.Second, 20*time.Millisecond, "the entry did not find its new control process")
+	other := f.vms[0].entry // the condition may still run when the test has ended and its VMs are killed
 	require.Never(t, func() bool {
-		return f.vms[0].entry.check(func(e *fakeEntry) bool {
+		return other.check(func(e *fakeEntry) bool {
 			m, ok := e.member(1)
 			return !ok || m.Instance != entry.self && m.Instance.Incarnation != 0
 		})
