--- a/internal/router/passedon_test.go
+++ b/internal/router/passedon_test.go
@@ -13,7 +13,7 @@
 	"github.com/catkinstair/catkinstair/platform/standin"
 )
 
-// Guards against requests that run again through the next VM (TWICE), or that a caller is told
+// Guards against requests that run again through the next VM (TWICE), or that callers are asked
 // to repeat (REFUSED), after a server's own failure without a signature.
 func TestFailureOfServerThroughAnotherVMIsFinal(t *testing.T) {
 	t.Parallel()
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -225,7 +225,7 @@
 	}
 }
 
-// plannedCaller keeps one connection and uses it until it is told or finds that it is closed.
+// plannedCaller keeps one connection and uses it until a response announces its close or it is closed.
 type plannedCaller struct {
 	*caller
 	planned *planned
