--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -262,6 +262,7 @@
 	done := make(chan struct{})
 	go func() {
 		_ = cmd.Wait() // returns an error after a kill
+		v.note("process ended: " + cmd.ProcessState.String())
 		log.Close()
 		close(done)
 	}()
@@ -302,10 +303,21 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.cmd != nil {
+		v.note("signal: " + s.String())
 		_ = v.cmd.Process.Signal(s) // the process may have ended
 	}
 }
 
+// note writes a line of the run itself to the VM's log, with the time in Unix ms as the VM has it.
+func (v *vm) note(message string) {
+	log, err := os.OpenFile(filepath.Join(v.run.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	defer log.Close()
+	fmt.Fprintf(log, "{\"level\":\"info\",\"program\":\"soak\",\"vm\":%q,\"time\":%d,\"message\":%q}\n", v.name, time.Now().UnixMilli(), message)
+}
+
 func (v *vm) waitExit(timeout time.Duration) bool {
 	v.mu.Lock()
 	done := v.done
