router: a silent server does not end a stream that may not run again

All processes had been without processor time for a second; the VMs took the servers, and the VM that a request had been passed on to, for lost and cancelled the runs. The streams may not be resumed, so nothing could replace what was given up.

The cause: suspicion cancelled a run without asking whether the stream may run again. Runs were cancelled for silence at four places (a server of the path lost, an event that does not end, a silent VM, this VM cut off); only the fifth, released layers, asked. All go through leaveRun now, which keeps the run if the route, its attempts, the retry budget or a block forbid another one. The run then ends with its own connection or its deadline.

--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -186,7 +186,7 @@
 		return
 	}
 	for _, st := range r.streams.silent(service, r.cfg.Dispatch.Reach.MaxSilence) {
-		st.cancelCurrentRun(st.choice().Target().Addr)
+		st.leaveRun(st.choice().Target().Addr, "this VM is cut off from the servers", st.silentFor())
 	}
 }
 
--- a/internal/router/site_test.go
+++ b/internal/router/site_test.go
@@ -55,6 +55,10 @@
 		"timeoutMs": 3000, "service": "wuno96b", "attempts": 4})
 	routes = append(routes, map[string]any{"name": "resumable", "host": "ficu95.example", "prefix": "/resumable/", "kind": "streaming",
 		"timeoutMs": 10000, "service": "wuno96b", "attempts": 4, "streamResume": true})
+	for name, resumable := range map[string]bool{"once": false, "one_attempt": true} {
+		routes = append(routes, map[string]any{"name": name, "host": "ficu95.example", "prefix": "/" + name + "/", "kind": "streaming",
+			"timeoutMs": 20000, "service": "huvo11a", "attempts": 1, "streamResume": resumable, "gapAimMs": 250, "stickySessions": true})
+	}
 	doc["routes"], doc["version"] = routes, version
 	text, err = json.Marshal(doc)
 	require.NoError(s.t, err)
@@ -168,17 +172,31 @@
 
 func (v *vm) call(t *testing.T, method, uri, id string) *http.Response {
 	t.Helper()
-	req, err := http.NewRequest(method, "http://"+v.host+":18227"+uri, nil)
+	resp, err := v.trySend(method, uri, id)
 	require.NoError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// trySend sends a request on a new connection.
+func (v *vm) trySend(method, uri, id string) (*http.Response, error) {
+	req, err := http.NewRequest(method, "http://"+v.host+":18227"+uri, nil)
+	if err != nil {
+		return nil, err
+	}
 	req.Host = "ficu95.example"
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Deadline-Ms", "20000")
 	req.Header.Set("Authorization", "Bearer "+apiKey)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
+	return client.Do(req)
+}
+
+// serves reports whether the VM knows a server of a service.
+func (v *vm) serves(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.core.Backends.ByService(service)) > 0
 }
 
 // requireCompleteStream reads events 1 to n, each once and in order, to an explicit end.
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -45,8 +45,7 @@
 	silent, partial := time.Since(st.lastRead), st.partialFor(time.Now())
 	st.mu.Unlock()
 	if partial > r.cfg.PartialEventTimeout {
-		r.log.Info().Str("request", st.x.req.ID).Str("addr", firstAddr).Dur("age", partial).Msg("run cancelled: its event does not end")
-		st.cancelCurrentRun(firstAddr)
+		st.leaveRun(firstAddr, "its event does not end", partial)
 		return limit, limit
 	}
 	if silent < limit {
@@ -74,8 +73,7 @@
 	if silent < limit {
 		return limit, limit - silent
 	}
-	st.x.r.log.Info().Str("request", st.x.req.ID).Str("addr", addr).Dur("silent", silent).Msg("run cancelled: the VM that it was passed on to is silent")
-	st.cancelCurrentRun(addr)
+	st.leaveRun(addr, "the VM that it was passed on to is silent", silent)
 	return limit, limit
 }
 
@@ -88,6 +86,37 @@
 	return now.Sub(st.partialSince)
 }
 
+// leaveRun cancels the run because of the server at faultAddr, which may be lost, if the stream may
+// run again. Otherwise it keeps its run: a server that is only silent still answers.
+func (st *stream) leaveRun(faultAddr, why string, silent time.Duration) {
+	x := st.x
+	mayRunAgain := false
+	x.r.locked(func() {
+		var fault backend.ID
+		if s := x.r.core.Backends.ByAddr(faultAddr); s != nil {
+			fault = s.ID
+		}
+		mayRunAgain = x.req.Sends+1 < maxSends && x.r.core.MayRunAgain(x.r.clock.now(), &x.req, st.choice().Target().Instance.ID, fault)
+	})
+	if !mayRunAgain {
+		st.logKeptRun(faultAddr, why, silent)
+		return
+	}
+	x.r.log.Info().Str("request", x.req.ID).Str("addr", faultAddr).Dur("silent", silent).Str("why", why).Msg("run cancelled")
+	st.cancelCurrentRun(faultAddr)
+}
+
+// logKeptRun logs once for each run that it is kept although it may be lost.
+func (st *stream) logKeptRun(faultAddr, why string, silent time.Duration) {
+	st.mu.Lock()
+	logged := st.keptRun == st.runCount
+	st.keptRun = st.runCount
+	st.mu.Unlock()
+	if !logged {
+		st.x.r.log.Info().Str("request", st.x.req.ID).Str("addr", faultAddr).Dur("silent", silent).Str("why", why).Msg("run kept: the stream may not run again")
+	}
+}
+
 // cancelCurrentRun cancels the run because of the server at faultAddr.
 func (st *stream) cancelCurrentRun(faultAddr string) {
 	st.mu.Lock()
@@ -110,7 +139,7 @@
 // the run continues. If that fails, the run is cancelled and resumed elsewhere.
 func (st *stream) moveOffLost(faultAddr string) {
 	if !st.moveOff(faultAddr, true) {
-		st.cancelCurrentRun(faultAddr)
+		st.leaveRun(faultAddr, "a server of its path is lost", st.silentFor())
 	}
 }
 
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -55,6 +55,7 @@
 	// alsoLost holds servers that were found lost during a change of the path.
 	alsoLost []string
 	runCount int  // lets a late timer detect that its run is over
+	keptRun  int  // the runCount of the last run that was kept although it may be lost
 	runEnded bool // the choice of an ended run is no longer replaced
 
 	closed bool
