shutdown, router: a stop takes what it can end, and answers what it can't

With a grace period below 3.5 s everything was cut, since the VM listened for 3 s.

Now a stream is taken during a stop only if it is expected to end before the exit (Durations: mean and deviation of the time for each expected token of the streams that ended). The schedule fits any grace period and counts from when the process ran last. At the exit all requests are given up together (one context): those without a response get 503 if they did not run, otherwise 502, and have an eighth of a second to be written.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -77,7 +77,7 @@
 	// passes while the VM is suspended.
 	deadline time.Duration
 	cancel   context.CancelCauseFunc
-	// callerCtx is cancelled when the caller closes the connection.
+	// callerCtx is cancelled when the caller closes the connection, or the VM gives the request up.
 	callerCtx    context.Context
 	worstVerdict verdict.Verdict
 	maxIdleConns int // idle connections to keep per backend server
@@ -130,7 +130,7 @@
 		r.refuseUnserved(ctx, fromPeer, id, verdict.Refusal{Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
 		return
 	}
-	if !r.takes(x.deadline, x.req.Route.Kind == routes.Stream) {
+	if !x.takes() {
 		x.cancel(errVMStopping)
 		r.refuseUnserved(ctx, fromPeer, x.req.ID, verdict.Refusal{Cause: verdict.CauseLeaving, RetryAfter: leavingRetryAfter})
 		return
@@ -262,7 +262,7 @@
 	x.req.Subject.Request = poison.RequestPart(x.fingerprint)
 	x.estimateTokens()
 	x.setClass(receivedAt)
-	x.callerCtx, x.cancel = context.WithCancelCause(context.Background())
+	x.callerCtx, x.cancel = context.WithCancelCause(r.requestsCtx)
 	return x, 0
 }
 
@@ -290,7 +290,12 @@
 
 func (x *exchange) timeLeft() time.Duration { return x.deadline - x.r.clock.now() }
 
-func (x *exchange) callerGone() bool { return x.callerCtx.Err() != nil }
+// abandoned reports whether nobody waits for the request's runs any more: its caller has left, or
+// the VM has given it up.
+func (x *exchange) abandoned() bool { return x.callerCtx.Err() != nil }
+
+// givenUp reports whether the VM has given the request up, because it stops.
+func (x *exchange) givenUp() bool { return errors.Is(context.Cause(x.callerCtx), errVMStopping) }
 
 // forwardHeaders returns the headers that the router sets for the choice's first server.
 func (x *exchange) forwardHeaders(ch *dispatch.Choice, resumeAfter string) platform.ForwardHeaders {
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -153,9 +153,9 @@
 	}
 	x.logSend(x.r.log.Info(), s, status).Msg("passing the request on failed")
 	s.discard()
-	unable := !x.callerGone() && peerUnable(s)
+	unable := !x.abandoned() && peerUnable(s)
 	x.r.locked(func() { x.r.core.RecordPeerRefused(x.r.clock.now(), &x.req, s.choice, unable) })
-	if x.callerGone() || x.timeLeft() <= 0 {
+	if x.abandoned() || x.timeLeft() <= 0 {
 		return false
 	}
 	if s.outcome == verdict.NotRun {
--- a/internal/router/pause.go
+++ b/internal/router/pause.go
@@ -20,18 +20,38 @@
 
 // pauseDetector notices that the process did not run for a while, on a clock that counts
 // the time of a suspension. It is safe for concurrent use.
-type pauseDetector struct{ lastRun atomic.Int64 }
+type pauseDetector struct {
+	lastRun atomic.Int64
+	// lagBegan and lagEnded are the last gap of lagThreshold or more.
+	lagBegan, lagEnded atomic.Int64
+}
+
+// lagThreshold is the gap between two ticks from which the process lacked processor time.
+const lagThreshold = 2 * pauseTick
 
 // observe records that the process runs at now and returns the length of the pause that
 // ended with it, zero for none. Of concurrent calls one gets the pause.
 func (d *pauseDetector) observe(now time.Duration) time.Duration {
 	last := time.Duration(d.lastRun.Swap(int64(now)))
+	if last != 0 && now-last >= lagThreshold {
+		d.lagBegan.Store(int64(last))
+		d.lagEnded.Store(int64(now))
+	}
 	if last == 0 || now-last < minPause {
 		return 0
 	}
 	return now - last
 }
 
+// lastSeen returns when the process was last known to run before now, 0 if it is not known. A gap
+// that has just ended counts: what arrived in it is handled only now.
+func (d *pauseDetector) lastSeen(now time.Duration) time.Duration {
+	if now-time.Duration(d.lagEnded.Load()) < pauseTick {
+		return time.Duration(d.lagBegan.Load())
+	}
+	return time.Duration(d.lastRun.Load())
+}
+
 // gate holds requests while the state of this VM may be outdated: before the first
 // configuration, and after a pause until the store was read again.
 type gate struct {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -88,7 +88,7 @@
 	body, err := s.call.ReadAll(maxResponseBytes)
 	if err != nil {
 		s.call.Close()
-		s.call, s.err, s.outcome, s.cancelled = nil, err, verdict.MayHaveRun, x.callerGone()
+		s.call, s.err, s.outcome, s.cancelled = nil, err, verdict.MayHaveRun, x.abandoned()
 		return false
 	}
 	x.recordProgress()
@@ -117,13 +117,15 @@
 // failRequest refuses a request whose sends have all failed, or that could not be sent. The
 // cause is changed if the caller has left or the deadline has passed.
 func (x *exchange) failRequest(refusal verdict.Refusal) {
-	if x.callerGone() {
+	switch {
+	case x.timeLeft() <= 0:
+		refusal.Cause = verdict.CauseDeadline
+	case x.givenUp():
+		refusal.Cause, refusal.RetryAfter = verdict.CauseLeaving, leavingRetryAfter
+	case x.abandoned():
 		x.r.log.Info().Str("request", x.req.ID).Dur("after", time.Since(x.receivedAt)).Msg("caller left")
 		x.ctx.SetConnectionClose()
 		refusal.Cause = verdict.CauseCallerGone
 	}
-	if x.timeLeft() <= 0 {
-		refusal.Cause = verdict.CauseDeadline
-	}
 	x.refuseRequest(refusal)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,9 @@
 	// last; guarded by mu.
 	turnUntil time.Duration
 
+	// streamDurations estimates how long a stream will last; guarded by mu.
+	streamDurations shutdown.Durations
+
 	waitQueue    *dispatch.WaitQueue
 	streams      *streamTable
 	reportCache  *reportCache
@@ -90,6 +93,8 @@
 	dropMessagesUntil atomic.Int64
 	stopping          atomic.Bool
 	shutdown          atomic.Pointer[shutdown.Schedule] // nil unless the VM is stopping
+	requestsCtx       context.Context                   // of all requests
+	cancelRequests    context.CancelCauseFunc           // gives all requests up
 	openRequests      atomic.Int64                      // requests in progress
 	passedOnRequests  atomic.Int64                      // those of them that other VMs passed on
 }
@@ -142,6 +147,7 @@
 		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1),
 		current: newGate(),
 	}
+	r.requestsCtx, r.cancelRequests = context.WithCancelCause(context.Background())
 	r.detector = newFailureDetector(cfg.Detector, settings.VM, cfg.Dispatch.Incarnation)
 	r.detector.dial = r.dialServer
 	r.bounds.Store(&settings.Bounds)
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -114,8 +114,8 @@
 func (x *exchange) checkBeforeSend(stated time.Duration, ch *dispatch.Choice) error {
 	left := x.timeLeft()
 	switch {
-	case x.callerGone():
-		return errCallerGone
+	case x.abandoned():
+		return context.Cause(x.callerCtx)
 	case left <= 0:
 		return errDeadlinePassed
 	case stated-left > maxHeaderAge:
@@ -209,7 +209,7 @@
 	if s.outcome != verdict.NotRun {
 		x.worstVerdict = verdict.Worse(x.worstVerdict, s.outcome)
 	}
-	if x.callerGone() || x.timeLeft() <= 0 {
+	if x.abandoned() || x.timeLeft() <= 0 {
 		return false
 	}
 	if s.outcome != verdict.NotRun && !x.req.Route.Retryable() {
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -7,16 +7,34 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinstair/catkinstair/internal/routes"
+	"github.com/catkinstair/catkinstair/internal/shutdown"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
 
-// leavingRetryAfter is sent as Retry-After by a VM that stops: the others can serve at once.
-const leavingRetryAfter = 50 * time.Millisecond
+const (
+	// leavingRetryAfter is sent as Retry-After by a VM that stops: the others can serve at once.
+	leavingRetryAfter = 50 * time.Millisecond
+	// maxSignalDelay bounds the time for which a signal counts as sent before it was handled.
+	maxSignalDelay = time.Second
+	// minAuxShutdown lets a response that is being written end.
+	minAuxShutdown = 20 * time.Millisecond
+)
 
 // takes reports whether the VM, if it is stopping, still serves a request that arrives now.
-func (r *Router) takes(deadline time.Duration, stream bool) bool {
-	s := r.shutdown.Load()
-	return s == nil || s.Takes(r.clock.now(), deadline, stream)
+func (x *exchange) takes() bool {
+	s := x.r.shutdown.Load()
+	if s == nil {
+		return true
+	}
+	a := shutdown.Arrival{Deadline: x.deadline, Stream: x.req.Route.Kind == routes.Stream}
+	x.r.locked(func() { a.Duration = x.r.streamDurations.Estimate(x.req.AnswerTokens) })
+	return s.Takes(x.r.clock.now(), a)
+}
+
+// recordDuration records a complete stream for the estimates of a stop.
+func (x *exchange) recordDuration() {
+	x.r.locked(func() { x.r.streamDurations.Record(time.Since(x.receivedAt), x.req.AnswerTokens) })
 }
 
 // refuseUnserved refuses a request before any attempt to serve it.
@@ -28,24 +46,30 @@
 	}
 }
 
-// beginShutdown sets the schedule and takes the VM out of the directory.
+// beginShutdown sets the schedule and takes the VM out of the directory. The platform may have sent
+// the signal at any time since the process ran last.
 func (r *Router) beginShutdown() {
-	s := r.cfg.Shutdown.Plan(r.clock.now(), r.bounds.Load().Grace)
+	now := r.clock.now()
+	begun := max(r.pauses.lastSeen(now), now-maxSignalDelay)
+	s := r.cfg.Shutdown.Plan(begun, r.bounds.Load().Grace)
 	r.shutdown.Store(&s)
 	r.stopping.Store(true)
 	r.locked(r.setReached)
-	r.log.Info().Int64("requests", r.openRequests.Load()).Msg("stop: leaving the directory")
+	r.log.Info().Int64("requests", r.openRequests.Load()).Dur("sinceLastRun", now-begun).Dur("exitIn", s.ExitAt-now).Msg("stop: leaving the directory")
 }
 
 // drain accepts connections while callers may have the address cached, and returns when the
-// last request has ended, or at Schedule.ExitAt.
+// last request has ended. Those in progress at Schedule.ExitAt are given up, and their responses
+// are written until Schedule.LeaveAt.
 func (r *Router) drain(callers *fasthttp.Server) {
 	s := r.shutdown.Load()
 	time.Sleep(s.CloseAt - r.clock.now())
-	ctx, cancel := context.WithTimeout(context.Background(), s.ExitAt-r.clock.now())
+	ctx, cancel := context.WithTimeout(context.Background(), s.LeaveAt-r.clock.now())
 	defer cancel()
+	giveUp := time.AfterFunc(s.ExitAt-r.clock.now(), r.giveUpRequests)
+	defer giveUp.Stop()
 	if err := callers.ShutdownWithContext(ctx); err != nil {
-		r.log.Warn().Err(err).Int64("requests", r.openRequests.Load()).Msg("stop: grace period exceeded")
+		r.log.Warn().Err(err).Int64("requests", r.openRequests.Load()).Msg("stop: requests are cut by the exit")
 		return
 	}
 	for r.openRequests.Load() > 0 && ctx.Err() == nil {
@@ -53,10 +77,18 @@
 	}
 }
 
-// closeAuxServers shuts down the other servers, for half of the margin at most: clients of theirs
-// that wait for a response must not keep the process until the platform kills it.
+// giveUpRequests ends the requests in progress. One without a response gets it now; a stream that
+// has begun ends with its connection, so that its caller can resume it elsewhere.
+func (r *Router) giveUpRequests() {
+	r.log.Warn().Int64("requests", r.openRequests.Load()).Msg("stop: grace period exceeded")
+	r.cancelRequests(errVMStopping)
+}
+
+// closeAuxServers shuts down the other servers, until Schedule.GoneAt or for minAuxShutdown: clients
+// of theirs that wait for a response must not keep the process until the platform kills it.
 func (r *Router) closeAuxServers() {
-	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Shutdown.Margin/2)
+	within := min(r.cfg.Shutdown.Margin/2, r.shutdown.Load().GoneAt-r.clock.now())
+	ctx, cancel := context.WithTimeout(context.Background(), max(within, minAuxShutdown))
 	defer cancel()
 	var shutdowns sync.WaitGroup
 	for _, s := range r.auxServers {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -368,6 +368,7 @@
 			x.recordProgress()
 		}
 		if st.complete {
+			x.recordDuration()
 			x.recordSuccess(st.result.choice)
 			x.r.metrics.served.Inc()
 		} else {
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -22,7 +22,7 @@
 	start := time.Now()
 	deadline := start.Add(min(x.r.cfg.SuspectWait, x.timeLeft()))
 	for !x.beginTurn() {
-		if x.callerGone() || time.Now().After(deadline) {
+		if x.abandoned() || time.Now().After(deadline) {
 			return &verdict.Refusal{Verdict: verdict.NotRun, Cause: verdict.CauseRequestSuspect, RetryAfter: suspectRetryAfter,
 				Detail: "requests that may crash backend servers are sent one at a time"}
 		}
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -13,7 +13,7 @@
 	// end before the exit. Default 2.5 s.
 	TakeStreamsFor time.Duration
 	// Margin is how long before the end of its grace period, when the platform kills it, the
-	// process exits at the latest. Default 500 ms.
+	// process gives up what is still in progress. Default 500 ms, at most a quarter of the period.
 	Margin time.Duration
 }
 
@@ -28,26 +28,45 @@
 	LastStreamAt time.Duration
 	// CloseAt is when the VM stops listening and closes idle connections.
 	CloseAt time.Duration
-	// ExitAt is when requests that are still in progress are cut.
+	// ExitAt is when requests that are still in progress are given up: each that has no response
+	// yet gets its final one.
 	ExitAt time.Duration
-	// LeaveAt is when calls that are still in progress are abandoned.
+	// LeaveAt is when these responses must have been written.
 	LeaveAt time.Duration
+	// GoneAt is when the process ends at the latest.
+	GoneAt time.Duration
 }
 
-// Plan returns the schedule of a stop that begins now, within a grace period.
-func (c Config) Plan(now, grace time.Duration) Schedule {
-	exitAt := now + grace - c.Margin
-	return Schedule{LastStreamAt: now + c.TakeStreamsFor, CloseAt: now + c.ListenFor, ExitAt: exitAt, LeaveAt: exitAt + c.Margin/4}
+// Plan returns the schedule of a stop that the platform began at a time, within a grace period. In
+// a short grace period, the VM listens for half of the time until its exit.
+func (c Config) Plan(begun, grace time.Duration) Schedule {
+	margin := min(c.Margin, grace/4)
+	serveFor := grace - margin
+	listenFor := min(c.ListenFor, serveFor/2)
+	exitAt := begun + serveFor
+	return Schedule{
+		LastStreamAt: begun + min(c.TakeStreamsFor, listenFor), CloseAt: begun + listenFor,
+		ExitAt: exitAt, LeaveAt: exitAt + margin/4, GoneAt: exitAt + margin*3/4,
+	}
+}
+
+// Arrival is a request that arrives on an open connection during a stop.
+type Arrival struct {
+	// Deadline is the end of its time budget, on the VM's clock.
+	Deadline time.Duration
+	Stream   bool
+	// Duration is how long the stream is expected to last, 0 for unknown.
+	Duration time.Duration
 }
 
-// Takes reports whether a request that arrives now on an open connection is served.
-func (s Schedule) Takes(now, deadline time.Duration, stream bool) bool {
+// Takes reports whether a request that arrives now is served.
+func (s Schedule) Takes(now time.Duration, a Arrival) bool {
 	switch {
 	case now >= s.ExitAt:
 		return false
-	case stream:
-		return now < s.LastStreamAt
+	case a.Stream:
+		return now < s.LastStreamAt && now+a.Duration <= s.ExitAt
 	default:
-		return now < s.CloseAt || deadline <= s.ExitAt
+		return now < s.CloseAt || a.Deadline <= s.ExitAt
 	}
 }
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -1,6 +1,7 @@
 package shutdown
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -30,6 +31,63 @@
 		{"a stream after the grace period", 7500 * time.Millisecond, time.Millisecond, true, false},
 	} {
 		now := begun + c.after
-		require.Equal(t, c.want, s.Takes(now, now+c.timeLeft, c.stream), c.name)
+		require.Equal(t, c.want, s.Takes(now, Arrival{Deadline: now + c.timeLeft, Stream: c.stream}), c.name)
 	}
 }
+
+// Guards against streams that are taken although they last longer than the VM (LOST).
+func TestSlowStreamIsNotTakenDuringStop(t *testing.T) {
+	const begun, grace, tokens = 100 * time.Second, 8 * time.Second, 250
+	s := DefaultConfig().Plan(begun, grace)
+	for _, c := range []struct {
+		lasts, after time.Duration
+		want         bool
+	}{
+		{4 * time.Second, 0, true},
+		{4 * time.Second, 2400 * time.Millisecond, true},
+		{6 * time.Second, time.Second, true},
+		{6 * time.Second, 2 * time.Second, false},
+		{10 * time.Second, 0, false},
+	} {
+		var d Durations
+		require.Zero(t, d.Estimate(tokens), "nothing is known")
+		for range 100 {
+			d.Record(c.lasts, tokens)
+		}
+		now := begun + c.after
+		require.Equal(t, c.want, s.Takes(now, Arrival{Deadline: now + time.Minute, Stream: true, Duration: d.Estimate(tokens)}), "%v, %v after the signal", c.lasts, c.after)
+	}
+}
+
+// Guards against a stop that ends after a short grace period, in which everything is cut (LOST).
+func TestStopEndsWithinAnyGracePeriod(t *testing.T) {
+	const begun = 100 * time.Second
+	for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 8 * time.Second, 30 * time.Second} {
+		s := DefaultConfig().Plan(begun, grace)
+		require.Greater(t, s.LastStreamAt, begun, grace)
+		require.LessOrEqual(t, s.LastStreamAt, s.CloseAt, grace)
+		require.Less(t, s.CloseAt, s.ExitAt, grace)
+		require.Less(t, s.ExitAt, s.LeaveAt, grace)
+		require.Less(t, s.LeaveAt, s.GoneAt, grace)
+		require.Less(t, s.GoneAt, begun+grace, grace)
+	}
+}
+
+func TestEstimateCoversMostStreams(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var d Durations
+	covered := 0
+	const streams = 2000
+	for range streams {
+		tokens := 50 + 400*rng.Float64()
+		took := time.Duration((0.3 + 0.02*tokens) * (0.8 + 0.4*rng.Float64()) * float64(time.Second))
+		if d.Estimate(tokens) >= took {
+			covered++
+		}
+		d.Record(took, tokens)
+	}
+	require.Greater(t, covered, streams*8/10)
+	d.Record(-time.Second, 10)
+	d.Record(time.Second, 0)
+	require.Less(t, d.Estimate(100), 10*time.Second)
+}
