backend: IDs of servers come in one order

What one would see: VMs that learn of several lost servers in one message divide these servers' streams one server after the other, each from the loads with the moves before it.

Cause: Registry.IDs returned the keys of a map, and Core.Receive begins the moves in that order.

TestServersLostTogetherComeInOneOrder failed before with "Should be true", the IDs in any order.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -388,11 +390,5 @@
 	return nil
 }
 
-// IDs returns the IDs of all backend servers in no particular order.
-func (reg *Registry) IDs() []ID {
-	out := make([]ID, 0, len(reg.servers))
-	for id := range reg.servers {
-		out = append(out, id)
-	}
-	return out
-}
+// IDs returns the IDs of all backend servers, sorted.
+func (reg *Registry) IDs() []ID { return slices.Sorted(maps.Keys(reg.servers)) }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -306,3 +307,18 @@
 	require.False(t, full.Suspect(500*time.Millisecond))
 	require.True(t, full.Suspect(100*time.Millisecond))
 }
+
+// VMs divided the streams of servers lost together differently, in the order of a map.
+func TestServersLostTogetherComeInOneOrder(t *testing.T) {
+	c := newCore(t)
+	lost := map[loads.Key]time.Duration{}
+	for _, id := range c.Backends.IDs() {
+		lost[dispatch.LoadKey(c.Backends.Get(id).Instance())] = 0
+	}
+	var ids []backend.ID
+	for _, s := range c.Receive(0, loads.Message{From: "other", Scope: loads.ScopeFindings, Seq: 1, Lost: lost}).Lost {
+		ids = append(ids, s.ID)
+	}
+	require.Len(t, ids, len(lost))
+	require.True(t, slices.IsSorted(ids), "%v", ids)
+}
