loads: an aggregator's sums do not change with the order of a map

An aggregator added the loads of VMs and failure domains in the order of a map. Floating-point sums differ in their last digits with the order, and a choice between servers that are nearly equal can turn on these.

TestSumsAreTheSameEachTime failed before: 53361000.33333333 and 53361000.333333336.

--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -1,6 +1,8 @@
 package loads
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -151,7 +153,8 @@
 // sumAllDomains adds the sums of all domains and drops those older than MaxAge.
 func (c *Core) sumAllDomains(now time.Duration) map[Key]Load {
 	out := map[Key]Load{}
-	for domain, received := range c.domainSums {
+	for _, domain := range slices.Sorted(maps.Keys(c.domainSums)) { // the order of a sum changes its last digits
+		received := c.domainSums[domain]
 		if now-received.at > c.cfg.MaxAge {
 			delete(c.domainSums, domain)
 			continue
@@ -200,7 +203,8 @@
 func (c *Core) sumDomain(now time.Duration, own map[Key]Load) map[Key]Load {
 	sum := make(map[Key]Load, len(own))
 	add(sum, own)
-	for vm, received := range c.vmLoads {
+	for _, vm := range slices.Sorted(maps.Keys(c.vmLoads)) {
+		received := c.vmLoads[vm]
 		if now-received.at > c.cfg.MaxAge {
 			delete(c.vmLoads, vm)
 			continue
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -1,6 +1,7 @@
 package loads
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -177,3 +178,41 @@
 	require.Equal(t, before, n.vms["a2"].EstimateOthers(n.now, 7, Load{}))
 	require.NotZero(t, before.Streams)
 }
+
+// The aggregator's sum changed in its last digits with the order of a map.
+func TestSumsAreTheSameEachTime(t *testing.T) {
+	const vms, servers = 12, 200
+	members := []Member{{VM: "a00", Domain: "a"}}
+	for i := 1; i < vms; i++ {
+		members = append(members, Member{VM: fmt.Sprintf("a%02d", i), Domain: "a"}, Member{VM: fmt.Sprintf("z%02d", i), Domain: fmt.Sprint("z", i)})
+	}
+	sums := func() (out [servers]Load) {
+		c := New(DefaultConfig(), members[0], 1)
+		c.SetMembers(members)
+		for i, m := range members[1:] {
+			loads := map[Key]Load{}
+			for k := range Key(servers) {
+				loads[k] = Load{TokenLayers: 1000 * float64(int(k+1)*i*i*i)}
+			}
+			scope := ScopeDomain
+			if m.Domain == "a" {
+				scope = ScopeVM
+			}
+			c.Receive(0, Message{From: m.VM, Domain: m.Domain, Scope: scope, Seq: 1, Loads: pack(loads)})
+		}
+		own := map[Key]Load{}
+		for k := range Key(servers) {
+			own[k] = Load{TokenLayers: 1 / float64(k+3)}
+		}
+		c.Tick(0, own)
+		for k := range Key(servers) {
+			out[k], _ = c.LastTotal(0, k)
+		}
+		return out
+	}
+	first := sums()
+	require.Positive(t, first[servers-1].TokenLayers)
+	for range 20 {
+		require.Equal(t, first, sums())
+	}
+}
