dispatch: the simulation of contention repeats

The simulation itself also left calls that arrived at the same time in the order of a map when it advanced them; they now go by their first sends.

--- a/internal/dispatch/classes_sim_test.go
+++ b/internal/dispatch/classes_sim_test.go
@@ -441,6 +441,47 @@
 	return text + fmt.Sprintf("  served, the largest tenth %.3f, the fifth below %.3f, the others %.3f", r.sizes[0].share(), r.sizes[1].share(), r.sizes[2].share())
 }
 
+// shortDay plays the callers of the day of contention with one loss of many servers, and
+// returns what became of each caller.
+func shortDay(t testing.TB, seed uint64, until time.Duration) []caller {
+	d := newContention(t, seed, true, nil)
+	s := d.s
+	s.after(0, d.serveWaiting)
+	d.traffic(contentionLoad, func(int, time.Duration) float64 { return 2 }, until)
+	s.at(until/2, func() {
+		for _, i := range s.rng.Perm(len(s.engineOrder))[:len(s.engineOrder)*15/100] {
+			s.kill(s.engineOrder[i], until)
+		}
+	})
+	s.run(until + callerTimeout)
+	out := make([]caller, 0, len(d.callers))
+	for _, x := range d.callers {
+		out = append(out, *x)
+	}
+	return out
+}
+
+// The order of maps decided which servers took over a lost server's streams.
+func TestContentionIsRepeatable(t *testing.T) {
+	var days [2][]caller
+	t.Run("played", func(t *testing.T) {
+		for i := range days {
+			t.Run("", func(t *testing.T) {
+				t.Parallel()
+				days[i] = shortDay(t, 1, 4*time.Second)
+			})
+		}
+	})
+	differ := 0
+	for i := range min(len(days[0]), len(days[1])) {
+		if days[0][i] != days[1][i] {
+			differ++
+		}
+	}
+	require.Equal(t, len(days[0]), len(days[1]))
+	require.Zero(t, differ, "of %d callers got something else", len(days[0]))
+}
+
 // With room for all, classes must change nothing.
 func TestClassesChangeNothingWithRoom(t *testing.T) {
 	var results [2]string
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -1,10 +1,12 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -34,6 +36,7 @@
 	engines     map[backend.ID]*engineModel
 	engineOrder []*engineModel // by ID, to keep runs independent of map order
 	tally       tally
+	calls       int // sent so far
 	planner     func([]placement.Server) []placement.Order
 	layerLoads  int
 	// maxWait is how long a request without capacity waits at its VM. waitOrder sorts the
@@ -115,6 +118,7 @@
 
 // call is one caller's request.
 type call struct {
+	seq          int // from 1, in the order of first sends
 	vm           *vm
 	req          *dispatch.Request
 	choice       *dispatch.Choice
@@ -328,6 +332,10 @@
 // send chooses a path and sends the call to its first server. Without a choice, the call
 // waits or is refused.
 func (s *simulation) send(c *call) {
+	if c.seq == 0 {
+		s.calls++
+		c.seq = s.calls
+	}
 	if s.contention != nil {
 		s.contention.send(c)
 		return
@@ -455,6 +463,8 @@
 	for c := range in {
 		out = append(out, c)
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].arrived < out[b].arrived })
+	slices.SortFunc(out, func(a, b *call) int {
+		return cmp.Or(cmp.Compare(a.arrived, b.arrived), cmp.Compare(a.seq, b.seq))
+	})
 	return out
 }
