router: the partition test says what its failed callers saw

The log now has, for each phase, what failed tries saw (route, status, refusal or error) with its count, and by how much the longest pause between two requests was too long, which is the machine's part. No bound and no request is changed.

--- a/internal/router/partition_test.go
+++ b/internal/router/partition_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/catkinstair/catkinstair/platform/standin"
@@ -22,23 +24,48 @@
 	s.t.Cleanup(func() { s.backends.SetLink(v.host, standin.LinkUp) })
 }
 
-// firstTries counts the first attempts of callers and how many of them were served.
-type firstTries struct{ sent, served atomic.Int32 }
+// firstTries counts the first attempts of callers and how many of them were served, and keeps
+// what tells a fault from a machine that is short of processor time.
+type firstTries struct {
+	sent, served atomic.Int32
+	mu           sync.Mutex
+	failures     map[string]int // by what the caller saw
+	late         time.Duration  // longest time by which a pause between requests was too long
+}
 
 func (f *firstTries) share() float64 {
 	return float64(f.served.Load()) / float64(max(1, f.sent.Load()))
 }
 
-func (f *firstTries) String() string { return fmt.Sprintf("%d of %d", f.served.Load(), f.sent.Load()) }
+func (f *firstTries) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failures == nil {
+		f.failures = map[string]int{}
+	}
+	f.failures[err.Error()]++
+}
+
+func (f *firstTries) paused(late time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.late = max(f.late, late)
+}
+
+func (f *firstTries) String() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprintf("%d of %d (pauses up to %v late, failed %v)", f.served.Load(), f.sent.Load(), f.late.Round(time.Millisecond), f.failures)
+}
 
-// tryOnce sends a request and reports whether it was served completely within the callers'
-// patience. It returns without an answer when ctx ends.
-func (v *vm) tryOnce(ctx context.Context, method, uri, id string) bool {
+// tryOnce sends a request and returns an error that says what the caller saw if it was not served
+// completely within the callers' patience. It returns without an answer when ctx ends.
+func (v *vm) tryOnce(ctx context.Context, method, uri, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, callerPatience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.host+":18227"+uri, nil)
 	if err != nil {
-		return false
+		return err
 	}
 	req.Host = "ficu95.example"
 	for key, value := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "3000", "Authorization": "Bearer " + apiKey, "X-Prompt-Prefix": "caller:40,own-" + id + ":20"} {
@@ -46,11 +73,19 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return false
+		return errors.Wrapf(errors.UnwrapAll(err), "%s, no response", uri)
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && resp.Header.Get("X-Response-Signature") != ""
+	body, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return errors.Wrapf(err, "%s %d, cut", uri, resp.StatusCode)
+	case resp.StatusCode != http.StatusOK:
+		return errors.Newf("%s %d, %s", uri, resp.StatusCode, bytes.TrimSpace(body))
+	case resp.Header.Get("X-Response-Signature") == "":
+		return errors.Newf("%s without a signature", uri)
+	}
+	return nil
 }
 
 const callerPatience = 2 * time.Second
@@ -63,11 +98,16 @@
 		requests.Go(func() {
 			kind := []struct{ method, uri string }{{"POST", streamURI}, {"GET", "/idempotent/x"}, {"POST", "/non_idempotent/x"}}[i%3]
 			tries.sent.Add(1)
-			if v.tryOnce(context.Background(), kind.method, kind.uri, fmt.Sprintf("%s-%s-%d", phase, v.settings.VM, i)) {
-				tries.served.Add(1)
+			if err := v.tryOnce(context.Background(), kind.method, kind.uri, fmt.Sprintf("%s-%s-%d", phase, v.settings.VM, i)); err != nil {
+				tries.failed(err)
+				return
 			}
+			tries.served.Add(1)
 		})
-		time.Sleep(30 * time.Millisecond)
+		const pause = 30 * time.Millisecond
+		began := time.Now()
+		time.Sleep(pause)
+		tries.paused(time.Since(began) - pause)
 	}
 	requests.Wait()
 }
@@ -107,6 +147,7 @@
 			}
 			const partitioned = 2
 			cut, others := callAll(vms, partitioned, time.Second, "before")
+			t.Logf("before: %v, the others %v", cut, others)
 			require.GreaterOrEqual(t, cut.share(), 0.9)
 			require.GreaterOrEqual(t, others.share(), 0.9)
 			for _, v := range vms[:partitioned] {
@@ -221,7 +262,7 @@
 	_, vms := partitionedSite(t, 2, 500, standin.LinkReset) // 5 s
 	ctx, leave := context.WithCancel(context.Background())
 	var left sync.WaitGroup
-	left.Go(func() { vms[0].tryOnce(ctx, "POST", streamURI, "left") })
+	left.Go(func() { _ = vms[0].tryOnce(ctx, "POST", streamURI, "left") }) // the caller leaves
 	require.Eventually(t, func() bool { return vms[1].pathOf("left") != nil }, waitTimeout, 5*time.Millisecond)
 	leave()
 	left.Wait()
