A VM that knows an older configuration refuses what is passed on to it

Cause: a request that is passed on did not say what it rests on, and the other VM served it by whatever table it had.

Change: such a request names the configuration's version and the store's era (Catkin-State). internal/basis compares them with what the receiver knows: one that knows less refuses at once as not run, cause older-configuration, and asks the sender for its configuration, without the store. The sender takes another VM or keeps the request, and passes nothing on to that VM until it says that it knows enough, or for 2 s. Responses name what the receiver knows, so an older sender catches up too. A VM that does not name its state (feature levels 0 and 1) is served as before.

Tests: two cases of TestMessagesDoNotEraseTheirSendersBuild wrote level 2 for "another level"; the current level is 2 now, so they write the current one plus one.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"strings"
 	"time"
 
@@ -24,6 +25,9 @@
 	// peerRefusalTTL is how long no request of a service is passed on to a VM that has just
 	// refused one, or could not be reached.
 	peerRefusalTTL = 500 * time.Millisecond
+	// olderPeerTTL is how long no request is passed on to a VM that has refused one because its
+	// configuration is older, unless it says before that it has caught up.
+	olderPeerTTL = 2 * time.Second
 )
 
 // peerRefusal identifies the refusals of one VM for one service.
@@ -40,6 +44,14 @@
 	return strings.HasPrefix(string(ch.Target().Instance.ID), peerPrefix)
 }
 
+// PeerVM returns the VM that a choice passes the request on to, "" for none.
+func (ch *Choice) PeerVM() string {
+	if !ch.IsPeer() {
+		return ""
+	}
+	return strings.TrimPrefix(string(ch.Target().Instance.ID), peerPrefix)
+}
+
 // choosePeer returns a VM to pass a request on to, or the refusal if the retry budget does
 // not allow it; nil for both if no VM is left. Requests spread over the VMs of this failure
 // domain first. A request is passed on once: none that came from another VM goes to a third.
@@ -62,7 +74,7 @@
 	bestRank := 0.0
 	for i := range c.peers {
 		p := &c.peers[i]
-		if r.Avoid[PeerID(p.VM)] || c.peerLinks.CutOff(now, p.VM, r.Service.Name) || now < c.peerRefusals[peerRefusal{p.VM, r.Service.Name}] {
+		if r.Avoid[PeerID(p.VM)] || c.PeerOlder(now, p.VM) || c.peerLinks.CutOff(now, p.VM, r.Service.Name) || now < c.peerRefusals[peerRefusal{p.VM, r.Service.Name}] {
 			continue
 		}
 		rank := pairFraction(r.ID, p.VM)
@@ -90,9 +102,22 @@
 			delete(c.peerRefusals, k)
 		}
 	}
-	c.peerRefusals[peerRefusal{strings.TrimPrefix(string(id), peerPrefix), r.Service.Name}] = now + peerRefusalTTL
+	c.peerRefusals[peerRefusal{ch.PeerVM(), r.Service.Name}] = now + peerRefusalTTL
 }
 
+// RecordPeerOlder records that another VM has refused a request because its configuration is
+// older. It gets none until PeerCaughtUp, or for olderPeerTTL.
+func (c *Core) RecordPeerOlder(now time.Duration, vm string) {
+	maps.DeleteFunc(c.olderPeers, func(_ string, until time.Duration) bool { return now >= until })
+	c.olderPeers[vm] = now + olderPeerTTL
+}
+
+// PeerOlder reports whether another VM gets no requests because its configuration is older.
+func (c *Core) PeerOlder(now time.Duration, vm string) bool { return now < c.olderPeers[vm] }
+
+// PeerCaughtUp records that another VM says that its configuration is not older.
+func (c *Core) PeerCaughtUp(vm string) { delete(c.olderPeers, vm) }
+
 // chooseReachable returns a VM to pass a request on to while this VM is cut off from the
 // servers of its service, or has tried enough of them. It returns the refusal if no other VM
 // takes the request and no server can be reached, and nil for both if this VM is to send it.
--- a/internal/dispatch/peers_test.go
+++ b/internal/dispatch/peers_test.go
@@ -80,6 +80,26 @@
 	require.True(t, ch.IsPeer())
 }
 
+// Guards against a VM that is asked again and again while its configuration is older, and against
+// one that is left out for good.
+func TestPeerWithOlderConfigurationGetsNothingUntilItHasCaughtUp(t *testing.T) {
+	c := newCutCore(t, model, reach.NoConnection)
+	c.SetPeers([]dispatch.Peer{{VM: "a2", Domain: "a", Addr: "a2:1"}})
+	takes := func(now time.Duration) bool {
+		ch, _ := c.Choose(now, streamRequest(c, fmt.Sprint(now)))
+		require.True(t, ch == nil || ch.PeerVM() == "a2")
+		return ch != nil
+	}
+	require.True(t, takes(0))
+	c.RecordPeerOlder(0, "a2")
+	require.False(t, takes(time.Millisecond))
+	require.False(t, takes(1999*time.Millisecond))
+	require.True(t, takes(2*time.Second), "it may have caught up without a word")
+	c.RecordPeerOlder(2*time.Second, "a2")
+	c.PeerCaughtUp("a2")
+	require.True(t, takes(2*time.Second))
+}
+
 func TestRequestIsPassedOnOnce(t *testing.T) {
 	c := newCutCore(t, model, reach.NoConnection)
 	r := streamRequest(c, "r")
--- a/internal/featurelevel/gate.go
+++ b/internal/featurelevel/gate.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Current is the feature level of this build.
-const Current = 1
+const Current = 2
 
 // Gate tells up to which feature level all known VMs take part. It goes down at once and up
 // only after a time: VMs of a rolling upgrade, or of one that is being rolled back, come and
--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -9,6 +9,7 @@
 	"internal/audit",
 	"internal/backend",
 	"internal/backpressure",
+	"internal/basis",
 	"internal/call",
 	"internal/changefeed",
 	"internal/classes",
--- a/internal/router/builds_test.go
+++ b/internal/router/builds_test.go
@@ -56,8 +56,8 @@
 		level int
 	}{
 		"own work of level 0":           {loads.Message{Scope: loads.ScopeVM}, "", 0},
-		"own work of another build":     {loads.Message{Scope: loads.ScopeVM, Build: "other", FeatureLevel: 2}, "other", 2},
-		"total of another level":        {loads.Message{Scope: loads.ScopeAll, FeatureLevel: 2}, "", 2},
+		"own work of another build":     {loads.Message{Scope: loads.ScopeVM, Build: "other", FeatureLevel: featurelevel.Current + 1}, "other", featurelevel.Current + 1},
+		"total of another level":        {loads.Message{Scope: loads.ScopeAll, FeatureLevel: featurelevel.Current + 1}, "", featurelevel.Current + 1},
 		"lost servers without a level":  {loads.Message{Scope: loads.ScopeFindings, Lost: map[loads.Key]time.Duration{1: 0}}, obs.Version(), featurelevel.Current},
 		"build over its bound":          {loads.Message{Scope: loads.ScopeVM, Build: strings.Repeat("x", maxBuildBytes+1), FeatureLevel: 1}, obs.Version(), featurelevel.Current},
 		"build with control characters": {loads.Message{Scope: loads.ScopeVM, Build: "a\nb", FeatureLevel: 1}, obs.Version(), featurelevel.Current},
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -42,7 +42,7 @@
 
 var errChangesUnavailable = errors.New("watcher cannot serve the changes since the revision")
 
-// servePeerRequests serves other VMs' requests for changes and findings over TCP, on the port
+// servePeerRequests serves other VMs' requests for changes, findings and the configuration over TCP, on the port
 // that receives load messages over UDP.
 func (r *Router) servePeerRequests() error {
 	l, err := listen(r.settings.Listen.Datagrams)
@@ -67,8 +67,10 @@
 		r.handleChanges(ctx)
 	case findingsURI:
 		r.handleFindings(ctx)
+	case configurationURI:
+		r.handleConfiguration(ctx)
 	default:
-		ctx.Error("want "+changesURI+" or "+findingsURI, fasthttp.StatusNotFound)
+		ctx.Error("want "+changesURI+", "+findingsURI+" or "+configurationURI, fasthttp.StatusNotFound)
 	}
 }
 
--- a/internal/router/compat_test.go
+++ b/internal/router/compat_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/catkinstair/catkinstair/internal/backpressure"
+	"github.com/catkinstair/catkinstair/internal/basis"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/obs"
@@ -30,7 +31,7 @@
 
 // exchanged lists the messages and records that VMs exchange. The types in their fields are
 // found by reflection.
-var exchanged = []reflect.Type{reflect.TypeFor[loads.Message](), reflect.TypeFor[changesRequest](), reflect.TypeFor[changesResponse](), reflect.TypeFor[member](), reflect.TypeFor[blockedPart]()}
+var exchanged = []reflect.Type{reflect.TypeFor[loads.Message](), reflect.TypeFor[changesRequest](), reflect.TypeFor[changesResponse](), reflect.TypeFor[configurationRequest](), reflect.TypeFor[configurationResponse](), reflect.TypeFor[member](), reflect.TypeFor[blockedPart]()}
 
 // wireField is a field on the wire: the message, its key and its type.
 type wireField struct{ message, key, typ string }
@@ -435,6 +436,22 @@
 	require.Error(t, err)
 }
 
+// Guards against a state of another build that is misread: a request would be refused for good, or
+// run by an older configuration.
+func TestStateHeaderOfOtherBuilds(t *testing.T) {
+	full := basis.State{Known: true, Version: -12, Era: 3}
+	for text, want := range map[string]basis.State{
+		platform.EncodeState("a;b &=\r\n", full): full, "era=3&level=9&version=-12": full, "version=-12": {Known: true, Version: -12},
+		"": {}, "version=x&era=1": {}, "version=1&era=-1": {}, "era=1": {}, "%zz": {}, platform.EncodeState("a", basis.State{}): {},
+	} {
+		_, got := platform.ParseState(text)
+		assert.Equal(t, want, got, "%q", text)
+	}
+	vm, _ := platform.ParseState(platform.EncodeState("a;b &=\r\n", full))
+	assert.Equal(t, "a;b &=\r\n", vm)
+	assert.NotContains(t, platform.EncodeState("a\r\nb", full), "\n")
+}
+
 func FuzzPassedOnHeader(f *testing.F) {
 	for _, text := range []string{"", "2", " 2 ;x", "-1", "99999999999999999999"} {
 		f.Add(text)
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/basis"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 	"github.com/catkinstair/catkinstair/platform"
@@ -31,9 +32,18 @@
 }
 
 // handlePassedOn serves a request of another VM, or refuses it at once while this VM has
-// enough to do, is stopping, or may not know the current state.
+// enough to do, is stopping, or may not know the state that the other VM acts by. The response
+// says what this VM knows.
 func (r *Router) handlePassedOn(ctx *fasthttp.RequestCtx) {
-	cause := verdict.Cause("")
+	from, rests := platform.ParseState(string(ctx.Request.Header.Peek(platform.HeaderState)))
+	ctx.Request.Header.Del(platform.HeaderState)
+	r.servePassedOnRequest(ctx, r.receiveState(basis.Request, from, rests), rests)
+	ctx.Response.Header.Set(platform.HeaderState, r.encodedState())
+}
+
+// servePassedOnRequest serves a request of another VM that rests on a state, unless act is false.
+func (r *Router) servePassedOnRequest(ctx *fasthttp.RequestCtx, act bool, rests basis.State) {
+	cause, detail := verdict.Cause(""), "another VM passed the request on"
 	switch {
 	case r.stopping.Load():
 		cause = verdict.CauseLeaving
@@ -41,12 +51,14 @@
 		cause = verdict.CauseNoConfig
 	case r.passedOnRequests.Load() >= maxPassedOn:
 		cause = verdict.CauseQueueFull
+	case !act:
+		cause, detail = verdict.CauseOlderConfig, fmt.Sprintf("another VM passed the request on by configuration %d, which this VM does not know yet", rests.Version)
 	default:
 		r.handle(ctx, true)
 		return
 	}
 	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
-	r.refuseUnserved(ctx, true, id, verdict.Refusal{Cause: cause, RetryAfter: noConfigRetryAfter, Detail: "another VM passed the request on"})
+	r.refuseUnserved(ctx, true, id, verdict.Refusal{Cause: cause, RetryAfter: noConfigRetryAfter, Detail: detail})
 }
 
 // setPeerRefusal sets the headers of a refusal of this VM that another VM reads.
@@ -94,7 +106,7 @@
 	h := &x.ctx.Request.Header
 	body := x.ctx.Request.Body()
 	left := x.timeLeft()
-	header := platform.EncodePassedOnHeader(nil, h, len(body), platform.PassedOnHeaders{TimeLeft: left, ResumeAfter: resumeAfter, Runs: x.req.Sends})
+	header := platform.EncodePassedOnHeader(nil, h, len(body), platform.PassedOnHeaders{TimeLeft: left, ResumeAfter: resumeAfter, Runs: x.req.Sends, State: x.r.encodedState()})
 	opt := httpcall.Options{Deadline: time.Now().Add(left), MaxIdleTime: x.r.cfg.ConnReuseTimeout, NewConnection: !x.req.Route.Retryable(),
 		BeforeSend: func() error { return x.checkBeforeSend(left, ch) }}
 	x.r.metrics.passedOn.Inc()
@@ -103,6 +115,8 @@
 		return sendResult{choice: ch, err: err, cancelled: ctx.Err() != nil, outcome: httpcall.SentOf(err).Verdict()}
 	}
 	s := sendResult{choice: ch, call: call, outcome: outcomeOfPassedOn(call.Response)}
+	_, s.peerState = platform.ParseState(call.Response.Header.Get(platform.HeaderState))
+	x.r.receiveState(basis.Response, ch.PeerVM(), s.peerState)
 	if in, ok := platform.ParseServedBy(call.Response.Header.Get(platform.HeaderServedBy)); ok {
 		x.r.recordLeaving(in, call.Response.Header.Get(platform.HeaderServerLeaving))
 	}
@@ -154,7 +168,12 @@
 	x.logSend(x.r.log.Info(), s, status).Msg("passing the request on failed")
 	s.discard()
 	unable := !x.callerGone() && peerUnable(s)
-	x.r.locked(func() { x.r.core.RecordPeerRefused(x.r.clock.now(), &x.req, s.choice, unable) })
+	x.r.locked(func() {
+		x.r.core.RecordPeerRefused(x.r.clock.now(), &x.req, s.choice, unable)
+		if s.refusedBy == verdict.CauseOlderConfig && basis.Compare(s.peerState, x.r.state()) == basis.Older {
+			x.r.core.RecordPeerOlder(x.r.clock.now(), s.choice.PeerVM())
+		}
+	})
 	if x.callerGone() || x.timeLeft() <= 0 {
 		return false
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,6 +53,7 @@
 	lastServerAdded time.Duration // time on clock when the last new backend server registered
 	layersSeen      bool          // a record with held layers has been read
 	storeDown       bool          // set by a failed call, cleared by the next successful read
+	configValue     []byte        // the configuration in force, as read
 	storeEra        uint64        // number of times that the store came back from an older copy
 	eraKnown        bool          // storeEra has been read
 	eraChanges      int           // changes of storeEra
@@ -81,6 +82,7 @@
 	detector     *failureDetector
 	sendLoadsNow chan struct{} // signals a finding to send at once
 	probeNow     chan struct{} // signals a server that failed
+	catchUpFrom  chan string   // VM that knows a newer configuration
 
 	current      *gate        // open while the state of this VM is current
 	heldRequests atomic.Int64 // requests that wait at the gate
@@ -139,7 +141,7 @@
 		core: dispatch.New(cfg.Dispatch), election: leader.New(cfg.Leader, settings.VM),
 		members: map[string]member{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
-		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1),
+		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1), catchUpFrom: make(chan string, 1),
 		current: newGate(),
 	}
 	r.detector = newFailureDetector(cfg.Detector, settings.VM, cfg.Dispatch.Incarnation)
@@ -206,7 +208,7 @@
 		return errors.Wrap(err, "opening the socket for other VMs")
 	}
 	var workTasks, leaseTasks sync.WaitGroup
-	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence, r.askFindingsWhileStopping} {
+	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence, r.askFindingsWhileStopping, r.catchUp} {
 		workTasks.Go(func() { task(workCtx) })
 	}
 	for _, task := range []func(context.Context){r.maintainPresence, r.runPlacement, r.storeBlockedParts} {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
+	"github.com/catkinstair/catkinstair/internal/basis"
 	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/verdict"
@@ -37,6 +38,8 @@
 	// refusedBy and retryAfter are the cause and the Retry-After of another VM's refusal.
 	refusedBy  verdict.Cause
 	retryAfter time.Duration
+	// peerState is what another VM said in its response that it knows.
+	peerState basis.State
 }
 
 // send sends the request to a chosen backend server, or to the VM to pass it on to, and
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -212,6 +212,7 @@
 		return
 	}
 	if r.core.Apply(routes.NewTable(cfg)) {
+		r.configValue = it.Value
 		r.recheckServers()
 		r.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Int("teams", len(cfg.Teams)).Msg("configuration in force")
 		r.logCorrections(cfg.Version)
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -104,6 +104,7 @@
 	CauseRequestBlocked  Cause = "request-blocked"
 	CauseRequestSuspect  Cause = "request-suspect"
 	CauseUnreachable     Cause = "backend-servers-unreachable"
+	CauseOlderConfig     Cause = "older-configuration"
 	CauseInternalFailure Cause = "internal-failure"
 )
 
