router: tests of an older sender that catches up, and of the decoders of old state

TestVMThatPassesRequestsOnCatchesUpWithOneThatKnowsMore: a VM that is cut off from the store passes a request on to one with a newer configuration and takes that over. Fuzz targets for the state header and the two messages of /configuration.

--- a/internal/router/catchup.go
+++ b/internal/router/catchup.go
@@ -142,8 +142,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "configuration of another VM")
 	}
+	return decodeConfiguration(plain)
+}
+
+// decodeConfiguration decodes the response of another VM and returns its configuration document.
+func decodeConfiguration(body []byte) ([]byte, error) {
 	var decoded configurationResponse
-	if err := cbor.Unmarshal(plain, &decoded); err != nil {
+	if err := cbor.Unmarshal(body, &decoded); err != nil {
 		return nil, errors.Wrap(err, "configuration of another VM")
 	}
 	return decoded.Value, nil
--- a/internal/router/catchup_test.go
+++ b/internal/router/catchup_test.go
@@ -37,18 +37,24 @@
 	require.Eventually(t, func() bool { v.mu.Lock(); defer v.mu.Unlock(); return v.storeDown }, waitTimeout, 5*time.Millisecond)
 }
 
-// Guards against a request that is passed on to a VM whose older configuration runs it elsewhere (CONFIG).
-func TestRequestIsNotPassedOnToVMWithOlderConfiguration(t *testing.T) {
-	t.Parallel()
-	s := newSite(t)
+// oldStateSite starts two VMs, whose records stay when they lose the store, and a replica.
+func oldStateSite(t *testing.T) (s *site, vms []*vm) {
+	s = newSite(t)
 	s.configure(7)
 	s.server(standin.ServerConfig{ID: "app", Service: "wuno96b", Domain: "bergen-a"})
 	keepsRecord := func(cfg *Config) { cfg.Leader.TTL, cfg.WatchTimeout = time.Minute, 100*time.Millisecond }
-	vms := []*vm{s.vmWith("a1", keepsRecord), s.vmWith("a2", keepsRecord)}
+	vms = []*vm{s.vmWith("a1", keepsRecord), s.vmWith("a2", keepsRecord)}
 	for _, v := range vms {
 		v.awaitReady(t)
 		require.Eventually(t, func() bool { return v.memberCount() == 2 }, waitTimeout, 5*time.Millisecond)
 	}
+	return s, vms
+}
+
+// Guards against a request that is passed on to a VM whose older configuration runs it elsewhere (CONFIG).
+func TestRequestIsNotPassedOnToVMWithOlderConfiguration(t *testing.T) {
+	t.Parallel()
+	s, vms := oldStateSite(t)
 	require.Equal(t, http.StatusOK, vms[0].call(t, "POST", "/non_idempotent/x", "before").StatusCode)
 	vms[1].leaveStore(t, s.store.Addr)
 	s.moveRoute(8)
@@ -72,3 +78,20 @@
 	defer v.mu.Unlock()
 	return !v.core.PeerOlder(v.clock.now(), name)
 }
+
+// Guards against a VM that has seen an effect of a newer configuration and goes on by an older one (CONFIG).
+func TestVMThatPassesRequestsOnCatchesUpWithOneThatKnowsMore(t *testing.T) {
+	t.Parallel()
+	s, vms := oldStateSite(t)
+	s.moveRoute(8)
+	require.Eventually(t, func() bool { return vms[0].configVersion() == 8 }, waitTimeout, 5*time.Millisecond)
+	vms[0].leaveStore(t, s.store.Addr)
+	s.configure(9)
+	require.Eventually(t, func() bool { return vms[1].configVersion() == 9 }, waitTimeout, 5*time.Millisecond)
+	require.Equal(t, int64(8), vms[0].configVersion())
+	resp := vms[0].call(t, "POST", "/non_idempotent/x", "first")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Empty(t, resp.Header.Get(platform.HeaderState), "for VMs only")
+	require.Equal(t, 1, s.backends.Runs("first"))
+	require.Eventually(t, func() bool { return vms[0].configVersion() == 9 }, waitTimeout, 5*time.Millisecond)
+}
--- a/internal/router/compat_test.go
+++ b/internal/router/compat_test.go
@@ -452,6 +452,40 @@
 	assert.NotContains(t, platform.EncodeState("a\r\nb", full), "\n")
 }
 
+func FuzzStateHeader(f *testing.F) {
+	for _, text := range []string{"", "era=3&version=12&vm=a", "version=-1", "version=9223372036854775808", "%zz", "vm=a;b"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		vm, s := platform.ParseState(text)
+		vm2, s2 := platform.ParseState(platform.EncodeState(vm, s))
+		if vm != vm2 || s != s2 {
+			t.Errorf("%q: %q %+v, then %q %+v", text, vm, s, vm2, s2)
+		}
+	})
+}
+
+func FuzzConfigurationResponse(f *testing.F) {
+	for _, body := range variants(f, configurationResponse{Value: []byte("{}")}) {
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if value, err := decodeConfiguration(body); err != nil && value != nil {
+			t.Error("a value and an error")
+		}
+	})
+}
+
+func FuzzConfigurationRequest(f *testing.F) {
+	for _, body := range variants(f, configurationRequest{VM: "a", Known: true, Version: 7, Era: 1}) {
+		f.Add(body)
+	}
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		var req configurationRequest
+		_ = cbor.Unmarshal(body, &req) // an invalid request is refused
+	})
+}
+
 func FuzzPassedOnHeader(f *testing.F) {
 	for _, text := range []string{"", "2", " 2 ;x", "-1", "99999999999999999999"} {
 		f.Add(text)
