router, dispatch, shutdown: a run is left only for one that can begin; late and short stops answer

The cause is that the decision to leave a run did not ask what Choose would say of the next one. ReserveRunElsewhere asks it, without changing anything but the retry budget, which it spends. A run in doubt for silence alone is left only if another can begin now.

A stop that came late returned at once, before its answers were written; with a grace period below 3 s, or a credit of 0.9 s for a late signal, it cut before the last sixth. The answers now have 50 ms at least, the margin is an eighth of a short period and the credit ends before the last sixth. Estimates of streams ignore error responses and resumed ones, are kept by service, and one odd stream moves them by three times the mean at most. Requests held for current state are let go at the exit.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -280,46 +280,6 @@
 	return retry.Retry
 }
 
-// CanSendElsewhere reports whether r, which was sent to sentTo, could now be sent to
-// another server. It changes neither load nor retry budget.
-func (c *Core) CanSendElsewhere(now time.Duration, r *Request, sentTo backend.ID) bool {
-	if !c.budget(r.Service.Name).Allows(now, retry.Retry, c.vmCount) {
-		return false
-	}
-	retried := *r
-	retried.Sends++
-	retried.SentTo, retried.Avoid = withID(r.SentTo, sentTo), withID(r.Avoid, sentTo)
-	_, refusal := c.findChoice(now, &retried)
-	return refusal == nil
-}
-
-// MayRunAgain reports whether r, whose run on sentTo may be lost because of the server fault, may be
-// run once more. It does not say that a server has room.
-func (c *Core) MayRunAgain(now time.Duration, r *Request, sentTo, fault backend.ID) bool {
-	if !r.Route.Retryable() {
-		return false
-	}
-	if _, blocked := c.Poison.Find(now, r.Subject); blocked && !r.Trial {
-		return false
-	}
-	if !c.budget(r.Service.Name).Allows(now, purposeOf(r), c.vmCount) {
-		return false
-	}
-	if c.Reach.CutOff(r.Service.Name) && !r.FromPeer && len(c.peers) > 0 {
-		return true // another VM counts its own servers
-	}
-	tried := withID(r.SentTo, sentTo)
-	if len(tried) < r.Route.MaxAttempts {
-		return true
-	}
-	for id := range tried {
-		if id != fault && !r.Avoid[id] {
-			return true
-		}
-	}
-	return false
-}
-
 func withID(set map[backend.ID]bool, id backend.ID) map[backend.ID]bool {
 	out := maps.Clone(set)
 	out[id] = true
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -168,6 +168,7 @@
 	select {
 	case <-r.current.wait():
 	case <-gone:
+	case <-r.requestsCtx.Done():
 	case <-timeout.C:
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,8 +76,8 @@
 	// last; guarded by mu.
 	turnUntil time.Duration
 
-	// streamDurations estimates how long a stream will last; guarded by mu.
-	streamDurations shutdown.Durations
+	// streamDurations estimates how long a stream will last, by service; guarded by mu.
+	streamDurations map[string]*shutdown.Durations
 
 	waitQueue    *dispatch.WaitQueue
 	streams      *streamTable
@@ -147,7 +147,7 @@
 		members: map[string]member{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
 		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1), catchUpFrom: make(chan string, 1),
-		current: newGate(),
+		current: newGate(), streamDurations: map[string]*shutdown.Durations{},
 	}
 	r.requestsCtx, r.cancelRequests = context.WithCancelCause(context.Background())
 	r.detector = newFailureDetector(cfg.Detector, settings.VM, cfg.Dispatch.Incarnation)
--- a/internal/router/silent_test.go
+++ b/internal/router/silent_test.go
@@ -22,6 +22,7 @@
 		{"not resumable", "/once/x", false},
 		{"its only attempt", "/one_attempt/x", false},
 		{"not resumable, passed on", "/once/x", true},
+		{"passed on, no other VM is left", "/one_attempt/x", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -45,8 +45,9 @@
 	silent, partial := time.Since(st.lastRead), st.partialFor(time.Now())
 	st.mu.Unlock()
 	if partial > r.cfg.PartialEventTimeout {
-		st.leaveRun(firstAddr, "its event does not end", partial)
-		return limit, limit
+		if st.leaveRun(firstAddr, "its event does not end", dispatch.Suspected) {
+			return limit, limit
+		}
 	}
 	if silent < limit {
 		return limit, min(limit-silent, r.cfg.PartialEventTimeout)
@@ -73,7 +74,7 @@
 	if silent < limit {
 		return limit, limit - silent
 	}
-	st.leaveRun(addr, "the VM that it was passed on to is silent", silent)
+	st.leaveRun(addr, "the VM that it was passed on to is silent", dispatch.Suspected)
 	return limit, limit
 }
 
@@ -86,24 +87,26 @@
 	return now.Sub(st.partialSince)
 }
 
-// leaveRun cancels the run because of the server at faultAddr, which may be lost, if the stream may
-// run again. Otherwise it keeps its run: a server that is only silent still answers.
-func (st *stream) leaveRun(faultAddr, why string, silent time.Duration) {
+// leaveRun cancels the run because of the server at faultAddr, if the stream may run elsewhere.
+// Otherwise it reports false and the stream keeps its run: a server that is only silent still answers.
+func (st *stream) leaveRun(faultAddr, why string, doubt dispatch.Doubt) bool {
 	x := st.x
-	mayRunAgain := false
+	silent := st.silentFor()
+	elsewhere := false
 	x.r.locked(func() {
 		var fault backend.ID
 		if s := x.r.core.Backends.ByAddr(faultAddr); s != nil {
 			fault = s.ID
 		}
-		mayRunAgain = x.req.Sends+1 < maxSends && x.r.core.MayRunAgain(x.r.clock.now(), &x.req, st.choice().Target().Instance.ID, fault)
+		elsewhere = x.req.Sends+1 < maxSends && x.r.core.ReserveRunElsewhere(x.r.clock.now(), &x.req, st.choice(), fault, doubt)
 	})
-	if !mayRunAgain {
+	if !elsewhere {
 		st.logKeptRun(faultAddr, why, silent)
-		return
+		return false
 	}
 	x.r.log.Info().Str("request", x.req.ID).Str("addr", faultAddr).Dur("silent", silent).Str("why", why).Msg("run cancelled")
 	st.cancelCurrentRun(faultAddr)
+	return true
 }
 
 // logKeptRun logs once for each run that it is kept although it may be lost.
@@ -113,7 +116,7 @@
 	st.keptRun = st.runCount
 	st.mu.Unlock()
 	if !logged {
-		st.x.r.log.Info().Str("request", st.x.req.ID).Str("addr", faultAddr).Dur("silent", silent).Str("why", why).Msg("run kept: the stream may not run again")
+		st.x.r.log.Info().Str("request", st.x.req.ID).Str("addr", faultAddr).Dur("silent", silent).Str("why", why).Msg("run kept: the stream can't run elsewhere")
 	}
 }
 
@@ -139,7 +142,7 @@
 // the run continues. If that fails, the run is cancelled and resumed elsewhere.
 func (st *stream) moveOffLost(faultAddr string) {
 	if !st.moveOff(faultAddr, true) {
-		st.leaveRun(faultAddr, "a server of its path is lost", st.silentFor())
+		st.leaveRun(faultAddr, "a server of its path is lost", dispatch.FoundLost)
 	}
 }
 
@@ -171,16 +174,7 @@
 // runElsewhere cancels the run because of its first server, at addr, if another server can
 // take the request over now. The stream then continues after its last event.
 func (st *stream) runElsewhere(addr string) {
-	x := st.x
-	elsewhere := false
-	x.r.locked(func() {
-		elsewhere = x.req.Route.Retryable() && x.r.core.CanSendElsewhere(x.r.clock.now(), &x.req, st.choice().Target().Instance.ID)
-	})
-	if !elsewhere {
-		x.r.log.Info().Str("request", x.req.ID).Str("addr", addr).Msg("stream stays on its first server: no other can take it")
-		return
-	}
-	st.cancelCurrentRun(addr)
+	st.leaveRun(addr, "its first server is slow or releases its layers", dispatch.Suspected)
 }
 
 // moveOff gives the stage of the server at addr to other servers. It reports false if that
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -10,13 +10,17 @@
 	"github.com/catkinstair/catkinstair/internal/routes"
 	"github.com/catkinstair/catkinstair/internal/shutdown"
 	"github.com/catkinstair/catkinstair/internal/verdict"
+	"github.com/catkinstair/catkinstair/platform"
 )
 
 const (
 	// leavingRetryAfter is sent as Retry-After by a VM that stops: the others can serve at once.
 	leavingRetryAfter = 50 * time.Millisecond
-	// maxSignalDelay bounds the time for which a signal counts as sent before it was handled.
-	maxSignalDelay = time.Second
+	// minAnswerTime is for the responses to requests that are given up, if the process comes late.
+	minAnswerTime = 50 * time.Millisecond
+	// writeTime is for the last response, requestsInterval the interval at which requests are counted.
+	writeTime        = 20 * time.Millisecond
+	requestsInterval = 10 * time.Millisecond
 	// minAuxShutdown lets a response that is being written end.
 	minAuxShutdown = 20 * time.Millisecond
 )
@@ -28,13 +32,28 @@
 		return true
 	}
 	a := shutdown.Arrival{Deadline: x.deadline, Stream: x.req.Route.Kind == routes.Stream}
-	x.r.locked(func() { a.Duration = x.r.streamDurations.Estimate(x.req.AnswerTokens) })
+	x.r.locked(func() {
+		if d := x.r.streamDurations[x.req.Service.Name]; d != nil {
+			a.Duration = d.Estimate(x.req.AnswerTokens)
+		}
+	})
 	return s.Takes(x.r.clock.now(), a)
 }
 
-// recordDuration records a complete stream for the estimates of a stop.
+// recordDuration records a stream that was complete from its first event on, for the estimates of
+// a stop.
 func (x *exchange) recordDuration() {
-	x.r.locked(func() { x.r.streamDurations.Record(time.Since(x.receivedAt), x.req.AnswerTokens) })
+	if len(x.ctx.Request.Header.Peek(platform.HeaderLastEventID)) > 0 {
+		return
+	}
+	x.r.locked(func() {
+		d := x.r.streamDurations[x.req.Service.Name]
+		if d == nil {
+			d = &shutdown.Durations{}
+			x.r.streamDurations[x.req.Service.Name] = d
+		}
+		d.Record(time.Since(x.receivedAt), x.req.AnswerTokens)
+	})
 }
 
 // refuseUnserved refuses a request before any attempt to serve it.
@@ -50,12 +69,12 @@
 // the signal at any time since the process ran last.
 func (r *Router) beginShutdown() {
 	now := r.clock.now()
-	begun := max(r.pauses.lastSeen(now), now-maxSignalDelay)
-	s := r.cfg.Shutdown.Plan(begun, r.bounds.Load().Grace)
+	delay := now - r.pauses.lastSeen(now)
+	s := r.cfg.Shutdown.Plan(now, delay, r.bounds.Load().Grace)
 	r.shutdown.Store(&s)
 	r.stopping.Store(true)
 	r.locked(r.setReached)
-	r.log.Info().Int64("requests", r.openRequests.Load()).Dur("sinceLastRun", now-begun).Dur("exitIn", s.ExitAt-now).Msg("stop: leaving the directory")
+	r.log.Info().Int64("requests", r.openRequests.Load()).Dur("sinceLastRun", delay).Dur("exitIn", s.ExitAt-now).Msg("stop: leaving the directory")
 }
 
 // drain accepts connections while callers may have the address cached, and returns when the
@@ -64,17 +83,27 @@
 func (r *Router) drain(callers *fasthttp.Server) {
 	s := r.shutdown.Load()
 	time.Sleep(s.CloseAt - r.clock.now())
-	ctx, cancel := context.WithTimeout(context.Background(), s.LeaveAt-r.clock.now())
+	ctx, cancel := context.WithTimeout(context.Background(), s.ExitAt-r.clock.now())
 	defer cancel()
-	giveUp := time.AfterFunc(s.ExitAt-r.clock.now(), r.giveUpRequests)
-	defer giveUp.Stop()
-	if err := callers.ShutdownWithContext(ctx); err != nil {
-		r.log.Warn().Err(err).Int64("requests", r.openRequests.Load()).Msg("stop: requests are cut by the exit")
+	if err := callers.ShutdownWithContext(ctx); err == nil && r.awaitRequests(s.ExitAt) {
 		return
 	}
-	for r.openRequests.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(20 * time.Millisecond)
+	r.giveUpRequests()
+	if !r.awaitRequests(max(s.LeaveAt, r.clock.now()+minAnswerTime)) {
+		r.log.Warn().Int64("requests", r.openRequests.Load()).Msg("stop: requests are cut by the exit")
+	}
+	time.Sleep(writeTime) // a request counts as ended before its response is written
+}
+
+// awaitRequests waits for the last request to end, and reports whether it did by a time.
+func (r *Router) awaitRequests(by time.Duration) bool {
+	for r.openRequests.Load() > 0 {
+		if r.clock.now() >= by {
+			return false
+		}
+		time.Sleep(requestsInterval)
 	}
+	return true
 }
 
 // giveUpRequests ends the requests in progress. One without a response gets it now; a stream that
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -368,7 +368,9 @@
 			x.recordProgress()
 		}
 		if st.complete {
-			x.recordDuration()
+			if st.eventCount > 0 {
+				x.recordDuration()
+			}
 			x.recordSuccess(st.result.choice)
 			x.r.metrics.served.Inc()
 		} else {
--- a/internal/shutdown/durations.go
+++ b/internal/shutdown/durations.go
@@ -8,6 +8,13 @@
 	deviationGain = 1.0 / 4
 	// deviations is how many mean deviations an estimate lies above the mean.
 	deviations = 2
+	// minTokens is the least number of tokens that a stream counts with: a short one lasts as long
+	// as its prompt takes.
+	minTokens = 32
+	// maxSampleRatio bounds a sample, as a multiple of the mean.
+	maxSampleRatio = 3
+	// maxEstimate bounds an estimate; no stream is waited for longer.
+	maxEstimate = time.Hour
 )
 
 // Durations estimates how long a stream will last from those that have ended, as TCP estimates its
@@ -20,15 +27,16 @@
 
 // Record adds a complete stream that was expected to have a number of tokens.
 func (d *Durations) Record(took time.Duration, tokens float64) {
-	if tokens <= 0 || took <= 0 {
+	if !(tokens > 0) || took <= 0 { // also NaN
 		return
 	}
-	perToken := took.Seconds() / tokens
+	perToken := took.Seconds() / max(tokens, minTokens)
 	d.samples++
 	if d.samples == 1 {
 		d.mean, d.deviation = perToken, perToken/2
 		return
 	}
+	perToken = min(perToken, maxSampleRatio*d.mean)
 	difference := perToken - d.mean
 	d.mean += gain * difference
 	d.deviation += deviationGain * (max(difference, -difference) - d.deviation)
@@ -36,8 +44,9 @@
 
 // Estimate returns how long a stream with an expected number of tokens lasts, 0 if unknown.
 func (d *Durations) Estimate(tokens float64) time.Duration {
-	if tokens <= 0 {
+	if !(tokens > 0) { // also NaN
 		return 0
 	}
-	return time.Duration((d.mean + deviations*d.deviation) * tokens * float64(time.Second))
+	seconds := (d.mean + deviations*d.deviation) * max(tokens, minTokens)
+	return time.Duration(min(seconds, maxEstimate.Seconds()) * float64(time.Second))
 }
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -13,7 +13,7 @@
 	// end before the exit. Default 2.5 s.
 	TakeStreamsFor time.Duration
 	// Margin is how long before the end of its grace period, when the platform kills it, the
-	// process gives up what is still in progress. Default 500 ms, at most a quarter of the period.
+	// process gives up what is still in progress. Default 500 ms, at most an eighth of the period.
 	Margin time.Duration
 }
 
@@ -37,10 +37,15 @@
 	GoneAt time.Duration
 }
 
-// Plan returns the schedule of a stop that the platform began at a time, within a grace period. In
-// a short grace period, the VM listens for half of the time until its exit.
-func (c Config) Plan(begun, grace time.Duration) Schedule {
-	margin := min(c.Margin, grace/4)
+// maxDelayShare is the divisor of the grace period that a stop may count as begun before its signal was
+// handled, together with the margin: what is cut in the last sixth is excused.
+const maxDelayShare = 6
+
+// Plan returns the schedule of a stop whose signal is handled now and was sent up to delay earlier,
+// within a grace period. In a short grace period, the VM listens for half of the time until its exit.
+func (c Config) Plan(now, delay, grace time.Duration) Schedule {
+	margin := min(c.Margin, grace/8)
+	begun := now - min(delay, grace/maxDelayShare-margin)
 	serveFor := grace - margin
 	listenFor := min(c.ListenFor, serveFor/2)
 	exitAt := begun + serveFor
@@ -65,7 +70,7 @@
 	case now >= s.ExitAt:
 		return false
 	case a.Stream:
-		return now < s.LastStreamAt && now+a.Duration <= s.ExitAt
+		return now < s.LastStreamAt && min(a.Deadline, now+a.Duration) <= s.ExitAt
 	default:
 		return now < s.CloseAt || a.Deadline <= s.ExitAt
 	}
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -1,6 +1,7 @@
 package shutdown
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -11,7 +12,7 @@
 // Guards against requests that are taken during a planned stop and cut by the exit (LOST).
 func TestTakesOnlyWhatEndsBeforeExit(t *testing.T) {
 	const begun, grace = 100 * time.Second, 8 * time.Second
-	s := DefaultConfig().Plan(begun, grace)
+	s := DefaultConfig().Plan(begun, 0, grace)
 	require.Less(t, s.LastStreamAt, begun+3*time.Second, "a stream that is sent later must not be cut")
 	require.Less(t, s.LeaveAt, begun+grace)
 	for _, c := range []struct {
@@ -38,7 +39,7 @@
 // Guards against streams that are taken although they last longer than the VM (LOST).
 func TestSlowStreamIsNotTakenDuringStop(t *testing.T) {
 	const begun, grace, tokens = 100 * time.Second, 8 * time.Second, 250
-	s := DefaultConfig().Plan(begun, grace)
+	s := DefaultConfig().Plan(begun, 0, grace)
 	for _, c := range []struct {
 		lasts, after time.Duration
 		want         bool
@@ -59,11 +60,17 @@
 	}
 }
 
-// Guards against a stop that ends after a short grace period, in which everything is cut (LOST).
+// Guards against a stop that ends after a short grace period, in which everything is cut, or that
+// cuts requests before its last sixth (LOST).
 func TestStopEndsWithinAnyGracePeriod(t *testing.T) {
 	const begun = 100 * time.Second
 	for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 8 * time.Second, 30 * time.Second} {
-		s := DefaultConfig().Plan(begun, grace)
+		for _, delay := range []time.Duration{0, 100 * time.Millisecond, time.Second, 10 * time.Second} {
+			delayed := DefaultConfig().Plan(begun, delay, grace)
+			require.GreaterOrEqual(t, delayed.ExitAt, begun+grace-grace/6, "%v, signal %v late", grace, delay)
+			require.LessOrEqual(t, delayed.GoneAt, begun+grace, "%v, signal %v late", grace, delay)
+		}
+		s := DefaultConfig().Plan(begun, 0, grace)
 		require.Greater(t, s.LastStreamAt, begun, grace)
 		require.LessOrEqual(t, s.LastStreamAt, s.CloseAt, grace)
 		require.Less(t, s.CloseAt, s.ExitAt, grace)
@@ -87,7 +94,28 @@
 		d.Record(took, tokens)
 	}
 	require.Greater(t, covered, streams*8/10)
-	d.Record(-time.Second, 10)
-	d.Record(time.Second, 0)
-	require.Less(t, d.Estimate(100), 10*time.Second)
+}
+
+// Guards against odd streams that make a stop refuse all others, or take one that lasts for ever.
+func TestOddStreamsDoNotSpoilEstimates(t *testing.T) {
+	var d Durations
+	for range 50 {
+		d.Record(4*time.Second, 250)
+	}
+	for _, odd := range []struct {
+		took   time.Duration
+		tokens float64
+	}{{-time.Second, 10}, {time.Second, 0}, {time.Second, math.NaN()}, {3 * time.Second, 1}, {20 * time.Second, 0.001}} {
+		d.Record(odd.took, odd.tokens)
+	}
+	require.Less(t, d.Estimate(250), 20*time.Second)
+	for range 10 {
+		d.Record(4*time.Second, 250)
+	}
+	require.Less(t, d.Estimate(250), 7*time.Second)
+	s := DefaultConfig().Plan(0, 0, 8*time.Second)
+	for _, tokens := range []float64{1e8, 1e300, math.Inf(1)} {
+		require.False(t, s.Takes(0, Arrival{Deadline: time.Minute, Stream: true, Duration: d.Estimate(tokens)}), tokens)
+	}
+	require.True(t, s.Takes(0, Arrival{Deadline: 5 * time.Second, Stream: true, Duration: d.Estimate(1e8)}), "it ends at its deadline")
 }
