httpcall: a response whose framing net/http ignores is an error, and so is a cut body read again

Callers got a 200 with a part of a body, framed as whole, when a server wrote "Content-Length : 800" or "Transfer-Encoding : chunked" (a blank before the colon) and ended early: net/http keeps such a name as an unknown header, so only the end of the connection ended the body. It also ignores the Transfer-Encoding of an HTTP/1.0 response. A body cut short of its length reported io.EOF when it was read once more.

Such responses are now errors (may have arrived), and the first error of a body is final. TestTruncatedResponseIsAnError plays every beginning of seven responses and 22 heads without a valid length, over new and reused connections, ended by a close or a reset, through Open, Do and DoStream. Before, Open took both names, the HTTP/1.0 response and, read again, the cut bodies as whole; every cut within a head was an error in all three already.

--- a/internal/adapter/httpcall/exchange.go
+++ b/internal/adapter/httpcall/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	conn              *conn
 	stopCloseOnCancel func() bool
 	complete          bool
+	readErr           error // of an earlier Read, io.EOF included
 	reused            bool
 	maxIdleConns      int
 	held              reservation
@@ -112,6 +114,9 @@
 		if err != nil {
 			return &Error{Kind: kindOf(err), Sent: MayHaveArrived, Err: err}
 		}
+		if err := checkFraming(method, resp); err != nil {
+			return &Error{Kind: KindMalformed, Sent: MayHaveArrived, Err: err}
+		}
 		if resp.StatusCode >= 200 {
 			x.Response = resp
 			return nil
@@ -119,6 +124,27 @@
 	}
 }
 
+// The causes of calls whose response does not say reliably where its body ends.
+var (
+	errInvalidHeaderName = errors.New("invalid name of a header in the response")
+	errUnknownLength     = errors.New("HTTP/1.0 response without a length")
+)
+
+// checkFraming returns an error for a response whose framing net/http may have ignored, so that the
+// end of the connection would pass for the end of the body: it keeps a name with a blank before the
+// colon as an unknown header, and drops the Transfer-Encoding of an HTTP/1.0 response.
+func checkFraming(method string, resp *http.Response) error {
+	for name := range resp.Header {
+		if strings.ContainsAny(name, " \t") {
+			return errors.Wrapf(errInvalidHeaderName, "%q", name)
+		}
+	}
+	if !resp.ProtoAtLeast(1, 1) && resp.ContentLength < 0 && method != http.MethodHead {
+		return errUnknownLength
+	}
+	return nil
+}
+
 // Reused reports whether the connection has carried an earlier request.
 func (x *Exchange) Reused() bool { return x.reused }
 
@@ -126,9 +152,14 @@
 func (x *Exchange) SetReadDeadline(t time.Time) error { return x.conn.SetReadDeadline(t) }
 
 // Read reads the body. io.EOF means that the body is complete: its length or chunked
-// encoding marked the end, or the server closed the connection without an error.
+// encoding marked the end, or the server closed the connection without an error. Any error is
+// final: a body that was cut has no end later.
 func (x *Exchange) Read(b []byte) (int, error) {
+	if x.readErr != nil {
+		return 0, x.readErr
+	}
 	n, err := x.Response.Body.Read(b)
+	x.readErr = err
 	if errors.Is(err, io.EOF) {
 		x.complete = true
 	}
