router: a success without a signature is no response of a server

Callers got a 200, 204 or 206 without X-Response-Signature as a whole answer, also through another VM: send and passOn looked at ID and status only.

Such a response is now a failed send that may have run: idempotent requests and streams that may be resumed go to another server, others get 502. Nothing that it says of load, limits or leaving is used, and its connection is closed.

--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -102,6 +102,11 @@
 	if err != nil {
 		return sendResult{choice: ch, err: err, cancelled: ctx.Err() != nil, outcome: httpcall.SentOf(err).Verdict()}
 	}
+	if lacksSignature(call.Response) {
+		call.DisableReuse()
+		call.Close()
+		return sendResult{choice: ch, err: errUnsigned, outcome: verdict.MayHaveRun}
+	}
 	s := sendResult{choice: ch, call: call, outcome: outcomeOfPassedOn(call.Response)}
 	if in, ok := platform.ParseServedBy(call.Response.Header.Get(platform.HeaderServedBy)); ok {
 		x.r.recordLeaving(in, call.Response.Header.Get(platform.HeaderServerLeaving))
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -66,6 +66,11 @@
 		call.Close()
 		return sendResult{choice: ch, err: errResponseMismatch, outcome: verdict.MayHaveRun}
 	}
+	if lacksSignature(resp) {
+		call.DisableReuse()
+		call.Close()
+		return sendResult{choice: ch, sentAt: sentAt, err: errUnsigned, outcome: verdict.MayHaveRun}
+	}
 	call.SetMaxIdleConns(x.maxIdleConns)
 	s := sendResult{choice: ch, sentAt: sentAt, call: call, outcome: verdict.Ran}
 	x.r.recordResponse(target.Instance, sentAt)
@@ -99,6 +104,13 @@
 	return id == x.req.ID || id == "" && !call.Reused()
 }
 
+var errUnsigned = errors.New("success without a signature")
+
+// lacksSignature reports whether a success is not signed: it is not the whole response of a server.
+func lacksSignature(resp *http.Response) bool {
+	return resp.StatusCode/100 == 2 && resp.Header.Get(platform.HeaderSignature) == ""
+}
+
 // maxHeaderAge bounds the time between the encoding of a request's header, which states the
 // time left, and its first byte.
 const maxHeaderAge = 400 * time.Millisecond
--- a/internal/router/site_test.go
+++ b/internal/router/site_test.go
@@ -55,6 +55,8 @@
 		"timeoutMs": 3000, "service": "wuno96b", "attempts": 4})
 	routes = append(routes, map[string]any{"name": "resumable", "host": "ficu95.example", "prefix": "/resumable/", "kind": "streaming",
 		"timeoutMs": 10000, "service": "wuno96b", "attempts": 4, "streamResume": true})
+	routes = append(routes, map[string]any{"name": "unresumable", "host": "ficu95.example", "prefix": "/unresumable/", "kind": "streaming",
+		"timeoutMs": 10000, "service": "wuno96b", "attempts": 2})
 	doc["routes"], doc["version"] = routes, version
 	text, err = json.Marshal(doc)
 	require.NoError(s.t, err)
