router: a plain success without a length and a byte of its body is no whole response

A server that closed right after a head without a length made plain requests end in a 200 with an empty body, framed as whole by our Content-Length: 0. The end of the connection is the only end that such a body has, and a server with an empty answer states a length of 0; streams had the rule already.

--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,6 +88,9 @@
 func (x *exchange) forwardResponse(s *sendResult) bool {
 	resp := s.call.Response
 	body, err := s.call.ReadAll(maxResponseBytes)
+	if err == nil && len(body) == 0 && x.lacksBody(resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		s.call.Close()
 		s.call, s.err, s.outcome, s.cancelled = nil, err, verdict.MayHaveRun, x.callerGone()
@@ -108,6 +113,12 @@
 	return true
 }
 
+// lacksBody reports whether a success without a byte of its body may have been cut: only the end of
+// the connection marks its end.
+func (x *exchange) lacksBody(resp *http.Response) bool {
+	return resp.StatusCode/100 == 2 && isUnframed(resp) && !x.ctx.IsHead()
+}
+
 // misstates reports whether the status of a backend server that ran the request would tell the
 // caller that it did not run, so that the caller repeats what may run once only.
 func (x *exchange) misstates(status int) bool {
--- a/internal/router/truncated_test.go
+++ b/internal/router/truncated_test.go
@@ -67,6 +67,7 @@
 		"within the trailer":          upTo(chunked, "X-After"),
 		"after the trailer's line":    strings.TrimSuffix(chunked, "\r\n"),
 		"unsigned":                    strings.Replace(withLength, signature, "", 1),
+		"unframed, no body":           wholeResponse(mediaType, "", ""),
 		"signature empty":             strings.Replace(withLength, signature, "X-Response-Signature: \r\n", 1),
 		"unsigned, chunked":           strings.Replace(chunked, signature, "", 1),
 		"unsigned, unframed":          strings.Replace(wholeResponse(mediaType, "", body), signature, "", 1),
