--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -114,6 +114,11 @@
 	if err != nil {
 		return sendResult{choice: ch, err: err, cancelled: ctx.Err() != nil, outcome: httpcall.SentOf(err).Verdict()}
 	}
+	if lacksSignature(call.Response) {
+		call.DisableReuse()
+		call.Close()
+		return sendResult{choice: ch, err: errUnsigned, outcome: verdict.MayHaveRun}
+	}
 	s := sendResult{choice: ch, call: call, outcome: outcomeOfPassedOn(call.Response)}
 	_, s.peerState = platform.ParseState(call.Response.Header.Get(platform.HeaderState))
 	x.r.receiveState(basis.Response, ch.PeerVM(), s.peerState)
--- a/internal/router/site_test.go
+++ b/internal/router/site_test.go
@@ -55,6 +55,8 @@
 		"timeoutMs": 3000, "service": "wuno96b", "attempts": 4})
 	routes = append(routes, map[string]any{"name": "resumable", "host": "ficu95.example", "prefix": "/resumable/", "kind": "streaming",
 		"timeoutMs": 10000, "service": "wuno96b", "attempts": 4, "streamResume": true})
+	routes = append(routes, map[string]any{"name": "unresumable", "host": "ficu95.example", "prefix": "/unresumable/", "kind": "streaming",
+		"timeoutMs": 10000, "service": "wuno96b", "attempts": 2})
 	for name, resumable := range map[string]bool{"once": false, "one_attempt": true} {
 		routes = append(routes, map[string]any{"name": name, "host": "ficu95.example", "prefix": "/" + name + "/", "kind": "streaming",
 			"timeoutMs": 20000, "service": "huvo11a", "attempts": 1, "streamResume": resumable, "gapAimMs": 250, "stickySessions": true})
