dispatch: a refusal read late does not leave out a VM that has caught up

Callers would see: for 2 s nothing is passed on to a VM that knows the configuration. Cause: the VM that refuses catches up at once and says so, but on a busy machine its word may be handled before the refusal is. Now a refusal counts only if the VM has not said since the request was sent that it knows enough. The new lines of TestPeerWithOlderConfigurationGetsNothingUntilItHasCaughtUp need the time of the send, which the code before did not take.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -106,7 +106,7 @@
 	observedUse     map[string]observedUse // by service
 	peers           []Peer
 	peerRefusals    map[peerRefusal]time.Duration // until when
-	olderPeers      map[string]time.Duration      // VMs whose configuration is older, until when
+	peerStates      map[string]peerState          // of all peers, by VM
 	unconfirmed     unconfirmedFailures
 	budgets         map[string]*retry.Budget
 	vmCount         int
@@ -119,7 +119,7 @@
 // New returns a Core without a configuration.
 func New(cfg Config) *Core {
 	self := loads.Member{VM: cfg.VM, Domain: cfg.Domain}
-	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{}, olderPeers: map[string]time.Duration{},
+	return &Core{cfg: cfg, Backends: backend.New(cfg.Backends), Loads: loads.New(cfg.Loads, self, cfg.Incarnation), Poison: poison.New(cfg.Poison), Reach: reach.New(cfg.Reach), peerLinks: reach.NewPeers(), peerRefusals: map[peerRefusal]time.Duration{},
 		Backpressure: backpressure.New(cfg.Backpressure, uint32(xxhash.Sum64String(cfg.VM))), Prompts: prefixcache.New(cfg.Prompts), Classes: classes.New(cfg.Classes), observedUse: map[string]observedUse{}, budgets: map[string]*retry.Budget{}, vmCount: 1, moves: map[backend.Instance]*move{}}
 }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"strings"
 	"time"
 
@@ -33,8 +32,21 @@
 // peerRefusal identifies the refusals of one VM for one service.
 type peerRefusal struct{ vm, service string }
 
+// peerState is what another VM has said of its configuration.
+type peerState struct {
+	olderUntil time.Duration // it gets no requests until then, because its configuration is older
+	caughtUpAt time.Duration // when it said last that it is not
+}
+
 // SetPeers sets the other VMs that take requests.
-func (c *Core) SetPeers(peers []Peer) { c.peers = peers }
+func (c *Core) SetPeers(peers []Peer) {
+	c.peers = peers
+	states := make(map[string]peerState, len(peers))
+	for _, p := range peers {
+		states[p.VM] = c.peerStates[p.VM]
+	}
+	c.peerStates = states
+}
 
 // PeerID returns the ID under which a VM stands in Choice.Stages and Request.Avoid.
 func PeerID(vm string) backend.ID { return backend.ID(peerPrefix + vm) }
@@ -105,18 +117,27 @@
 	c.peerRefusals[peerRefusal{ch.PeerVM(), r.Service.Name}] = now + peerRefusalTTL
 }
 
-// RecordPeerOlder records that another VM has refused a request because its configuration is
-// older. It gets none until PeerCaughtUp, or for olderPeerTTL.
-func (c *Core) RecordPeerOlder(now time.Duration, vm string) {
-	maps.DeleteFunc(c.olderPeers, func(_ string, until time.Duration) bool { return now >= until })
-	c.olderPeers[vm] = now + olderPeerTTL
+// RecordPeerOlder records that another VM has refused a request, sent at a time, because its
+// configuration is older. It gets none until PeerCaughtUp, or for olderPeerTTL, unless it has caught
+// up since the request was sent: the refusal may be read later than that.
+func (c *Core) RecordPeerOlder(now, sentAt time.Duration, vm string) {
+	if s, known := c.peerStates[vm]; known && s.caughtUpAt < sentAt {
+		s.olderUntil = now + olderPeerTTL
+		c.peerStates[vm] = s
+	}
 }
 
 // PeerOlder reports whether another VM gets no requests because its configuration is older.
-func (c *Core) PeerOlder(now time.Duration, vm string) bool { return now < c.olderPeers[vm] }
+func (c *Core) PeerOlder(now time.Duration, vm string) bool {
+	return now < c.peerStates[vm].olderUntil
+}
 
 // PeerCaughtUp records that another VM says that its configuration is not older.
-func (c *Core) PeerCaughtUp(vm string) { delete(c.olderPeers, vm) }
+func (c *Core) PeerCaughtUp(now time.Duration, vm string) {
+	if _, known := c.peerStates[vm]; known {
+		c.peerStates[vm] = peerState{caughtUpAt: now}
+	}
+}
 
 // chooseReachable returns a VM to pass a request on to while this VM is cut off from the
 // servers of its service, or has tried enough of them. It returns the refusal if no other VM
--- a/internal/dispatch/peers_test.go
+++ b/internal/dispatch/peers_test.go
@@ -91,13 +91,18 @@
 		return ch != nil
 	}
 	require.True(t, takes(0))
-	c.RecordPeerOlder(0, "a2")
+	c.RecordPeerOlder(0, 1, "a2")
 	require.False(t, takes(time.Millisecond))
 	require.False(t, takes(1999*time.Millisecond))
 	require.True(t, takes(2*time.Second), "it may have caught up without a word")
-	c.RecordPeerOlder(2*time.Second, "a2")
-	c.PeerCaughtUp("a2")
+	c.RecordPeerOlder(2*time.Second, 2*time.Second, "a2")
+	require.False(t, takes(2*time.Second))
+	c.PeerCaughtUp(2*time.Second, "a2")
 	require.True(t, takes(2*time.Second))
+	c.RecordPeerOlder(3*time.Second, time.Second, "a2")
+	require.True(t, takes(3*time.Second), "a refusal that is read after it has caught up")
+	c.RecordPeerOlder(3*time.Second, 2500*time.Millisecond, "a2")
+	require.False(t, takes(3*time.Second))
 }
 
 func TestRequestIsPassedOnOnce(t *testing.T) {
--- a/internal/router/catchup.go
+++ b/internal/router/catchup.go
@@ -61,7 +61,7 @@
 	defer r.mu.Unlock()
 	known := r.state()
 	if rests.Known && basis.Compare(rests, known) != basis.Older {
-		r.core.PeerCaughtUp(from)
+		r.core.PeerCaughtUp(r.clock.now(), from)
 	}
 	action := basis.Decide(kind, known, rests)
 	if action.CatchUp {
@@ -175,7 +175,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if basis.Compare(asking, r.state()) != basis.Older {
-		r.core.PeerCaughtUp(req.VM)
+		r.core.PeerCaughtUp(r.clock.now(), req.VM)
 		return configurationResponse{}
 	}
 	return configurationResponse{Value: r.configValue}
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -110,11 +110,12 @@
 	opt := httpcall.Options{Deadline: time.Now().Add(left), MaxIdleTime: x.r.cfg.ConnReuseTimeout, NewConnection: !x.req.Route.Retryable(),
 		BeforeSend: func() error { return x.checkBeforeSend(left, ch) }}
 	x.r.metrics.passedOn.Inc()
+	sentAt := x.r.clock.now()
 	call, err := x.r.backendClient.Open(ctx, ch.Target().Addr, string(h.Method()), header, body, opt)
 	if err != nil {
 		return sendResult{choice: ch, err: err, cancelled: ctx.Err() != nil, outcome: httpcall.SentOf(err).Verdict()}
 	}
-	s := sendResult{choice: ch, call: call, outcome: outcomeOfPassedOn(call.Response)}
+	s := sendResult{choice: ch, sentAt: sentAt, call: call, outcome: outcomeOfPassedOn(call.Response)}
 	_, s.peerState = platform.ParseState(call.Response.Header.Get(platform.HeaderState))
 	x.r.receiveState(basis.Response, ch.PeerVM(), s.peerState)
 	if in, ok := platform.ParseServedBy(call.Response.Header.Get(platform.HeaderServedBy)); ok {
@@ -171,7 +172,7 @@
 	x.r.locked(func() {
 		x.r.core.RecordPeerRefused(x.r.clock.now(), &x.req, s.choice, unable)
 		if s.refusedBy == verdict.CauseOlderConfig && basis.Compare(s.peerState, x.r.state()) == basis.Older {
-			x.r.core.RecordPeerOlder(x.r.clock.now(), s.choice.PeerVM())
+			x.r.core.RecordPeerOlder(x.r.clock.now(), s.sentAt, s.choice.PeerVM())
 		}
 	})
 	if x.callerGone() || x.timeLeft() <= 0 {
