router: builds and feature levels out of bounds in VM records are dropped

What one would see: a VM's record in the store may name a build of any length, with control characters, or a negative or huge feature level, and GET /vms and the log pass it on. The same values in a load message were refused and counted already.

Cause: decodeMember checks types, nothing checked the values. The record is now used without its build and level, as that of a build that names none; it is counted (catkin_router_invalid_vm_records_total) and logged with its key.

TestBuildsOutOfBoundsInRecordsAreDropped failed before (with the check's line taken out): huge level, expected "", actual "c0ffee".

--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -20,7 +20,7 @@
 	promptHolderKnown, promptHolderChosen, promptTokensHeld                                                  *metrics.Counter
 	repathRefused                                                                                            *metrics.Counter
 	configCorrections                                                                                        *metrics.Counter
-	invalidMessages, sentToLeaving                                                                           *metrics.Counter
+	invalidMessages, invalidRecords, sentToLeaving                                                           *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 	detectorMetrics
 }
@@ -39,7 +39,7 @@
 		storeEraChanges: c("catkin_router_store_era_changes_total"),
 		passedOn:        c("catkin_router_passed_on_total"), cutOff: c("catkin_router_cut_off_total"),
 		peerBytes: c("catkin_router_peer_bytes_total"), findingsDelayed: c("catkin_router_findings_delayed_total"),
-		invalidMessages: c("catkin_router_invalid_messages_total"), sentToLeaving: c("catkin_router_sent_to_leaving_total"),
+		invalidMessages: c("catkin_router_invalid_messages_total"), invalidRecords: c("catkin_router_invalid_vm_records_total"), sentToLeaving: c("catkin_router_sent_to_leaving_total"),
 		logLinesDropped: c("catkin_router_log_lines_lost_total"), panics: c("catkin_router_panics_total"),
 		promptHolderKnown:  c("catkin_router_prompt_holder_known_total"),
 		promptHolderChosen: c("catkin_router_prompt_holder_chosen_total"), promptTokensHeld: c("catkin_router_prompt_tokens_held_total"),
--- a/internal/router/builds.go
+++ b/internal/router/builds.go
@@ -59,7 +59,7 @@
 // build; a level that differs makes the build unknown. Of other messages some builds leave the level
 // out, so those that name none say nothing. The caller holds mu.
 func (r *Router) noteBuild(m loads.Message) {
-	if !validBuild(m) {
+	if !validBuild(m.Build, m.FeatureLevel) {
 		r.metrics.invalidMessages.Inc()
 		r.log.Warn().Str("from", m.From).Int("featureLevel", m.FeatureLevel).Int("bytes", len(m.Build)).Msg("loads: invalid build or feature level, ignored")
 		return
@@ -76,7 +76,19 @@
 	r.members[m.From] = known
 }
 
-// validBuild reports whether the build and the feature level of a message are within bounds.
-func validBuild(m loads.Message) bool {
-	return m.FeatureLevel >= 0 && m.FeatureLevel <= maxFeatureLevel && len(m.Build) <= maxBuildBytes && !strings.ContainsFunc(m.Build, unicode.IsControl)
+// withoutInvalidBuild returns a VM's record without its build and feature level if these are out of
+// bounds, as the record of a build that names none. The caller holds mu.
+func (r *Router) withoutInvalidBuild(key string, m member) member {
+	if validBuild(m.Build, m.FeatureLevel) {
+		return m
+	}
+	r.metrics.invalidRecords.Inc()
+	r.log.Warn().Str("key", key).Int("featureLevel", m.FeatureLevel).Int("bytes", len(m.Build)).Msg("VM record: invalid build or feature level, ignored")
+	m.Build, m.FeatureLevel = "", 0
+	return m
+}
+
+// validBuild reports whether a build and a feature level are within bounds.
+func validBuild(build string, level int) bool {
+	return level >= 0 && level <= maxFeatureLevel && len(build) <= maxBuildBytes && !strings.ContainsFunc(build, unicode.IsControl)
 }
--- a/internal/router/builds_test.go
+++ b/internal/router/builds_test.go
@@ -11,6 +11,7 @@
 	"github.com/catkinstair/catkinstair/internal/featurelevel"
 	"github.com/catkinstair/catkinstair/internal/loads"
 	"github.com/catkinstair/catkinstair/internal/obs"
+	"github.com/catkinstair/catkinstair/platform"
 )
 
 func TestMessagesDoNotEraseTheirSendersBuild(t *testing.T) {
@@ -71,3 +72,32 @@
 		require.Equal(t, test.level, got.FeatureLevel, name)
 	}
 }
+
+// A VM's record could name a build of any length and content, which GET /vms and the log passed on.
+func TestBuildsOutOfBoundsInRecordsAreDropped(t *testing.T) {
+	t.Parallel()
+	v := newSite(t).vm("a1")
+	for name, test := range map[string]struct {
+		record string
+		build  string
+		level  int
+	}{
+		"sound":              {`"build":"c0ffee","feature_level":2`, "c0ffee", 2},
+		"none":               {`"domain":"bergen-a"`, "", 0},
+		"build too long":     {`"build":"` + strings.Repeat("x", maxBuildBytes+1) + `","feature_level":2`, "", 0},
+		"control characters": {`"build":"a\nb","feature_level":2`, "", 0},
+		"negative level":     {`"build":"c0ffee","feature_level":-1`, "", 0},
+		"huge level":         {`"build":"c0ffee","feature_level":65537`, "", 0},
+	} {
+		before := v.metrics.invalidRecords.Get()
+		var m member
+		v.locked(func() {
+			v.applyMember(platform.Item{Key: membersPrefix + "a2", Value: []byte(`{"vm":"a2","peers":"127.0.0.1:1",` + test.record + `}`)})
+			m = v.members["a2"]
+		})
+		require.Equal(t, "127.0.0.1:1", m.PeerAddr, name)
+		require.Equal(t, test.build, m.Build, name)
+		require.Equal(t, test.level, m.FeatureLevel, name)
+		require.Equal(t, name != "sound" && name != "none", v.metrics.invalidRecords.Get() > before, name)
+	}
+}
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -347,6 +347,7 @@
 			r.log.Warn().Err(err).Str("key", it.Key).Msg("invalid VM record")
 			return
 		}
+		m = r.withoutInvalidBuild(it.Key, m)
 		m.lease, m.era = it.Lease, r.storeEra
 		r.members[vm] = m
 	}
