router: a failed accept no longer ends a server for good

Cause: the HTTP servers end at the first error of Accept that isn't a timeout, and readiness knew nothing of them. The same held for the listeners for readiness, the directory, metrics, other VMs' questions and passed-on requests.

Change: one listener for all of them tries again until it is closed, after pauses from 5 ms to 500 ms, with a log line for each series of failures and a counter. The VM isn't ready while a listener doesn't accept, and its answer names the listener.

Evidence: with Accept ending at the first error TestServerSurvivesFailedAccepts says "Permanent error when accepting new connections: accept: too many open files" and "Condition never satisfied: not ready again without a connection". It passes now, with the race detector too.

--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -52,47 +52,45 @@
 
 // serveAux starts the servers of the readiness check, the directory and the metrics.
 func (r *Router) serveAux() error {
-	handlers := map[string]fasthttp.RequestHandler{
-		r.settings.Listen.Ready:     r.handleReady,
-		r.settings.Listen.Directory: r.handleResolve,
+	type auxServer struct {
+		name, addr string
+		handler    fasthttp.RequestHandler
 	}
+	servers := []auxServer{{"readiness", r.settings.Listen.Ready, r.handleReady}, {"directory", r.settings.Listen.Directory, r.handleResolve}}
 	if r.cfg.MetricsPort > 0 {
 		host, _, err := net.SplitHostPort(r.settings.Listen.Ready)
 		if err != nil {
 			return errors.Wrap(err, "address of the readiness check")
 		}
-		handlers[net.JoinHostPort(host, strconv.Itoa(r.cfg.MetricsPort))] = func(ctx *fasthttp.RequestCtx) {
-			if string(ctx.Path()) == blockedPartsURI && ctx.IsDelete() {
-				r.handleLiftBlock(ctx)
-				return
-			}
-			if string(ctx.Path()) == blockedPartsURI {
-				r.handleBlockedParts(ctx)
-				return
-			}
-			if string(ctx.Path()) == vmsURI {
-				r.handleVMs(ctx)
-				return
-			}
-			metrics.WritePrometheus(ctx, true)
-		}
+		addr := net.JoinHostPort(host, strconv.Itoa(r.cfg.MetricsPort))
+		servers = append(servers, auxServer{"metrics", addr, r.handleMetrics})
 	}
-	for addr, handler := range handlers {
-		l, err := listen(addr)
+	for _, a := range servers {
+		l, err := listen(a.addr)
 		if err != nil {
 			return err
 		}
-		s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: r.guarded(handler), NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
+		s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: r.guarded(a.handler), NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
 		r.auxServers = append(r.auxServers, s)
-		go func() {
-			if err := s.Serve(l); err != nil {
-				r.log.Error().Err(err).Str("addr", l.Addr().String()).Msg("server stopped")
-			}
-		}()
+		r.serve(a.name, l, s)
 	}
 	return nil
 }
 
+// handleMetrics serves operators: the metrics, the blocked parts and the VMs.
+func (r *Router) handleMetrics(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); {
+	case path == blockedPartsURI && ctx.IsDelete():
+		r.handleLiftBlock(ctx)
+	case path == blockedPartsURI:
+		r.handleBlockedParts(ctx)
+	case path == vmsURI:
+		r.handleVMs(ctx)
+	default:
+		metrics.WritePrometheus(ctx, true)
+	}
+}
+
 func (r *Router) handleReady(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != platform.ReadyURI {
 		ctx.Error("no such call", fasthttp.StatusNotFound)
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -37,11 +37,11 @@
 
 // serveCallers starts the server for callers' requests.
 func (r *Router) serveCallers() (*fasthttp.Server, error) {
-	return r.serveRequests(r.settings.Listen.Callers, func(ctx *fasthttp.RequestCtx) { r.handle(ctx, false) })
+	return r.serveRequests("callers", r.settings.Listen.Callers, func(ctx *fasthttp.RequestCtx) { r.handle(ctx, false) })
 }
 
 // serveRequests starts a server for requests to backend servers.
-func (r *Router) serveRequests(addr string, handler fasthttp.RequestHandler) (*fasthttp.Server, error) {
+func (r *Router) serveRequests(name, addr string, handler fasthttp.RequestHandler) (*fasthttp.Server, error) {
 	l, err := listen(addr)
 	if err != nil {
 		return nil, err
@@ -51,11 +51,7 @@
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, IdleTimeout: callerIdleTimeout,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 	}
-	go func() {
-		if err := s.Serve(callerListener{l}); err != nil {
-			r.log.Error().Err(err).Str("addr", addr).Msg("server for requests stopped")
-		}
-	}()
+	r.serve(name, callerListener{l}, s)
 	return s, nil
 }
 
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -53,11 +53,7 @@
 	handler := r.guarded(fasthttp.CompressHandlerLevel(r.handlePeerRequest, fasthttp.CompressBestSpeed))
 	s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: handler, NoDefaultServerHeader: true}
 	r.auxServers = append(r.auxServers, s)
-	go func() {
-		if err := s.Serve(l); err != nil {
-			r.log.Error().Err(err).Msg("peer server stopped")
-		}
-	}()
+	r.serve("peers", l, s)
 	return nil
 }
 
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -22,7 +22,7 @@
 // servePassedOn starts the server for requests that other VMs pass on. They are checked like
 // callers' own, so an address inside the deployment is all the right that a VM needs.
 func (r *Router) servePassedOn() error {
-	s, err := r.serveRequests(r.settings.Listen.PassedOn, r.handlePassedOn)
+	s, err := r.serveRequests("passed on", r.settings.Listen.PassedOn, r.handlePassedOn)
 	if err != nil {
 		return err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,7 +43,7 @@
 	auxServers    []*fasthttp.Server // readiness, directory, metrics, changes for other VMs
 	workers       *ants.Pool
 
-	// mu guards the fields below, up to presenceTryAt, and the wait queue. Nothing blocks
+	// mu guards the fields below, up to listeners, and the wait queue. Nothing blocks
 	// while it is held, and a choice takes well under a millisecond, so a lock is cheaper
 	// than handing requests to a goroutine.
 	mu              sync.Mutex
@@ -70,6 +70,8 @@
 	ownTryAt         time.Duration                  // until this time on clock, tries to reach the store are left to the watchers
 	presenceTryAt    time.Duration                  // the same for the calls of the VM's lease while the store is down
 
+	listeners []*steadyListener
+
 	storedBlocks storedBlocks // guarded by mu
 	// turnUntil is the time on clock until which other suspects wait for the one that was sent
 	// last; guarded by mu.
@@ -241,6 +243,9 @@
 	if !r.current.isOpen() {
 		return false, "paused a moment ago, state not read again yet"
 	}
+	if name := r.notAccepting(); name != "" {
+		return false, "no new connections can be accepted: " + name
+	}
 	return true, ""
 }
 
