router: accepted connections have limits, and the configured idle limit holds

Cause: idle connections were kept for 2 minutes whatever idleTimeoutMs said, a connection without any request for ever, and nothing bounded them below maxFds, which was not read.

Change: internal/connbudget, a pure core, splits the descriptors (less 200 for files) over duties, callers also by memory, and decides which connections are taken and closed. The shell is a table for each listener. Idle connections are closed at idleTimeoutMs, before it only above nine tenths of the limit, longest idle first; at the limit a new one is closed at once. Only the connection's own goroutine closes it, after a last look for a request; fasthttp's ConnState tells the ends of requests. Readiness, the directory, metrics, other VMs and passed-on requests have limits of their own.

All tests of internal/router passed. With connections closed from outside instead of by their goroutine, TestRequestsRacingWithTheCloseOfIdleConnectionsAreServedOrUntouched says "requests ran whose callers got no response", expected 6111, actual 5391.

Changed test code: newConnPair wraps its connection with a table, as the listener needs one.

--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -13,6 +13,7 @@
 	"internal/changefeed",
 	"internal/classes",
 	"internal/config",
+	"internal/connbudget",
 	"internal/detector",
 	"internal/configcheck",
 	"internal/dispatch",
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -53,17 +54,18 @@
 // serveAux starts the servers of the readiness check, the directory and the metrics.
 func (r *Router) serveAux() error {
 	type auxServer struct {
-		name, addr string
-		handler    fasthttp.RequestHandler
+		duty    connbudget.Duty
+		addr    string
+		handler fasthttp.RequestHandler
 	}
-	servers := []auxServer{{"readiness", r.settings.Listen.Ready, r.handleReady}, {"directory", r.settings.Listen.Directory, r.handleResolve}}
+	servers := []auxServer{{connbudget.Readiness, r.settings.Listen.Ready, r.handleReady}, {connbudget.Directory, r.settings.Listen.Directory, r.handleResolve}}
 	if r.cfg.MetricsPort > 0 {
 		host, _, err := net.SplitHostPort(r.settings.Listen.Ready)
 		if err != nil {
 			return errors.Wrap(err, "address of the readiness check")
 		}
 		addr := net.JoinHostPort(host, strconv.Itoa(r.cfg.MetricsPort))
-		servers = append(servers, auxServer{"metrics", addr, r.handleMetrics})
+		servers = append(servers, auxServer{connbudget.Metrics, addr, r.handleMetrics})
 	}
 	for _, a := range servers {
 		l, err := listen(a.addr)
@@ -72,7 +74,7 @@
 		}
 		s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: r.guarded(a.handler), NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
 		r.auxServers = append(r.auxServers, s)
-		r.serve(a.name, l, s)
+		r.serve(a.duty, l, s)
 	}
 	return nil
 }
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/poison"
 	"github.com/catkinstair/catkinstair/internal/routes"
@@ -23,9 +24,6 @@
 	// the configuration's own limits are lower.
 	maxHeaderBytes = routes.MaxHeaderBytes
 	maxBodyBytes   = routes.MaxBodyBytes
-	// callerIdleTimeout closes abandoned connections. The configuration's limit is far
-	// lower, but is not applied, since keeping a connection longer does no harm.
-	callerIdleTimeout = 2 * time.Minute
 	// writeTimeout disconnects a caller that does not read. It bounds each write, because
 	// a stream as a whole lasts as long as its events keep coming.
 	writeTimeout = 10 * time.Second
@@ -37,21 +35,21 @@
 
 // serveCallers starts the server for callers' requests.
 func (r *Router) serveCallers() (*fasthttp.Server, error) {
-	return r.serveRequests("callers", r.settings.Listen.Callers, func(ctx *fasthttp.RequestCtx) { r.handle(ctx, false) })
+	return r.serveRequests(connbudget.Callers, r.settings.Listen.Callers, func(ctx *fasthttp.RequestCtx) { r.handle(ctx, false) })
 }
 
 // serveRequests starts a server for requests to backend servers.
-func (r *Router) serveRequests(name, addr string, handler fasthttp.RequestHandler) (*fasthttp.Server, error) {
+func (r *Router) serveRequests(duty connbudget.Duty, addr string, handler fasthttp.RequestHandler) (*fasthttp.Server, error) {
 	l, err := listen(addr)
 	if err != nil {
 		return nil, err
 	}
 	s := &fasthttp.Server{
 		Logger: httpLogger{r.log}, Handler: r.guarded(handler), NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
-		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, IdleTimeout: callerIdleTimeout,
+		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 	}
-	r.serve(name, callerListener{l}, s)
+	r.serve(duty, l, s)
 	return s, nil
 }
 
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/changefeed"
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -53,7 +54,7 @@
 	handler := r.guarded(fasthttp.CompressHandlerLevel(r.handlePeerRequest, fasthttp.CompressBestSpeed))
 	s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: handler, NoDefaultServerHeader: true}
 	r.auxServers = append(r.auxServers, s)
-	r.serve("peers", l, s)
+	r.serve(connbudget.Peers, l, s)
 	return nil
 }
 
--- a/internal/router/conn_test.go
+++ b/internal/router/conn_test.go
@@ -16,7 +16,7 @@
 	defer func() { require.NoError(t, l.Close()) }()
 	caller, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
-	accepted, err := callerListener{l}.Accept()
+	accepted, err := callerListener{l, newConnTable("test", 10, newClock().now)}.Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = caller.Close(); _ = accepted.Close() })
 	return accepted.(*callerConn), caller
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -12,6 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 )
 
 const (
@@ -110,12 +112,15 @@
 	}
 }
 
-// serve lets s serve l until l is closed. The VM is ready only while l accepts connections.
-func (r *Router) serve(name string, l net.Listener, s *fasthttp.Server) {
-	steady := newSteadyListener(name, l, r.clock.now, r.log)
+// serve lets s serve l until l is closed, within the limit of a duty. The VM is ready only while
+// l accepts connections.
+func (r *Router) serve(duty connbudget.Duty, l net.Listener, s *fasthttp.Server) {
+	steady := newSteadyListener(string(duty), l, r.clock.now, r.log)
 	r.locked(func() { r.listeners = append(r.listeners, steady) })
+	s.ConnState = recordState
+	limited := callerListener{steady, r.newTable(duty)}
 	go func() {
-		if err := s.Serve(steady); err != nil && !steady.isClosed() {
+		if err := s.Serve(limited); err != nil && !steady.isClosed() {
 			steady.failingUntil.Store(math.MaxInt64)
 			steady.log.Error().Err(err).Msg("server stopped")
 		}
--- a/internal/router/listener_test.go
+++ b/internal/router/listener_test.go
@@ -12,6 +12,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 )
 
 // failingListener fails every accept while failing is set.
@@ -45,10 +47,10 @@
 	v := newSite(t).vm("a1")
 	l := newFailingListener(t)
 	l.failing.Store(true)
-	v.serve("test", l, &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetConnectionClose() }})
+	v.serve(connbudget.Metrics, l, &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetConnectionClose() }})
 	named := func() string { v.mu.Lock(); defer v.mu.Unlock(); return v.notAccepting() }
-	require.Eventually(t, func() bool { return named() == "test" }, waitTimeout, time.Millisecond)
-	require.Never(t, func() bool { return named() != "test" }, 2*maxAcceptPause, time.Millisecond, "ready while nothing is accepted")
+	require.Eventually(t, func() bool { return named() == "metrics" }, waitTimeout, time.Millisecond)
+	require.Never(t, func() bool { return named() != "metrics" }, 2*maxAcceptPause, time.Millisecond, "ready while nothing is accepted")
 	l.failing.Store(false)
 	require.Eventually(t, func() bool { return named() == "" }, waitTimeout, time.Millisecond, "not ready again without a connection")
 	resp, err := http.Get("http://" + l.Addr().String())
--- a/internal/router/passedon.go
+++ b/internal/router/passedon.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 	"github.com/catkinstair/catkinstair/platform"
@@ -22,7 +23,7 @@
 // servePassedOn starts the server for requests that other VMs pass on. They are checked like
 // callers' own, so an address inside the deployment is all the right that a VM needs.
 func (r *Router) servePassedOn() error {
-	s, err := r.serveRequests("passed on", r.settings.Listen.PassedOn, r.handlePassedOn)
+	s, err := r.serveRequests(connbudget.PassedOn, r.settings.Listen.PassedOn, r.handlePassedOn)
 	if err != nil {
 		return err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/changefeed"
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/leader"
 	"github.com/catkinstair/catkinstair/internal/obs"
@@ -43,7 +44,10 @@
 	auxServers    []*fasthttp.Server // readiness, directory, metrics, changes for other VMs
 	workers       *ants.Pool
 
-	// mu guards the fields below, up to listeners, and the wait queue. Nothing blocks
+	// connLimits are the limits of connections by duty.
+	connLimits map[connbudget.Duty]int
+
+	// mu guards the fields below, up to connTables, and the wait queue. Nothing blocks
 	// while it is held, and a choice takes well under a millisecond, so a lock is cheaper
 	// than handing requests to a goroutine.
 	mu              sync.Mutex
@@ -70,7 +74,8 @@
 	ownTryAt         time.Duration                  // until this time on clock, tries to reach the store are left to the watchers
 	presenceTryAt    time.Duration                  // the same for the calls of the VM's lease while the store is down
 
-	listeners []*steadyListener
+	listeners  []*steadyListener
+	connTables []*connTable
 
 	storedBlocks storedBlocks // guarded by mu
 	// turnUntil is the time on clock until which other suspects wait for the one that was sent
@@ -142,7 +147,7 @@
 		members: map[string]member{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
 		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1),
-		current: newGate(),
+		current: newGate(), connLimits: connbudget.Split(settings.MaxFDs, settings.MemoryMB, callerConnBytes),
 	}
 	r.detector = newFailureDetector(cfg.Detector, settings.VM, cfg.Dispatch.Incarnation)
 	r.detector.dial = r.dialServer
@@ -208,7 +213,7 @@
 		return errors.Wrap(err, "opening the socket for other VMs")
 	}
 	var workTasks, leaseTasks sync.WaitGroup
-	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence, r.askFindingsWhileStopping} {
+	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence, r.watchIdle, r.askFindingsWhileStopping} {
 		workTasks.Go(func() { task(workCtx) })
 	}
 	for _, task := range []func(context.Context){r.maintainPresence, r.runPlacement, r.storeBlockedParts} {
