store: large entries of another writer no longer stop VMs from following it

Seen: 120 entries of 1 MiB among the records stopped all VMs from following the store for good, and a VM that started did not become ready.

Cause: one response passed the client's bound of 16 MiB (or its time) and was given up as a whole; the next try asked for the same response.

Change: pages and changes are decoded entry by entry as they arrive. Values above 64 KiB are left out, except the configuration and the system's own keys; the record then counts as an invalid one. Changes that can't be read to their end are not asked for again: all pages are read, and if that fails too the VM keeps its place. A refused entry costs a log line for each of its revisions instead of one for each read, with its key.

--- a/internal/adapter/httpcall/json.go
+++ b/internal/adapter/httpcall/json.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -42,3 +44,33 @@
 	}
 	return nil
 }
+
+// JSONStream makes one call without a body and hands the body of a 2xx response to read as it
+// arrives, so that its size is not bounded. opt.IdleTimeout bounds the wait for the header,
+// bodyIdle each wait for bytes of the body. opt.OnHeader is called before read. The error is as
+// for JSON; one of read is wrapped in an *Error.
+func (c *Client) JSONStream(addr, method, uri string, opt Options, bodyIdle time.Duration, read func(body io.Reader) error) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + addr + uri)
+	var status error
+	err := c.DoStream(addr, req, resp, opt, bodyIdle, func(resp *fasthttp.Response, body io.Reader) error {
+		if opt.OnHeader != nil {
+			opt.OnHeader(&resp.Header)
+		}
+		if resp.StatusCode()/100 == 2 {
+			return read(body)
+		}
+		text, err := io.ReadAll(io.LimitReader(body, maxErrorBytes))
+		e := &Error{Kind: KindStatus, Sent: MayHaveArrived, Status: resp.StatusCode(), RetryAfter: RetryAfter(&resp.Header), Body: string(text)}
+		status = setTarget(e, addr, req)
+		return err
+	})
+	if status != nil {
+		return status
+	}
+	return err
+}
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -20,7 +20,7 @@
 	peerBytes, findingsDelayed                                                                               *metrics.Counter
 	promptHolderKnown, promptHolderChosen, promptTokensHeld                                                  *metrics.Counter
 	repathRefused                                                                                            *metrics.Counter
-	configCorrections                                                                                        *metrics.Counter
+	configCorrections, entriesTooLarge                                                                       *metrics.Counter
 	invalidMessages, sentToLeaving                                                                           *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 	detectorMetrics
@@ -46,6 +46,7 @@
 		promptHolderChosen: c("catkin_router_prompt_holder_chosen_total"), promptTokensHeld: c("catkin_router_prompt_tokens_held_total"),
 		repathRefused:     c("catkin_router_repath_refused_total"),
 		configCorrections: c("catkin_router_config_corrections_total"),
+		entriesTooLarge:   c("catkin_router_store_entries_too_large_total"),
 		plainDuration:     metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
 		firstEventDelay:   metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,6 +74,9 @@
 	ownTryAt         time.Duration                  // until this time on clock, tries to reach the store are left to the watchers
 	presenceTryAt    time.Duration                  // the same for the calls of the VM's lease while the store is down
 
+	// refusedRecords holds the revisions of the entries that were refused, by key.
+	refusedRecords map[string]uint64
+
 	listeners  []*steadyListener
 	connTables []*connTable
 
@@ -144,7 +147,7 @@
 		cfg: cfg, settings: settings, log: log.With().Str("vm", settings.VM).Logger(), clock: newClock(), metrics: metrics, logWriter: logWriter,
 		backendClient: backendClient, controlClient: controlClient, store: platform.NewStore(controlClient, settings.Store.Addr), workers: workers,
 		core: dispatch.New(cfg.Dispatch), election: leader.New(cfg.Leader, settings.VM),
-		members: map[string]member{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
+		members: map[string]member{}, refusedRecords: map[string]uint64{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
 		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1),
 		current: newGate(), connLimits: connbudget.Split(settings.MaxFDs, settings.MemoryMB, callerConnBytes),
@@ -152,7 +155,7 @@
 	r.detector = newFailureDetector(cfg.Detector, settings.VM, cfg.Dispatch.Incarnation)
 	r.detector.dial = r.dialServer
 	r.bounds.Store(&settings.Bounds)
-	r.store.OnEra = r.observeEra
+	r.store.OnEra, r.store.OnTooLarge, r.store.OwnPrefix = r.observeEra, r.nameTooLarge, systemPrefix
 	r.setReached()
 	return r, nil
 }
--- a/internal/router/storewatch.go
+++ b/internal/router/storewatch.go
@@ -120,6 +120,15 @@
 	return since, nil
 }
 
+// readAllOr is readAll, but returns since with an error: the state as of since stays in force.
+func (r *Router) readAllOr(since uint64) (uint64, error) {
+	all, err := r.readAll()
+	if err != nil {
+		return since, err
+	}
+	return all, nil
+}
+
 // replaceAll applies all keys of the store and removes what is missing from them as of a
 // revision. older is set for the first state of a new era, which is older than what is known:
 // servers keep their state, and what is missing is kept until it can be written again.
@@ -151,6 +160,7 @@
 	if !present[leaderKey] {
 		r.applyItem(platform.Item{Key: leaderKey, Removed: true})
 	}
+	maps.DeleteFunc(r.refusedRecords, func(key string, _ uint64) bool { return !present[key] })
 }
 
 // noWait makes a watch return at once.
@@ -160,11 +170,17 @@
 // returns the revision to continue from.
 func (r *Router) watchOnce(since uint64, wait time.Duration) (uint64, error) {
 	_, eraChanges := r.eraOfCall()
-	ev, err := r.store.Watch("", since, wait, httpcall.Within(wait+r.cfg.StoreTimeout))
+	opt := httpcall.Within(wait + r.cfg.ReadAllTimeout)
+	opt.IdleTimeout = r.cfg.StoreTimeout
+	ev, err := r.store.Watch("", since, wait, opt)
 	if httpcall.StatusOf(err) == platform.StatusHistoryGone {
 		r.log.Warn().Uint64("since", since).Msg("store: history gone, reading everything again")
 		return r.readAll()
 	}
+	if errors.Is(err, platform.ErrResponseCut) {
+		r.log.Warn().Err(err).Uint64("since", since).Msg("store: the changes could not be read to their end, reading everything again")
+		return r.readAllOr(since)
+	}
 	if err != nil {
 		return since, err
 	}
@@ -187,6 +203,9 @@
 
 func (r *Router) applyKey(it platform.Item) {
 	now := r.clock.now()
+	if it.Removed {
+		delete(r.refusedRecords, it.Key)
+	}
 	switch {
 	case it.Key == platform.ConfigKey:
 		r.applyConfig(it)
@@ -208,7 +227,9 @@
 	}
 	cfg, err := platform.DecodeConfig(it.Value)
 	if err != nil {
-		r.log.Error().Err(err).Uint64("revision", it.Revision).Msg("configuration: decoding failed; the version in force stays")
+		if r.firstRefusal(it.Key, it.Revision) {
+			r.log.Error().Err(err).Uint64("revision", it.Revision).Msg("configuration: decoding failed; the version in force stays")
+		}
 		return
 	}
 	if r.core.Apply(routes.NewTable(cfg)) {
@@ -233,7 +254,9 @@
 	}
 	rec, err := platform.DecodeServer(it.Key, it.Value, it.Revision)
 	if err != nil {
-		r.log.Warn().Err(err).Msg("invalid backend server record")
+		if r.firstRefusal(it.Key, it.Revision) {
+			r.log.Warn().Err(err).Msg("invalid backend server record")
+		}
 		r.core.Backends.Remove(now, id, it.Revision, false)
 		return
 	}
@@ -242,7 +265,9 @@
 		return
 	}
 	if err := r.checkServer(rec); err != nil {
-		r.log.Warn().Err(err).Msg("backend server not used")
+		if r.firstRefusal(it.Key, it.Revision) {
+			r.log.Warn().Err(err).Msg("backend server not used")
+		}
 		r.core.Backends.Remove(now, id, it.Revision, false)
 		return
 	}
@@ -344,7 +369,9 @@
 	} else {
 		m, err := decodeMember(it.Value)
 		if err != nil {
-			r.log.Warn().Err(err).Str("key", it.Key).Msg("invalid VM record")
+			if r.firstRefusal(it.Key, it.Revision) {
+				r.log.Warn().Err(err).Str("key", it.Key).Msg("invalid VM record")
+			}
 			return
 		}
 		m.lease, m.era = it.Lease, r.storeEra
