--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -14,6 +14,7 @@
 	"internal/changefeed",
 	"internal/classes",
 	"internal/config",
+	"internal/connbudget",
 	"internal/detector",
 	"internal/configcheck",
 	"internal/dispatch",
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -19,7 +20,7 @@
 	peerBytes, findingsDelayed                                                                               *metrics.Counter
 	promptHolderKnown, promptHolderChosen, promptTokensHeld                                                  *metrics.Counter
 	repathRefused                                                                                            *metrics.Counter
-	configCorrections                                                                                        *metrics.Counter
+	configCorrections, entriesTooLarge                                                                       *metrics.Counter
 	invalidMessages, invalidRecords, sentToLeaving                                                           *metrics.Counter
 	plainDuration, firstEventDelay                                                                           *metrics.Histogram
 	detectorMetrics
@@ -45,6 +46,7 @@
 		promptHolderChosen: c("catkin_router_prompt_holder_chosen_total"), promptTokensHeld: c("catkin_router_prompt_tokens_held_total"),
 		repathRefused:     c("catkin_router_repath_refused_total"),
 		configCorrections: c("catkin_router_config_corrections_total"),
+		entriesTooLarge:   c("catkin_router_store_entries_too_large_total"),
 		plainDuration:     metrics.GetOrCreateHistogram("catkin_router_plain_seconds"),
 		firstEventDelay:   metrics.GetOrCreateHistogram("catkin_router_first_event_seconds"),
 	}
@@ -52,47 +54,46 @@
 
 // serveAux starts the servers of the readiness check, the directory and the metrics.
 func (r *Router) serveAux() error {
-	handlers := map[string]fasthttp.RequestHandler{
-		r.settings.Listen.Ready:     r.handleReady,
-		r.settings.Listen.Directory: r.handleResolve,
+	type auxServer struct {
+		duty    connbudget.Duty
+		addr    string
+		handler fasthttp.RequestHandler
 	}
+	servers := []auxServer{{connbudget.Readiness, r.settings.Listen.Ready, r.handleReady}, {connbudget.Directory, r.settings.Listen.Directory, r.handleResolve}}
 	if r.cfg.MetricsPort > 0 {
 		host, _, err := net.SplitHostPort(r.settings.Listen.Ready)
 		if err != nil {
 			return errors.Wrap(err, "address of the readiness check")
 		}
-		handlers[net.JoinHostPort(host, strconv.Itoa(r.cfg.MetricsPort))] = func(ctx *fasthttp.RequestCtx) {
-			if string(ctx.Path()) == blockedPartsURI && ctx.IsDelete() {
-				r.handleLiftBlock(ctx)
-				return
-			}
-			if string(ctx.Path()) == blockedPartsURI {
-				r.handleBlockedParts(ctx)
-				return
-			}
-			if string(ctx.Path()) == vmsURI {
-				r.handleVMs(ctx)
-				return
-			}
-			metrics.WritePrometheus(ctx, true)
-		}
+		addr := net.JoinHostPort(host, strconv.Itoa(r.cfg.MetricsPort))
+		servers = append(servers, auxServer{connbudget.Metrics, addr, r.handleMetrics})
 	}
-	for addr, handler := range handlers {
-		l, err := listen(addr)
+	for _, a := range servers {
+		l, err := listen(a.addr)
 		if err != nil {
 			return err
 		}
-		s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: r.guarded(handler), NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
+		s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: r.guarded(a.handler), NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
 		r.auxServers = append(r.auxServers, s)
-		go func() {
-			if err := s.Serve(l); err != nil {
-				r.log.Error().Err(err).Str("addr", l.Addr().String()).Msg("server stopped")
-			}
-		}()
+		r.serve(a.duty, l, s)
 	}
 	return nil
 }
 
+// handleMetrics serves operators: the metrics, the blocked parts and the VMs.
+func (r *Router) handleMetrics(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); {
+	case path == blockedPartsURI && ctx.IsDelete():
+		r.handleLiftBlock(ctx)
+	case path == blockedPartsURI:
+		r.handleBlockedParts(ctx)
+	case path == vmsURI:
+		r.handleVMs(ctx)
+	default:
+		metrics.WritePrometheus(ctx, true)
+	}
+}
+
 func (r *Router) handleReady(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != platform.ReadyURI {
 		ctx.Error("no such call", fasthttp.StatusNotFound)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/changefeed"
+	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
 	"github.com/catkinstair/catkinstair/internal/leader"
 	"github.com/catkinstair/catkinstair/internal/obs"
@@ -43,7 +44,10 @@
 	auxServers    []*fasthttp.Server // readiness, directory, metrics, changes for other VMs
 	workers       *ants.Pool
 
-	// mu guards the fields below, up to presenceTryAt, and the wait queue. Nothing blocks
+	// connLimits are the limits of connections by duty.
+	connLimits map[connbudget.Duty]int
+
+	// mu guards the fields below, up to connTables, and the wait queue. Nothing blocks
 	// while it is held, and a choice takes well under a millisecond, so a lock is cheaper
 	// than handing requests to a goroutine.
 	mu              sync.Mutex
@@ -71,6 +75,12 @@
 	ownTryAt         time.Duration                  // until this time on clock, tries to reach the store are left to the watchers
 	presenceTryAt    time.Duration                  // the same for the calls of the VM's lease while the store is down
 
+	// refusedRecords holds the revisions of the entries that were refused, by key.
+	refusedRecords map[string]uint64
+
+	listeners  []*steadyListener
+	connTables []*connTable
+
 	storedBlocks storedBlocks // guarded by mu
 	// turnUntil is the time on clock until which other suspects wait for the one that was sent
 	// last; guarded by mu.
@@ -144,16 +154,17 @@
 		cfg: cfg, settings: settings, log: log.With().Str("vm", settings.VM).Logger(), clock: newClock(), metrics: metrics, logWriter: logWriter,
 		backendClient: backendClient, controlClient: controlClient, store: platform.NewStore(controlClient, settings.Store.Addr), workers: workers,
 		core: dispatch.New(cfg.Dispatch), election: leader.New(cfg.Leader, settings.VM),
-		members: map[string]member{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
+		members: map[string]member{}, refusedRecords: map[string]uint64{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
 		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1), catchUpFrom: make(chan string, 1),
 		current: newGate(), streamDurations: map[string]*shutdown.Durations{},
+		connLimits: connbudget.Split(settings.MaxFDs, settings.MemoryMB, callerConnBytes),
 	}
 	r.requestsCtx, r.cancelRequests = context.WithCancelCause(context.Background())
 	r.detector = newFailureDetector(cfg.Detector, settings.VM, cfg.Dispatch.Incarnation)
 	r.detector.dial = r.dialServer
 	r.bounds.Store(&settings.Bounds)
-	r.store.OnEra = r.observeEra
+	r.store.OnEra, r.store.OnTooLarge, r.store.OwnPrefix = r.observeEra, r.nameTooLarge, systemPrefix
 	r.setReached()
 	return r, nil
 }
@@ -214,7 +225,7 @@
 		return errors.Wrap(err, "opening the socket for other VMs")
 	}
 	var workTasks, leaseTasks sync.WaitGroup
-	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence, r.askFindingsWhileStopping, r.catchUp} {
+	for _, task := range []func(context.Context){r.watchStore, r.receiveLoads, r.sendLoads, r.watchSettings, r.watchPauses, r.watchLinks, r.watchServers, r.watchSilence, r.watchIdle, r.askFindingsWhileStopping, r.catchUp} {
 		workTasks.Go(func() { task(workCtx) })
 	}
 	for _, task := range []func(context.Context){r.maintainPresence, r.runPlacement, r.storeBlockedParts} {
@@ -249,6 +260,9 @@
 	if !r.current.isOpen() {
 		return false, "paused a moment ago, state not read again yet"
 	}
+	if name := r.notAccepting(); name != "" {
+		return false, "no new connections can be accepted: " + name
+	}
 	return true, ""
 }
 
