tests: clients that do not behave, against each listener of a process

What callers saw: clients that we do not control ended a process, which ran out of memory.

internal/crowd opens connections that begin requests and stop in the middle: chunks, large, tiny or only announced, extensions and trailers without an end, bodies over the limit, announced and sent, legal bodies, announced only, whole and in pieces, headers without an end, responses that are not read. internal/badclients plays each against each listener of a real process with 96 MB and 400 descriptors: 120 connections, an ordinary request beside them, the peak of the resident memory, the open descriptors, and one body of the largest legal size afterwards. No times and no shares. `make test` runs the package by itself, after all others.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,9 @@
 # Deciding packages start no goroutine and hold no lock (internal/purity sees to
 # it), so the race detector has nothing to find in them; it watches all others.
 CORES := $(shell sed -n 's|^	"\(internal/[a-z]*\)",|./\1|p' internal/purity/purity.go)
-OTHERS := $(filter-out $(addprefix github.com/catkinstair/catkinstair/,$(CORES:./%=%)),$(shell $(GO) list ./...))
+# The tests of clients that do not behave measure the memory of processes, so they run by themselves.
+ALONE := ./internal/badclients
+OTHERS := $(filter-out $(addprefix github.com/catkinstair/catkinstair/,$(patsubst ./%,%,$(CORES) $(ALONE))),$(shell $(GO) list ./...))
 
 # KNOWN-RED.txt names the tests that fail for a fault not mended yet, one "test: NAME" each.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null)
@@ -31,6 +33,7 @@
 	@if [ -s KNOWN-RED.txt ]; then echo "known failures, skipped:"; cat KNOWN-RED.txt; fi
 	$(GO) test $(SKIP) $(CORES)
 	$(GO) test $(SKIP) -race $(OTHERS)
+	$(GO) test $(SKIP) -count=1 $(ALONE)
 
 # Starts stand-ins and six VMs' worth of processes, shows one completion and one
 # reservation, and keeps running until interrupted.
