bodybudget: a memory budget for the bodies of a process

A pure core for the overload of memory: reservations as bytes arrive, not as they are announced; a share that only small bodies may use; a least data rate. When memory is short, transfers that have stalled are given up, furthest behind first; one that moves and a request that is whole never is. A single body of the largest size fits on any VM. Not used yet.

--- a/internal/purity/purity.go
+++ b/internal/purity/purity.go
@@ -10,6 +10,7 @@
 	"internal/backend",
 	"internal/backpressure",
 	"internal/basis",
+	"internal/bodybudget",
 	"internal/call",
 	"internal/changefeed",
 	"internal/classes",
