ingress, connbudget: a request that stops in the middle no longer keeps its connection

What callers saw: while a crowd kept requests unfinished, every new connection was closed at once.

Cause: a connection with a begun request was never closed, near the limit or after any time. A crowd that begins requests and stops takes the whole table and keeps it.

Now a connection is receiving from the first byte of a request until it has been read whole. Near the limit those that have been receiving longest, for 1 s at least, are closed first; a request that takes longer than ReceiveTimeout (30 s, 2 s while the VM stops) is refused with 408. A client that sends the first byte of its next request early is receiving from the end of the last one. While connections are short, a client that reads nothing is given up after 1 s instead of 10. The connection and its table move to internal/ingress, unchanged otherwise; writes have a deadline for each 64 KiB.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -13,6 +13,7 @@
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 	"github.com/catkinstair/catkinstair/internal/poison"
 	"github.com/catkinstair/catkinstair/internal/routes"
 	"github.com/catkinstair/catkinstair/internal/verdict"
@@ -24,9 +25,6 @@
 	// the configuration's own limits are lower.
 	maxHeaderBytes = routes.MaxHeaderBytes
 	maxBodyBytes   = routes.MaxBodyBytes
-	// writeTimeout disconnects a caller that does not read. It bounds each write, because
-	// a stream as a whole lasts as long as its events keep coming.
-	writeTimeout = 10 * time.Second
 	// maxHeldRequests bounds the requests that wait for current state.
 	maxHeldRequests = 512
 	// noConfigRetryAfter is sent as Retry-After while no configuration is known.
@@ -131,9 +129,7 @@
 	}
 	x.setOrigin(fromPeer)
 	r.openRequests.Add(1)
-	if conn, ok := ctx.Conn().(*callerConn); ok {
-		conn.watch(func() { x.cancel(errCallerGone) })
-	}
+	ingress.Watch(ctx, func() { x.cancel(errCallerGone) })
 	if err := r.guard("request", x.req.ID, x.serve); err != nil {
 		x.failInternally()
 	}
@@ -153,10 +149,8 @@
 	}
 	defer r.heldRequests.Add(-1)
 	gone := make(chan struct{})
-	if conn, ok := ctx.Conn().(*callerConn); ok {
-		conn.watch(func() { close(gone) })
-		defer conn.unwatch()
-	}
+	ingress.Watch(ctx, func() { close(gone) })
+	defer ingress.Unwatch(ctx)
 	timeout := time.NewTimer(r.cfg.StateWait)
 	defer timeout.Stop()
 	select {
@@ -193,10 +187,13 @@
 	x.finish()
 }
 
-// guarded returns a handler that responds to a panic of h with an error and closes the
+// guarded returns a handler of requests that have been read whole, which responds to a panic of h with an error and closes the
 // connection.
 func (r *Router) guarded(h fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		if !ingress.Received(ctx) {
+			ctx.SetConnectionClose()
+		}
 		if err := r.guard("handler", string(ctx.Path()), func() { h(ctx) }); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusBadGateway)
 			ctx.SetConnectionClose()
@@ -208,9 +205,7 @@
 // decrements openRequests. It is called once: when a plain response is complete, or when a
 // stream has been written.
 func (x *exchange) finish() {
-	if conn, ok := x.ctx.Conn().(*callerConn); ok {
-		conn.unwatch()
-	}
+	ingress.Unwatch(x.ctx)
 	x.cancel(nil)
 	x.endTurn()
 	x.releaseAll()
--- a/internal/router/command.go
+++ b/internal/router/command.go
@@ -33,6 +33,7 @@
 	flagSet.Bool(&f.cfg.BindOutgoing, "bind-outgoing", f.cfg.BindOutgoing, "open connections from the VM's own address, on machines that have several")
 	flagSet.Duration(&f.cfg.WatchPause, "watch-pause", f.cfg.WatchPause, "pause between two watches of the store", settings.Positive)
 	flagSet.Duration(&f.cfg.StallTimeout, "stalled", f.cfg.StallTimeout, "silence of a stream after which its first server is asked for a report", settings.Positive)
+	flagSet.Duration(&f.cfg.ReceiveTimeout, "receive-timeout", f.cfg.ReceiveTimeout, "how long a request may take from its first byte until it has been read whole", settings.Positive)
 	flagSet.Float(&f.cfg.Placement.MaxCoverCost, "max-cover-cost", 0, "share of the requests served that a placement may give up to serve more after a joint loss of servers, 0 to disregard joint losses")
 	flagSet.Duration(&f.cfg.Dispatch.Prompts.Retention, "prompt-retention", 0, "how long engines hold a prompt after its last use; 0 if they do not")
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -110,6 +110,9 @@
 	Hangup <-chan os.Signal
 	// SettingsInterval is the interval of reloads without a signal. Default 5 s.
 	SettingsInterval time.Duration
+	// ReceiveTimeout is how long a request may take from its first byte until it has been read
+	// whole. Default 30 s.
+	ReceiveTimeout time.Duration
 	// MetricsPort is the port of the metrics endpoint. Default 0, which disables it.
 	MetricsPort int
 	// LogLevel is the minimum level of log lines. Default info.
@@ -128,6 +131,6 @@
 		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, OwnTryInterval: 2 * time.Second, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
 		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PeerStallTimeout: 1200 * time.Millisecond, ResumeWait: 1500 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, SuspectWait: 800 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
 		ConnReuseTimeout: time.Second, Shutdown: shutdown.DefaultConfig(),
-		AddressLifetime: 2 * time.Second, SettingsInterval: 5 * time.Second, LogLevel: "info", Workers: 64,
+		ReceiveTimeout: 30 * time.Second, AddressLifetime: 2 * time.Second, SettingsInterval: 5 * time.Second, LogLevel: "info", Workers: 64,
 	}
 }
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/connbudget"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 )
 
 const (
@@ -117,8 +118,8 @@
 func (r *Router) serve(duty connbudget.Duty, l net.Listener, s *fasthttp.Server) {
 	steady := newSteadyListener(string(duty), l, r.clock.now, r.log)
 	r.locked(func() { r.listeners = append(r.listeners, steady) })
-	s.ConnState = recordState
-	limited := callerListener{steady, r.newTable(duty)}
+	s.ConnState = ingress.RecordState
+	limited := ingress.Listener{Listener: steady, Table: r.newTable(duty)}
 	go func() {
 		if err := s.Serve(limited); err != nil && !steady.isClosed() {
 			steady.failingUntil.Store(math.MaxInt64)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/catkinstair/catkinstair/internal/changefeed"
 	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 	"github.com/catkinstair/catkinstair/internal/leader"
 	"github.com/catkinstair/catkinstair/internal/obs"
 	"github.com/catkinstair/catkinstair/internal/retry"
@@ -79,7 +80,7 @@
 	refusedRecords map[string]uint64
 
 	listeners  []*steadyListener
-	connTables []*connTable
+	connTables []*ingress.Table
 
 	storedBlocks storedBlocks // guarded by mu
 	// turnUntil is the time on clock until which other suspects wait for the one that was sent
