router, ingress: bodies of requests share a memory budget of the process

What callers saw: a process of 96 MB took up to 833 MB and, on a real VM, was ended.

Cause: fasthttp reads a body whole before the handler runs, into a buffer of the size that the client announces, by a length or by a chunk. 150 bytes took 4 MiB. The limit, 8 MiB, counted one request; nothing counted all of them, and maxBodyBytes of the configuration was not read.

Now the handler reads the body itself, after route and key are known, so a client without a key holds nothing. Memory is reserved from one budget for all listeners (0.15 of the VM's memory, always enough for one body of the largest size) as bytes arrive. When it is short, stalled bodies are given up with a 503 "not run"; one over the limit of the configuration gets a 413, one that takes too long a 408, before a server is chosen. The caller's time runs from the header on, as its own clock does. After such a refusal the connection is half-closed and read on for a while, as unread bytes reset it and take the response with them. A body that was cut is never passed on: fasthttp ends the stream of a short one like that of a whole one, which a test shows.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinstair/catkinstair/internal/bodybudget"
 	"github.com/catkinstair/catkinstair/internal/connbudget"
 )
 
@@ -21,6 +23,12 @@
 
 	table *Table
 	slot  connbudget.Conn[*Conn] // guarded by table.mu
+	// request and response are the bodies that it holds, guarded by table.bodies.mu. givenUp is
+	// set once one of them was given up.
+	request, response bodybudget.Transfer[*Conn]
+	givenUp           atomic.Bool
+	// lingering is set if a request was refused before it was read whole.
+	lingering atomic.Bool
 	// resting is set between requests, used whether any byte was read. Only the goroutine that
 	// serves the connection uses them.
 	resting, used bool
@@ -35,7 +43,7 @@
 
 func newConn(c net.Conn, table *Table) *Conn {
 	cc := &Conn{Conn: c, table: table, resting: true}
-	cc.slot.Owner = cc
+	cc.slot.Owner, cc.request.Owner, cc.response.Owner = cc, cc, cc
 	cc.cond = sync.NewCond(&cc.mu)
 	return cc
 }
@@ -147,6 +155,7 @@
 
 // endRequest records the end of a response. The next request may have begun.
 func (c *Conn) endRequest() {
+	c.table.bodies.release(&c.request, &c.response)
 	c.mu.Lock()
 	begun := c.hasByte
 	c.mu.Unlock()
@@ -160,6 +169,12 @@
 	c.table.stopReading(c.table.budget.End(c.table.now(), &c.slot))
 }
 
+// giveUp ends what the connection reads or writes.
+func (c *Conn) giveUp() {
+	c.givenUp.Store(true)
+	_ = c.Conn.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
 // SetReadDeadline leaves the deadline of a connection that is to be closed.
 func (c *Conn) SetReadDeadline(at time.Time) error {
 	c.table.mu.Lock()
@@ -170,15 +185,44 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
-// Close closes the connection and frees its place in the table.
+// Close closes the connection and frees its place in the table, and its bodies.
 func (c *Conn) Close() error {
+	if c.lingering.Load() && !c.givenUp.Load() && !c.table.crowded.Load() {
+		c.linger()
+	}
 	err := c.Conn.Close()
+	c.table.bodies.release(&c.request, &c.response)
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.table.budget.Close(&c.slot)
 	return err
 }
 
+const (
+	// lingerTime and lingerBytes bound what is read after the response to a request that was
+	// refused before it was read whole.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+// linger ends the response and reads on for a while: bytes that are not read would reset the
+// connection, and the reset can take the response with it.
+func (c *Conn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // any result ends the connection
+}
+
+// CloseUnread closes the connection after the response to a request that has not been read whole.
+func CloseUnread(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	if c := connOf(ctx); c != nil {
+		c.lingering.Store(true)
+	}
+}
+
 // writePiece is the most that is written with one deadline, in bytes.
 const writePiece = 64 << 10
 
@@ -191,11 +235,15 @@
 		if err := c.SetWriteDeadline(time.Now().Add(c.table.writeTimeout())); err != nil {
 			return written, err
 		}
+		if c.givenUp.Load() {
+			return written, net.ErrClosed
+		}
 		n, err := c.Conn.Write(piece)
 		written += n
 		if err != nil || written == len(b) {
 			return written, err
 		}
+		c.table.bodies.move(&c.response, n)
 	}
 }
 
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -26,8 +26,9 @@
 
 // Table holds the open connections of one duty.
 type Table struct {
-	duty connbudget.Duty
-	now  func() time.Duration
+	duty   connbudget.Duty
+	now    func() time.Duration
+	bodies *Bodies
 	// crowded is set while more connections are open than the near limit allows.
 	crowded atomic.Bool
 
@@ -39,8 +40,8 @@
 }
 
 // NewTable returns a table for a number of connections. Times are on the clock now.
-func NewTable(duty connbudget.Duty, limit int, now func() time.Duration) *Table {
-	return &Table{duty: duty, now: now, budget: connbudget.New[*Conn](connbudget.DefaultConfig(limit))}
+func NewTable(duty connbudget.Duty, limit int, now func() time.Duration, bodies *Bodies) *Table {
+	return &Table{duty: duty, now: now, bodies: bodies, budget: connbudget.New[*Conn](connbudget.DefaultConfig(limit))}
 }
 
 // take returns the connection, as idle, or closes it at the limit and returns nil.
--- a/internal/ingress/table_test.go
+++ b/internal/ingress/table_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinstair/catkinstair/internal/bodybudget"
 )
 
 // limitedServer is a server with a table of its own, whose clock the test sets.
@@ -39,12 +41,15 @@
 	return s
 }
 
-// newTestTable returns a table for a number of connections.
+// newTestTable returns a table with room for the bodies of all its connections.
 func newTestTable(limit int, now func() time.Duration) *Table {
-	return NewTable("test", limit, now)
+	return NewTable("test", limit, now, NewBodies(bodybudget.DefaultConfig(testBodyBytes), now))
 }
 
-const waitTimeout = 10 * time.Second
+const (
+	testBodyBytes = 16 << 20
+	waitTimeout   = 10 * time.Second
+)
 
 // sinceStart returns a clock that starts now.
 func sinceStart() func() time.Duration {
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -44,7 +44,7 @@
 	}
 	s := &fasthttp.Server{
 		Logger: httpLogger{r.log}, Handler: r.guarded(handler), NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
-		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
+		ReadBufferSize: maxHeaderBytes, StreamRequestBody: true, MaxRequestBodySize: ingress.StreamedPrefetch, ErrorHandler: ingress.RefuseUnread,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 	}
 	r.serve(duty, l, s)
@@ -110,6 +110,7 @@
 	x, status := r.accept(ctx, receivedAt)
 	if status != 0 {
 		ctx.Error(fasthttp.StatusMessage(status), status)
+		ingress.Discard(ctx)
 		r.log.Info().Bytes("request", ctx.Request.Header.Peek(platform.HeaderRequestID)).Int("status", status).
 			Bytes("uri", ctx.RequestURI()).Msg("refused by the configuration")
 		if fromPeer {
@@ -122,6 +123,13 @@
 		r.refuseUnserved(ctx, fromPeer, id, verdict.Refusal{Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
 		return
 	}
+	if err := x.receive(receivedAt); err != nil {
+		x.cancel(err)
+		x.req.FromPeer = fromPeer
+		x.refuseBody(err)
+		return
+	}
+	x.setClass(receivedAt)
 	if !x.takes() {
 		x.cancel(errVMStopping)
 		r.refuseUnserved(ctx, fromPeer, x.req.ID, verdict.Refusal{Cause: verdict.CauseLeaving, RetryAfter: leavingRetryAfter})
@@ -187,13 +195,10 @@
 	x.finish()
 }
 
-// guarded returns a handler of requests that have been read whole, which responds to a panic of h with an error and closes the
+// guarded returns a handler that responds to a panic of h with an error and closes the
 // connection.
 func (r *Router) guarded(h fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if !ingress.Received(ctx) {
-			ctx.SetConnectionClose()
-		}
 		if err := r.guard("handler", string(ctx.Path()), func() { h(ctx) }); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusBadGateway)
 			ctx.SetConnectionClose()
@@ -248,14 +253,42 @@
 	if left, ok := platform.ParseTimeLeft(string(h.Peek(platform.HeaderTimeLeft))); ok && left < route.Timeout {
 		x.deadline = receivedAt + left
 	}
-	x.fingerprint = fingerprintOf(h, team, ctx.Request.Body())
-	x.req.Subject.Request = poison.RequestPart(x.fingerprint)
 	x.estimateTokens()
-	x.setClass(receivedAt)
 	x.callerCtx, x.cancel = context.WithCancelCause(r.requestsCtx)
 	return x, 0
 }
 
+// receive reads the body of a request whose header was read at a time on the router's clock. The
+// time that the caller states runs from then on, the route's from the end of the body.
+func (x *exchange) receive(headerAt time.Duration) error {
+	began := x.r.clock.now()
+	by := began + x.r.cfg.ReceiveTimeout
+	left, stated := platform.ParseTimeLeft(string(x.ctx.Request.Header.Peek(platform.HeaderTimeLeft)))
+	if stated {
+		by = min(by, headerAt+left)
+	}
+	if err := x.r.bodies.Receive(x.ctx, x.r.bodyLimit(), time.Now().Add(by-began)); err != nil {
+		return err
+	}
+	x.deadline += x.r.clock.now() - began
+	if stated {
+		x.deadline = min(x.deadline, headerAt+left)
+	}
+	x.fingerprint = fingerprintOf(&x.ctx.Request.Header, x.team, x.ctx.Request.Body())
+	x.req.Subject.Request = poison.RequestPart(x.fingerprint)
+	return nil
+}
+
+// bodyLimit returns the size of the largest body that the configuration allows, in bytes.
+func (r *Router) bodyLimit() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if table := r.core.Table(); table != nil && table.Config().MaxBodyBytes > 0 {
+		return min(table.Config().MaxBodyBytes, maxBodyBytes)
+	}
+	return maxBodyBytes
+}
+
 // estimateTokens sets the expected prompt and answer tokens of a model request, from the
 // caller's headers or else from the service's averages.
 func (x *exchange) estimateTokens() {
@@ -299,21 +332,14 @@
 	return f
 }
 
-// refuse responds to a request that cannot be served. Only a request that did not run
-// gets a 503 with Retry-After; one that may have run gets a 504 after its deadline,
-// otherwise a 502. logLine names the request.
+// refuse responds to a request that cannot be served, with Retry-After where that helps. logLine
+// names the request.
 func (r *Router) refuse(ctx *fasthttp.RequestCtx, logLine *zerolog.Event, refusal verdict.Refusal) {
 	r.metrics.refused.Inc()
 	if refusal.Cause == verdict.CausePromptBlocked || refusal.Cause == verdict.CauseRequestBlocked {
 		r.metrics.promptsBlocked.Inc()
 	}
-	status := fasthttp.StatusServiceUnavailable
-	switch {
-	case refusal.Verdict != verdict.NotRun && refusal.Cause == verdict.CauseDeadline:
-		status = fasthttp.StatusGatewayTimeout
-	case refusal.Verdict != verdict.NotRun:
-		status = fasthttp.StatusBadGateway
-	}
+	status := refusalStatus(refusal)
 	ctx.Response.Reset()
 	if r.stopping.Load() {
 		ctx.SetConnectionClose()
--- a/internal/router/command.go
+++ b/internal/router/command.go
@@ -34,6 +34,7 @@
 	flagSet.Duration(&f.cfg.WatchPause, "watch-pause", f.cfg.WatchPause, "pause between two watches of the store", settings.Positive)
 	flagSet.Duration(&f.cfg.StallTimeout, "stalled", f.cfg.StallTimeout, "silence of a stream after which its first server is asked for a report", settings.Positive)
 	flagSet.Duration(&f.cfg.ReceiveTimeout, "receive-timeout", f.cfg.ReceiveTimeout, "how long a request may take from its first byte until it has been read whole", settings.Positive)
+	flagSet.Int(&f.cfg.BodyMemoryMB, "body-memory", 0, "memory that the bodies of all requests and responses may hold together, in MB; 0 for a share of the VM's memory")
 	flagSet.Float(&f.cfg.Placement.MaxCoverCost, "max-cover-cost", 0, "share of the requests served that a placement may give up to serve more after a joint loss of servers, 0 to disregard joint losses")
 	flagSet.Duration(&f.cfg.Dispatch.Prompts.Retention, "prompt-retention", 0, "how long engines hold a prompt after its last use; 0 if they do not")
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -111,8 +111,11 @@
 	// SettingsInterval is the interval of reloads without a signal. Default 5 s.
 	SettingsInterval time.Duration
 	// ReceiveTimeout is how long a request may take from its first byte until it has been read
-	// whole. Default 30 s.
+	// whole. The time that its caller states applies to the body if it is shorter. Default 30 s.
 	ReceiveTimeout time.Duration
+	// BodyMemoryMB is what the bodies of all requests, and of all responses that are being
+	// written, may hold together, in MB. Default 0: a share of the VM's memory (bodybudget.Limit).
+	BodyMemoryMB int
 	// MetricsPort is the port of the metrics endpoint. Default 0, which disables it.
 	MetricsPort int
 	// LogLevel is the minimum level of log lines. Default info.
--- a/internal/router/conntables.go
+++ b/internal/router/conntables.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/catkinstair/catkinstair/internal/bodybudget"
 	"github.com/catkinstair/catkinstair/internal/connbudget"
 	"github.com/catkinstair/catkinstair/internal/ingress"
 )
@@ -22,9 +23,28 @@
 	stoppingReceiveTimeout = 2 * time.Second
 )
 
+// newBodies returns the budget of bodies of a VM with the given memory, 0 for unknown, and exports
+// its counts.
+func newBodies(cfg Config, memoryMB int, now func() time.Duration) *ingress.Bodies {
+	limit := bodybudget.Limit(memoryMB, maxBodyBytes)
+	if cfg.BodyMemoryMB > 0 {
+		limit = int64(bytesPerMB * cfg.BodyMemoryMB)
+	}
+	b := ingress.NewBodies(bodybudget.DefaultConfig(limit), now)
+	gauge := func(name string, value func(bodybudget.Stats) float64) {
+		metrics.GetOrCreateGauge("catkin_router_bodies_"+name, func() float64 { return value(b.Stats()) })
+	}
+	gauge("bytes", func(s bodybudget.Stats) float64 { return float64(s.Held) })
+	gauge("limit_bytes", func(bodybudget.Stats) float64 { return float64(limit) })
+	gauge("moving", func(s bodybudget.Stats) float64 { return float64(s.Moving) })
+	gauge("refused_total", func(s bodybudget.Stats) float64 { return float64(s.Refused) })
+	gauge("given_up_total", func(s bodybudget.Stats) float64 { return float64(s.Evicted) })
+	return b
+}
+
 // newTable returns the table of a duty and exports its counts.
 func (r *Router) newTable(duty connbudget.Duty) *ingress.Table {
-	t := ingress.NewTable(duty, r.connLimits[duty], r.clock.now)
+	t := ingress.NewTable(duty, r.connLimits[duty], r.clock.now, r.bodies)
 	r.locked(func() { r.connTables = append(r.connTables, t) })
 	gauge := func(name string, value func(connbudget.Stats) float64) {
 		metrics.GetOrCreateGauge(fmt.Sprintf("catkin_router_connections%s{duty=%q}", name, duty), func() float64 { return value(t.Stats()) })
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,6 +47,7 @@
 
 	// connLimits are the limits of connections by duty.
 	connLimits map[connbudget.Duty]int
+	bodies     *ingress.Bodies
 
 	// mu guards the fields below, up to connTables, and the wait queue. Nothing blocks
 	// while it is held, and a choice takes well under a millisecond, so a lock is cheaper
@@ -161,6 +162,7 @@
 		current: newGate(), streamDurations: map[string]*shutdown.Durations{},
 		connLimits: connbudget.Split(settings.MaxFDs, settings.MemoryMB, callerConnBytes),
 	}
+	r.bodies = newBodies(cfg, settings.MemoryMB, r.clock.now)
 	r.requestsCtx, r.cancelRequests = context.WithCancelCause(context.Background())
 	r.detector = newFailureDetector(cfg.Detector, settings.VM, cfg.Dispatch.Incarnation)
 	r.detector.dial = r.dialServer
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinstair/catkinstair/internal/ingress"
 	"github.com/catkinstair/catkinstair/internal/routes"
 	"github.com/catkinstair/catkinstair/internal/shutdown"
 	"github.com/catkinstair/catkinstair/internal/verdict"
@@ -60,6 +61,7 @@
 func (r *Router) refuseUnserved(ctx *fasthttp.RequestCtx, fromPeer bool, id string, refusal verdict.Refusal) {
 	refusal.Verdict = verdict.NotRun
 	r.refuse(ctx, r.log.Info().Str("request", id), refusal)
+	ingress.Discard(ctx)
 	if fromPeer {
 		setPeerRefusal(ctx, refusal.Verdict, refusal.Cause)
 	}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -105,6 +105,9 @@
 	CauseRequestSuspect  Cause = "request-suspect"
 	CauseUnreachable     Cause = "backend-servers-unreachable"
 	CauseOlderConfig     Cause = "older-configuration"
+	CauseNoMemory        Cause = "no-memory"
+	CauseBodyTooLarge    Cause = "body-too-large"
+	CauseBodyTooSlow     Cause = "body-too-slow"
 	CauseInternalFailure Cause = "internal-failure"
 )
 
