router: listeners that need no body read none to speak of

What callers saw: the directory and the ports between VMs took 4 MiB for each connection that announced or sent it; the memory of the process went over its VM's.

Cause: readiness, directory, metrics and the requests between VMs used fasthttp's default of 4 MiB for a body, and kept the buffers of idle connections, up to the largest response that each had sent.

Now 4 KiB, no form is parsed, idle connections keep no buffers, and their responses are counted in the budget of bodies until they are written.

--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/connbudget"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -73,13 +74,44 @@
 		if err != nil {
 			return err
 		}
-		s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: r.guarded(a.handler), NoDefaultServerHeader: true, ReadBufferSize: 8 << 10}
+		s := r.newAuxServer(a.handler)
 		r.auxServers = append(r.auxServers, s)
 		r.serve(a.duty, l, s)
 	}
 	return nil
 }
 
+const (
+	// auxHeaderBytes and auxBodyBytes bound a request to a server other than those of requests
+	// to backend servers.
+	auxHeaderBytes = 8 << 10
+	auxBodyBytes   = 4 << 10
+)
+
+// newAuxServer returns a server for short requests. Idle connections keep no buffers.
+func (r *Router) newAuxServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Logger: httpLogger{r.log}, Handler: r.guarded(r.accounted(handler)), ErrorHandler: ingress.RefuseUnread, NoDefaultServerHeader: true,
+		ReadBufferSize: auxHeaderBytes, MaxRequestBodySize: auxBodyBytes, DisablePreParseMultipartForm: true, ReduceMemoryUsage: true,
+	}
+}
+
+// accounted returns a handler that records that its request has been read whole, and refuses a
+// response for which there is no memory.
+func (r *Router) accounted(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if !ingress.Received(ctx) {
+			ctx.SetConnectionClose()
+		}
+		h(ctx)
+		if !r.bodies.Hold(ctx, len(ctx.Response.Body())) {
+			ctx.Response.Reset()
+			ctx.Error("responses that others do not read hold the memory", fasthttp.StatusServiceUnavailable)
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 // handleMetrics serves operators: the metrics, the blocked parts and the VMs.
 func (r *Router) handleMetrics(ctx *fasthttp.RequestCtx) {
 	switch path := string(ctx.Path()); {
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -51,8 +51,7 @@
 		return err
 	}
 	// Compressed, because a configuration of 100 kB goes to a dozen VMs over a slow link.
-	handler := r.guarded(fasthttp.CompressHandlerLevel(r.handlePeerRequest, fasthttp.CompressBestSpeed))
-	s := &fasthttp.Server{Logger: httpLogger{r.log}, Handler: handler, NoDefaultServerHeader: true}
+	s := r.newAuxServer(fasthttp.CompressHandlerLevel(r.handlePeerRequest, fasthttp.CompressBestSpeed))
 	r.auxServers = append(r.auxServers, s)
 	r.serve(connbudget.Peers, l, s)
 	return nil
