httpcall: a large body is sent without a copy

Cause: head and body of a request were joined for one write, so each send to a server or another VM held the body twice, uncounted, for as long as the server took to read it.

Evidence: by reading; go test ./internal/adapter/httpcall passes, the crowds of internal/badclients as before.

--- a/internal/adapter/httpcall/exchange.go
+++ b/internal/adapter/httpcall/exchange.go
@@ -104,7 +104,7 @@
 	if err := cn.SetDeadline(deadline); err != nil {
 		return &Error{Kind: KindClosed, Sent: NotSent, Err: err}
 	}
-	if _, err := cn.Write(append(head, body...)); err != nil {
+	if err := writeRequest(cn, head, body); err != nil {
 		return &Error{Kind: kindOf(err), Sent: MayHaveArrived, Err: err}
 	}
 	cn.limitHead, cn.headBytesLeft = true, x.client.cfg.MaxHeadBytes
@@ -124,6 +124,18 @@
 	}
 }
 
+// writeRequest writes a request, a short one at once and a longer one without a copy of its body.
+func writeRequest(w io.Writer, head, body []byte) error {
+	if len(body) <= bufferBytes {
+		head, body = append(head, body...), nil
+	}
+	if _, err := w.Write(head); err != nil || len(body) == 0 {
+		return err
+	}
+	_, err := w.Write(body)
+	return err
+}
+
 // The causes of calls whose response does not say reliably where its body ends.
 var (
 	errInvalidHeaderName = errors.New("invalid name of a header in the response")
