entry, control: connections and bodies of callers and operators are bounded

What callers saw: the fault of the router's listeners in the other two programs; nothing bounded their connections, the time of a request, or the bodies of all of them.

--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -6,10 +6,12 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/config"
 	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 )
 
 // PathPrefix starts every path of the API.
@@ -244,3 +246,19 @@
 	writeJSON(http, Error{Error: ErrorBody{Code: code, Message: message}})
 	http.SetStatusCode(status)
 }
+
+// RefuseUnread responds to a call that the limits of the server refuse (ingress.Refuse).
+func RefuseUnread(ctx *fasthttp.RequestCtx, err error, ran bool) {
+	status, code := fasthttp.StatusBadRequest, CodeBadRequest
+	switch {
+	case ran:
+		status, code = fasthttp.StatusBadGateway, CodeUnavailable
+	case errors.Is(err, ingress.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, ingress.ErrBodyTooSlow):
+		status = fasthttp.StatusRequestTimeout
+	case errors.Is(err, ingress.ErrNoMemory):
+		status, code = fasthttp.StatusServiceUnavailable, CodeUnavailable
+	}
+	writeError(ctx, status, code, err.Error())
+}
--- a/internal/badclients/badclients_test.go
+++ b/internal/badclients/badclients_test.go
@@ -121,12 +121,12 @@
 	return r.send(port, http.MethodPost, plainURI, io.LimitReader(bytes.NewReader(make([]byte, bodyBytes)), int64(bodyBytes)), http.StatusOK)
 }
 
-func (r *router) get(port int, uri string, want int) error {
-	return r.send(port, http.MethodGet, uri, nil, want)
+func (p *process) get(port int, uri string, want int) error {
+	return p.send(port, http.MethodGet, uri, nil, want)
 }
 
-func (r *router) send(port int, method, uri string, body io.Reader, want int) error {
-	req, err := http.NewRequest(method, "http://"+r.addr(port)+uri, body)
+func (p *process) send(port int, method, uri string, body io.Reader, want int) error {
+	req, err := http.NewRequest(method, "http://"+p.addr(port)+uri, body)
 	if err != nil {
 		return err
 	}
--- a/internal/badclients/process_test.go
+++ b/internal/badclients/process_test.go
@@ -38,33 +38,63 @@
 	metricsPort   = 17350
 )
 
-// router is a catkin-router process, with the stand-ins of the store and a backend server.
-type router struct {
+// process is a running program.
+type process struct {
 	t    *testing.T
 	host string
 	cmd  *exec.Cmd
 	done chan struct{} // closed when the process has ended
 }
 
-var buildRouter = sync.OnceValues(func() (string, error) {
+// router is a catkin-router process, with the stand-ins of the store and a backend server.
+type router struct {
+	*process
+}
+
+// buildPrograms builds all programs and returns their directory.
+var buildPrograms = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "catkin-badclients")
 	if err != nil {
 		return "", err
 	}
-	file := filepath.Join(dir, "catkin-router")
-	out, err := exec.Command("go", "build", "-o", file, "../../cmd/catkin-router").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/...").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
-	return file, nil
+	return dir, nil
 })
 
+// startProcess starts a program, which is killed when the test ends.
+func startProcess(t *testing.T, host, program string, env []string, args ...string) *process {
+	t.Helper()
+	dir, err := buildPrograms()
+	require.NoError(t, err)
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = log.Close() })
+	p := &process{t: t, host: host, cmd: exec.Command(filepath.Join(dir, program), args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	require.NoError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait() // an error after the kill of the cleanup
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL) // an error if it has ended
+		<-p.done
+		if t.Failed() {
+			text, _ := os.ReadFile(log.Name())
+			t.Logf("log of the process ends with:\n%s", text[max(0, len(text)-2000):])
+		}
+	})
+	return p
+}
+
 // startRouter starts a process, and a backend server whose responses have a length, and waits until
 // it serves.
 func startRouter(t *testing.T, responseBytes int) *router {
 	t.Helper()
-	binary, err := buildRouter()
-	require.NoError(t, err)
 	store, err := standin.NewStore()
 	require.NoError(t, err)
 	t.Cleanup(store.Close)
@@ -73,7 +103,7 @@
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 
-	r := &router{t: t, host: freeHost(t), done: make(chan struct{})}
+	host := freeHost(t)
 	dir := t.TempDir()
 	settingsFile := filepath.Join(dir, "node.toml")
 	settings := fmt.Sprintf(`nodeName = "vm-1"
@@ -86,27 +116,9 @@
 limits = { memoryMb = %[6]d, maxFds = %[7]d }
 bounds = { drainMs = 2000, graceS = 8, configMs = 2000, retryBudgetRatio = 0.2, budgetWindowS = 10, budgetSlack = 196, stall_ms = 3000, ttl_max_s = 5 }
 platform = { address = %[8]q }
-`, r.host, peersPort, callersPort, readyPort, directoryPort, memoryMB, maxDescriptors, store.Addr)
+`, host, peersPort, callersPort, readyPort, directoryPort, memoryMB, maxDescriptors, store.Addr)
 	require.NoError(t, os.WriteFile(settingsFile, []byte(settings), 0o600))
-	log, err := os.Create(filepath.Join(dir, "router.log"))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = log.Close() })
-	r.cmd = exec.Command(binary, "--metrics-port", strconv.Itoa(metricsPort))
-	r.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settingsFile)
-	r.cmd.Stdout, r.cmd.Stderr = log, log
-	require.NoError(t, r.cmd.Start())
-	go func() {
-		_ = r.cmd.Wait() // an error after the kill of the cleanup
-		close(r.done)
-	}()
-	t.Cleanup(func() {
-		_ = r.cmd.Process.Signal(syscall.SIGKILL) // an error if it has ended
-		<-r.done
-		if t.Failed() {
-			text, _ := os.ReadFile(log.Name())
-			t.Logf("log of the process ends with:\n%s", text[max(0, len(text)-2000):])
-		}
-	})
+	r := &router{startProcess(t, host, "catkin-router", []string{platform.SettingsVariable + "=" + settingsFile}, "--metrics-port", strconv.Itoa(metricsPort))}
 	require.NoError(t, retryUntil(func() error { return r.post(callersPort, 1) }))
 	return r
 }
@@ -138,41 +150,41 @@
 	return ""
 }
 
-func (r *router) addr(port int) string { return net.JoinHostPort(r.host, strconv.Itoa(port)) }
+func (p *process) addr(port int) string { return net.JoinHostPort(p.host, strconv.Itoa(port)) }
 
 // requireAlive fails the test if the process has ended.
-func (r *router) requireAlive() {
-	r.t.Helper()
+func (p *process) requireAlive() {
+	p.t.Helper()
 	select {
-	case <-r.done:
-		require.Fail(r.t, "the process has ended: "+r.cmd.ProcessState.String())
+	case <-p.done:
+		require.Fail(p.t, "the process has ended: "+p.cmd.ProcessState.String())
 	default:
 	}
 }
 
 // checkLimits checks the largest memory so far and the open descriptors.
-func (r *router) checkLimits() {
-	r.t.Helper()
-	peak := r.peakMemory()
-	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid))
-	require.NoError(r.t, err)
-	r.t.Logf("peak memory %.1f MB, %d descriptors", float64(peak)/bytesPerMB, len(descriptors))
-	assert.LessOrEqual(r.t, peak, memoryMB*bytesPerMB, "peak memory, in bytes")
-	assert.LessOrEqual(r.t, len(descriptors), maxDescriptors, "open descriptors")
+func (p *process) checkLimits() {
+	p.t.Helper()
+	peak := p.peakMemory()
+	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	require.NoError(p.t, err)
+	p.t.Logf("peak memory %.1f MB, %d descriptors", float64(peak)/bytesPerMB, len(descriptors))
+	assert.LessOrEqual(p.t, peak, memoryMB*bytesPerMB, "peak memory, in bytes")
+	assert.LessOrEqual(p.t, len(descriptors), maxDescriptors, "open descriptors")
 }
 
 // peakMemory returns the largest resident memory since the start, in bytes.
-func (r *router) peakMemory() int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
-	require.NoError(r.t, err)
+func (p *process) peakMemory() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(p.t, err)
 	for line := range strings.Lines(string(status)) {
 		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
 			kib, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(text), " kB"))
-			require.NoError(r.t, err)
+			require.NoError(p.t, err)
 			return kib << 10
 		}
 	}
-	require.Fail(r.t, "no VmHWM in the status of the process")
+	require.Fail(p.t, "no VmHWM in the status of the process")
 	return 0
 }
 
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -43,6 +43,13 @@
 
 // Sizes and timeouts that are not configurable.
 const (
+	// Limits of the administration server. A sheet of the largest fleet has some hundred kB.
+	maxAdminConns       = 256
+	maxAdminBodyBytes   = 4 << 20
+	adminMemoryBytes    = 16 << 20
+	adminIdleTimeout    = 2 * time.Minute
+	adminReceiveTimeout = 30 * time.Second
+
 	inboxSize         = 1 << 14 // events waiting for the core
 	workers           = 512     // concurrent calls to peers and services
 	tickInterval      = 100 * time.Millisecond
--- a/internal/control/shell.go
+++ b/internal/control/shell.go
@@ -15,6 +15,8 @@
 	"github.com/catkinstair/catkinstair/internal/adapter/kv"
 	"github.com/catkinstair/catkinstair/internal/adapter/vmlist"
 	"github.com/catkinstair/catkinstair/internal/adminapi"
+	"github.com/catkinstair/catkinstair/internal/connbudget"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 	"github.com/catkinstair/catkinstair/internal/membership"
 	"github.com/catkinstair/catkinstair/internal/node"
 	"github.com/catkinstair/catkinstair/internal/peer"
@@ -32,6 +34,8 @@
 	peers       *peer.Client
 	peerServer  *peer.Server
 	adminServer *fasthttp.Server
+	// adminLimiter applies to adminServer.
+	adminLimiter *ingress.Limiter
 
 	waiters         waiters
 	lastEntryReport atomic.Int64 // process time of the entry's last report
@@ -90,6 +94,11 @@
 	}
 	s.registerPeerHandlers()
 	s.adminServer = &fasthttp.Server{Handler: s.adminHandler(), Name: "catkin-control", CloseOnShutdown: true}
+	s.adminLimiter = ingress.NewLimiter(ingress.Limits{
+		Conns: maxAdminConns, BodyBytes: maxAdminBodyBytes, MemoryBytes: adminMemoryBytes,
+		IdleTimeout: adminIdleTimeout, ReceiveTimeout: adminReceiveTimeout,
+	}, connbudget.Admin, s.Now)
+	s.adminLimiter.Apply(s.adminServer, adminapi.RefuseUnread)
 	return nil
 }
 
@@ -109,7 +118,8 @@
 	s.Go(s.loop)
 	s.scheduleListRead(0)
 	s.Go(func() { s.LogExit("peer server", s.peerServer.Serve(peerListener)) })
-	s.Go(func() { s.LogExit("administration server", s.serveAdmin(adminListener)) })
+	s.Go(func() { s.LogExit("administration server", s.serveAdmin(s.adminLimiter.Listener(adminListener))) })
+	s.Go(func() { s.adminLimiter.Run(s.Ctx) })
 	s.Log.Info().Str("listen", s.cfg.Listen).Str("admin", s.cfg.AdminListen).Msg("serving")
 	select {
 	case <-ctx.Done():
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -32,6 +32,14 @@
 	Workers int
 	// MaxBodyBytes limits a caller's request body, in bytes. Default 4 MiB.
 	MaxBodyBytes int
+	// MaxConns limits the connections of callers. Default 4096.
+	MaxConns int
+	// BodyMemoryMB is what the bodies of all requests and responses may hold together, in MB.
+	// A single body of MaxBodyBytes fits always. Default 64.
+	BodyMemoryMB int
+	// ReceiveTimeout is how long a request may take from its first byte until it has been
+	// read whole. Default 30 s.
+	ReceiveTimeout time.Duration
 	// AddressLifetime is how long a caller may keep the list of entry addresses.
 	// Default 30 s.
 	AddressLifetime time.Duration
@@ -49,6 +57,10 @@
 
 // Internal limits and timings, not configurable.
 const (
+	// callerIdleTimeout is how long a caller's connection may be idle.
+	callerIdleTimeout = 2 * time.Minute
+	bytesPerMB        = 1e6
+
 	inboxSize        = 1 << 16
 	tickInterval     = 10 * time.Millisecond
 	maxStepsPerCall  = 64
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -144,6 +144,7 @@
 		Place:  ident.Place{Region: "vestland", FailureDomain: ident.FailureDomain(name)},
 		Listen: freeAddr(env.t), PeerListen: freeAddr(env.t), Control: env.control.addr, KV: env.cluster.Addresses().KV,
 		CompletionTimeout: 20 * time.Second, CallTimeout: 5 * time.Second, Workers: 256, MaxBodyBytes: 1 << 20,
+		MaxConns: 1000, BodyMemoryMB: 16, ReceiveTimeout: 30 * time.Second,
 		AddressLifetime: 30 * time.Second,
 	}
 	env.control.members = append(env.control.members, peer.EntryMember{Instance: cfg.Self, Place: cfg.Place,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinstair/catkinstair/internal/ident"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 	"github.com/catkinstair/catkinstair/internal/node"
 	"github.com/catkinstair/catkinstair/internal/verdict"
 )
@@ -124,12 +125,23 @@
 	writeJSON(ctx, statusOf(r), newErrorBody(r))
 }
 
+// refuseUnread refuses a request by the limits of the callers' server.
+func refuseUnread(ctx *fasthttp.RequestCtx, err error, ran bool) {
+	r := ingress.Refusal(err)
+	if ran {
+		r.Verdict, r.RetryAfter = verdict.MayHaveRun, 0
+	}
+	writeRefusal(ctx, r)
+}
+
 var statusByCause = map[verdict.Cause]int{
 	verdict.CauseOverLimit:       fasthttp.StatusTooManyRequests,
 	verdict.CauseQueueFull:       fasthttp.StatusTooManyRequests,
 	verdict.CauseRetryBudget:     fasthttp.StatusTooManyRequests,
 	verdict.CauseNoLimit:         fasthttp.StatusForbidden,
 	verdict.CauseBadRequest:      fasthttp.StatusBadRequest,
+	verdict.CauseBodyTooLarge:    fasthttp.StatusRequestEntityTooLarge,
+	verdict.CauseBodyTooSlow:     fasthttp.StatusRequestTimeout,
 	verdict.CauseDeadline:        fasthttp.StatusGatewayTimeout,
 	verdict.CauseBackendLost:     fasthttp.StatusBadGateway,
 	verdict.CauseKeyInUse:        fasthttp.StatusConflict,
--- a/internal/entry/shell.go
+++ b/internal/entry/shell.go
@@ -13,6 +13,8 @@
 	"github.com/catkinstair/catkinstair/internal/adapter/engine"
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/adapter/kv"
+	"github.com/catkinstair/catkinstair/internal/connbudget"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 	"github.com/catkinstair/catkinstair/internal/node"
 	"github.com/catkinstair/catkinstair/internal/peer"
 	"github.com/catkinstair/catkinstair/internal/process"
@@ -31,6 +33,7 @@
 	peers      *peer.Client
 	server     *peer.Server
 	httpServer *fasthttp.Server
+	limiter    *ingress.Limiter // of httpServer
 
 	directory   directory
 	mailboxes   mailboxes
@@ -101,10 +104,14 @@
 	s.httpServer = &fasthttp.Server{
 		Handler:               s.serve,
 		Name:                  "catkin-entry",
-		MaxRequestBodySize:    s.cfg.MaxBodyBytes,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 	}
+	s.limiter = ingress.NewLimiter(ingress.Limits{
+		Conns: s.cfg.MaxConns, BodyBytes: s.cfg.MaxBodyBytes, MemoryBytes: int64(bytesPerMB * s.cfg.BodyMemoryMB),
+		IdleTimeout: callerIdleTimeout, ReceiveTimeout: s.cfg.ReceiveTimeout,
+	}, connbudget.Callers, s.Now)
+	s.limiter.Apply(s.httpServer, refuseUnread)
 	return nil
 }
 
@@ -126,7 +133,8 @@
 	s.Go(s.sendReports)
 	s.Go(s.pollLoads)
 	s.Go(func() { s.LogExit("peer server", s.server.Serve(peerListener)) })
-	s.Go(func() { s.LogExit("callers' server", s.httpServer.Serve(callerListener)) })
+	s.Go(func() { s.LogExit("callers' server", s.httpServer.Serve(s.limiter.Listener(callerListener))) })
+	s.Go(func() { s.limiter.Run(s.Ctx) })
 	s.Log.Info().Str("listen", s.cfg.Listen).Str("peers", s.cfg.PeerListen).Msg("serving")
 	select {
 	case <-ctx.Done():
