soak: clients that do not behave, beside kills and stops

make soak-badclients: per seed eight crowds of 150 connections that reopen what is closed, each against a drawn listener of one of four VMs of 184 MB and 600 descriptors, in series and overlapping with five of: VMs stopped, killed, paused, reloaded, all killed at once, the store refusing, losing replies, compacting, going back. Checked: no process ends by itself, peak memory and descriptors every 200 ms, a planned stop within its grace period, no wrong or doubled response to ordinary callers, and that each VM serves both kinds of routes afterwards. One seed runs in make test, by itself.

--- a/Makefile
+++ b/Makefile
@@ -22,18 +22,21 @@
 CORES := $(shell sed -n 's|^	"\(internal/[a-z]*\)",|./\1|p' internal/purity/purity.go)
 # The tests of clients that do not behave measure the memory of processes, so they run by themselves.
 ALONE := ./internal/badclients
+ALONE_SOAK := TestBadClients
 OTHERS := $(filter-out $(addprefix github.com/catkinstair/catkinstair/,$(patsubst ./%,%,$(CORES) $(ALONE))),$(shell $(GO) list ./...))
 
 # KNOWN-RED.txt names the tests that fail for a fault not mended yet, one "test: NAME" each.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null)
 empty :=
-SKIP := $(if $(KNOWN_RED),-skip '^($(subst $(empty) $(empty),|,$(strip $(KNOWN_RED))))$$')
+skip = $(if $(strip $(1)),-skip '^($(subst $(empty) $(empty),|,$(strip $(1))))$$')
+SKIP := $(call skip,$(KNOWN_RED))
 
 test: lint build
 	@if [ -s KNOWN-RED.txt ]; then echo "known failures, skipped:"; cat KNOWN-RED.txt; fi
 	$(GO) test $(SKIP) $(CORES)
-	$(GO) test $(SKIP) -race $(OTHERS)
+	$(GO) test $(call skip,$(KNOWN_RED) $(ALONE_SOAK)) -race $(OTHERS)
 	$(GO) test $(SKIP) -count=1 $(ALONE)
+	$(GO) test $(SKIP) -count=1 -run '^$(ALONE_SOAK)$$' ./internal/soak
 
 # Starts stand-ins and six VMs' worth of processes, shows one completion and one
 # reservation, and keeps running until interrupted.
@@ -70,3 +73,8 @@
 .PHONY: soak-upgrade
 soak-upgrade:
 	CATKIN_SOAK_SEED=$(SEED) CATKIN_SOAK_N=$(N) CATKIN_SOAK_JOBS=$(JOBS) $(GO) test -count=1 -timeout 60m -run TestRollingUpgrade -v ./internal/soak
+
+# Crowds of clients that do not behave, beside kills and stops, one seed after the other.
+.PHONY: soak-badclients
+soak-badclients:
+	CATKIN_SOAK_SEED=$(SEED) CATKIN_SOAK_N=$(N) $(GO) test -count=1 -timeout 60m -run TestBadClients -v ./internal/soak
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -56,6 +56,8 @@
 	results        callerResults
 	dir            string
 	serversStarted int
+	// limits is a line with the limits of each VM in its settings file, "" for none.
+	limits string
 	// earlierVersion is the version of the earlier build that VMs run too, "" for none.
 	earlierVersion string
 }
@@ -101,7 +103,12 @@
 
 // newRunWithStreams is newRun with the interval of a stream's events.
 func newRunWithStreams(t *testing.T, seed uint64, vms int, binary string, eventInterval time.Duration) *run {
-	r := &run{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir()}
+	return newRunWithLimits(t, seed, vms, binary, eventInterval, "")
+}
+
+// newRunWithLimits is newRunWithStreams with a line of limits for the settings of each VM.
+func newRunWithLimits(t *testing.T, seed uint64, vms int, binary string, eventInterval time.Duration, limits string) *run {
+	r := &run{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), limits: limits}
 	store, err := standin.NewStore()
 	require.NoError(t, err)
 	t.Cleanup(store.Close)
@@ -242,7 +249,8 @@
 listen = { front = "%[2]s:18227", ready = "%[2]s:18220", directory = "%[2]s:18224" }
 bounds = { drainMs = 2000, graceS = 8, configMs = 2000, retryBudgetRatio = 0.2, budgetWindowS = 10, budgetSlack = 196, stall_ms = 3000, ttl_max_s = 5 }
 platform = { address = %[4]q }
-`, v.name, host, v.domain, v.storeProxy.addr)
+%[5]s
+`, v.name, host, v.domain, v.storeProxy.addr, r.limits)
 	require.NoError(r.t, os.WriteFile(v.settingsFile, []byte(settings), 0o600))
 	r.t.Cleanup(v.kill)
 	return v
