ingress: bytes that were not read are few

Cause: a client can send further requests while one is served. The kernel's buffer of a connection grows to megabytes once a large body has been read from it, outside the memory that the process counts, and the platform counts bytes that arrived and were not read.

Listeners for clients have a receive buffer of 64 KiB (128 KiB in the kernel), set once on the listener. At a round trip of 6 ms that carries 10 MB/s a connection.

--- a/internal/control/shell.go
+++ b/internal/control/shell.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	adminListener, err := net.Listen("tcp", s.cfg.AdminListen)
+	adminListener, err := ingress.Listen("tcp", s.cfg.AdminListen)
 	if err != nil {
 		_ = peerListener.Close()
 		return errors.Wrap(err, "listen for operators")
--- a/internal/entry/shell.go
+++ b/internal/entry/shell.go
@@ -119,7 +119,7 @@
 // progress are finished. A second cancellation has no effect; to stop at once, end the
 // process.
 func (s *Shell) Run(ctx context.Context) error {
-	callerListener, err := net.Listen("tcp", s.cfg.Listen)
+	callerListener, err := ingress.Listen("tcp", s.cfg.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
--- a/internal/router/auxservers.go
+++ b/internal/router/auxservers.go
@@ -70,7 +70,7 @@
 		servers = append(servers, auxServer{connbudget.Metrics, addr, r.handleMetrics})
 	}
 	for _, a := range servers {
-		l, err := listen(a.addr)
+		l, err := ingress.Listen("tcp4", a.addr)
 		if err != nil {
 			return err
 		}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -38,7 +38,7 @@
 
 // serveRequests starts a server for requests to backend servers.
 func (r *Router) serveRequests(duty connbudget.Duty, addr string, handler fasthttp.RequestHandler) (*fasthttp.Server, error) {
-	l, err := listen(addr)
+	l, err := ingress.Listen("tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/router/changefeed.go
+++ b/internal/router/changefeed.go
@@ -10,6 +10,7 @@
 	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/changefeed"
 	"github.com/catkinstair/catkinstair/internal/connbudget"
+	"github.com/catkinstair/catkinstair/internal/ingress"
 	"github.com/catkinstair/catkinstair/platform"
 )
 
@@ -46,7 +47,7 @@
 // servePeerRequests serves other VMs' requests for changes, findings and the configuration over TCP, on the port
 // that receives load messages over UDP.
 func (r *Router) servePeerRequests() error {
-	l, err := listen(r.settings.Listen.Datagrams)
+	l, err := ingress.Listen("tcp4", r.settings.Listen.Datagrams)
 	if err != nil {
 		return err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -269,11 +269,6 @@
 	return true, ""
 }
 
-func listen(addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", addr)
-	return l, errors.Wrapf(err, "listening on %s", addr)
-}
-
 // pause waits for d plus up to half of d as jitter, or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d + rand.N(d/2+1))
