router: a request goes by the configuration at the end of its body

Cause: since bodies are read after route and key are known, a request whose body takes seconds was served by the configuration of its header, with a key or route that was taken away meanwhile.

If another configuration is in force once the body is whole, the request is accepted anew.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -63,6 +63,7 @@
 	r          *Router
 	ctx        *fasthttp.RequestCtx
 	req        dispatch.Request
+	table      *routes.Table // the configuration by which it was accepted
 	team       *routes.Team
 	receivedAt time.Time
 	// deadline is the earlier of the caller's and the route's, on the router's clock: it
@@ -107,28 +108,24 @@
 	receivedAt := r.clock.now()
 	r.checkPause()
 	r.awaitCurrentState(ctx)
-	x, status := r.accept(ctx, receivedAt)
-	if status != 0 {
-		ctx.Error(fasthttp.StatusMessage(status), status)
-		ingress.Discard(ctx)
-		r.log.Info().Bytes("request", ctx.Request.Header.Peek(platform.HeaderRequestID)).Int("status", status).
-			Bytes("uri", ctx.RequestURI()).Msg("refused by the configuration")
-		if fromPeer {
-			setPeerRefusal(ctx, verdict.NotRun, verdict.CauseNotConfigured)
-		}
-		return
-	}
+	x := r.admit(ctx, receivedAt, fromPeer)
 	if x == nil {
-		id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
-		r.refuseUnserved(ctx, fromPeer, id, verdict.Refusal{Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
 		return
 	}
-	if err := x.receive(receivedAt); err != nil {
+	took, err := x.receive(receivedAt)
+	if err != nil {
 		x.cancel(err)
 		x.req.FromPeer = fromPeer
 		x.refuseBody(err)
 		return
 	}
+	if x.table != r.table() { // the body took long enough for another configuration
+		x.cancel(nil)
+		if x = r.admit(ctx, receivedAt, fromPeer); x == nil {
+			return
+		}
+	}
+	x.setBody(receivedAt, took)
 	x.setClass(receivedAt)
 	if !x.takes() {
 		x.cancel(errVMStopping)
@@ -143,6 +140,34 @@
 	}
 }
 
+// admit returns the exchange of a request that the configuration allows, or refuses it and returns
+// nil.
+func (r *Router) admit(ctx *fasthttp.RequestCtx, receivedAt time.Duration, fromPeer bool) *exchange {
+	x, status := r.accept(ctx, receivedAt)
+	if x != nil {
+		return x
+	}
+	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
+	if status == 0 {
+		r.refuseUnserved(ctx, fromPeer, id, verdict.Refusal{Cause: verdict.CauseNoConfig, RetryAfter: noConfigRetryAfter})
+		return nil
+	}
+	ctx.Error(fasthttp.StatusMessage(status), status)
+	ingress.Discard(ctx)
+	r.log.Info().Str("request", id).Int("status", status).Bytes("uri", ctx.RequestURI()).Msg("refused by the configuration")
+	if fromPeer {
+		setPeerRefusal(ctx, verdict.NotRun, verdict.CauseNotConfigured)
+	}
+	return nil
+}
+
+// table returns the configuration in force, nil if there is none yet.
+func (r *Router) table() *routes.Table {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Table()
+}
+
 // awaitCurrentState holds a request that arrives before the first configuration, or right
 // after a pause of the process, for up to StateWait: VMs accept requests some hundred
 // milliseconds before they have read the store, and a refusal would use up the caller's
@@ -224,9 +249,7 @@
 // the configuration does not allow the request, and nil and 0 if there is no
 // configuration yet.
 func (r *Router) accept(ctx *fasthttp.RequestCtx, receivedAt time.Duration) (*exchange, int) {
-	r.mu.Lock()
-	table := r.core.Table()
-	r.mu.Unlock()
+	table := r.table()
 	if table == nil {
 		return nil, 0
 	}
@@ -241,7 +264,7 @@
 			return nil, fasthttp.StatusUnauthorized
 		}
 	}
-	x := &exchange{r: r, ctx: ctx, team: team, receivedAt: time.Now().Add(receivedAt - r.clock.now()), worstVerdict: verdict.NotRun,
+	x := &exchange{r: r, ctx: ctx, table: table, team: team, receivedAt: time.Now().Add(receivedAt - r.clock.now()), worstVerdict: verdict.NotRun,
 		held: map[*dispatch.Choice]struct{}{}}
 	x.req = dispatch.Request{ID: string(h.Peek(platform.HeaderRequestID)), Route: route, SentTo: map[backend.ID]bool{}, Avoid: map[backend.ID]bool{}}
 	svc, ok := table.Service(route, x.req.ID)
@@ -250,7 +273,7 @@
 	}
 	x.req.Service = svc
 	x.deadline = receivedAt + route.Timeout
-	if left, ok := platform.ParseTimeLeft(string(h.Peek(platform.HeaderTimeLeft))); ok && left < route.Timeout {
+	if left, ok := x.statedTimeLeft(); ok && left < route.Timeout {
 		x.deadline = receivedAt + left
 	}
 	x.estimateTokens()
@@ -258,32 +281,37 @@
 	return x, 0
 }
 
-// receive reads the body of a request whose header was read at a time on the router's clock. The
-// time that the caller states runs from then on, the route's from the end of the body.
-func (x *exchange) receive(headerAt time.Duration) error {
+// receive reads the body of a request whose header was read at a time on the router's clock, and
+// returns how long that took.
+func (x *exchange) receive(headerAt time.Duration) (took time.Duration, err error) {
 	began := x.r.clock.now()
 	by := began + x.r.cfg.ReceiveTimeout
-	left, stated := platform.ParseTimeLeft(string(x.ctx.Request.Header.Peek(platform.HeaderTimeLeft)))
-	if stated {
+	if left, stated := x.statedTimeLeft(); stated {
 		by = min(by, headerAt+left)
 	}
-	if err := x.r.bodies.Receive(x.ctx, x.r.bodyLimit(), time.Now().Add(by-began)); err != nil {
-		return err
-	}
-	x.deadline += x.r.clock.now() - began
-	if stated {
+	err = x.r.bodies.Receive(x.ctx, x.r.bodyLimit(), time.Now().Add(by-began))
+	return x.r.clock.now() - began, err
+}
+
+// setBody sets what follows from the body, which took a time to arrive. The time that the caller
+// states runs from the header on, the route's from the end of the body.
+func (x *exchange) setBody(headerAt, took time.Duration) {
+	x.deadline += took
+	if left, stated := x.statedTimeLeft(); stated {
 		x.deadline = min(x.deadline, headerAt+left)
 	}
 	x.fingerprint = fingerprintOf(&x.ctx.Request.Header, x.team, x.ctx.Request.Body())
 	x.req.Subject.Request = poison.RequestPart(x.fingerprint)
-	return nil
+}
+
+// statedTimeLeft returns the time that the caller waits, false if it does not say so.
+func (x *exchange) statedTimeLeft() (time.Duration, bool) {
+	return platform.ParseTimeLeft(string(x.ctx.Request.Header.Peek(platform.HeaderTimeLeft)))
 }
 
 // bodyLimit returns the size of the largest body that the configuration allows, in bytes.
 func (r *Router) bodyLimit() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if table := r.core.Table(); table != nil && table.Config().MaxBodyBytes > 0 {
+	if table := r.table(); table != nil && table.Config().MaxBodyBytes > 0 {
 		return min(table.Config().MaxBodyBytes, maxBodyBytes)
 	}
 	return maxBodyBytes
--- a/internal/router/site_test.go
+++ b/internal/router/site_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -40,7 +41,10 @@
 
 // configure writes the configuration of the published example, with additional routes to
 // the plain service.
-func (s *site) configure(version int) {
+func (s *site) configure(version int) { s.configureWithout(version, "") }
+
+// configureWithout is configure without a route.
+func (s *site) configureWithout(version int, route string) {
 	s.t.Helper()
 	text, err := os.ReadFile("../../platform/testdata/config.json")
 	require.NoError(s.t, err)
@@ -61,6 +65,7 @@
 		routes = append(routes, map[string]any{"name": name, "host": "ficu95.example", "prefix": "/" + name + "/", "kind": "streaming",
 			"timeoutMs": 20000, "service": "huvo11a", "attempts": 1, "streamResume": resumable, "gapAimMs": 250, "stickySessions": true})
 	}
+	routes = slices.DeleteFunc(routes, func(r any) bool { return r.(map[string]any)["name"] == route })
 	doc["routes"], doc["version"] = routes, version
 	text, err = json.Marshal(doc)
 	require.NoError(s.t, err)
