--- a/internal/adapter/httpcall/client_test.go
+++ b/internal/adapter/httpcall/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,12 +22,24 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	var accepted atomic.Int64
+	var mu sync.Mutex
+	var conns []net.Conn // open until the test ends: the collector closes those that nobody refers to
+	t.Cleanup(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range conns {
+			_ = c.Close() // an error if the test has closed it
+		}
+	})
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
 			go serve(accepted.Add(1), c)
 		}
 	}()
--- a/internal/adapter/httpcall/stream_test.go
+++ b/internal/adapter/httpcall/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,6 +54,7 @@
 	stalled := listen(t, func(_ int64, c net.Conn) {
 		_, _ = c.Read(make([]byte, 4096))
 		_, _ = c.Write([]byte(chunkedHead + "3\r\nabc\r\n"))
+		time.AfterFunc(shortTimeout/4, runtime.GC) // closes connections that nobody refers to
 	})
 	c := NewDefault()
 	defer c.Close()
