--- /dev/null
+++ b/review/standin-2/case6.go
@@ -0,0 +1,162 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	streamsPerVM = 6
+	grace        = 8 * time.Second
+	// patience is when a consumer abandons a stream: four times the objective.
+	patience = 4 * time.Second
+)
+
+type streamResult struct {
+	id       string
+	vm       *router
+	status   int
+	events   int
+	whole    bool
+	gaveUp   bool
+	endedAt  time.Time
+	lastAt   time.Time
+	sentAt   time.Time
+	firstBad string
+}
+
+// case6: a replica in the middle of the path is replaced as planned, and the VM that serves the
+// streams gets SIGTERM. The VM must not end answers that their replicas have not ended.
+func case6(trouble bool) int {
+	e := newEnv()
+	defer e.close()
+	const service = "llm"
+	g := e.newModel(service, 80, 14, 3*time.Second)
+	e.putConfig(modelManifest(service, 192))
+	first, second := g.start("i-first", "z"), g.start("i-second", "z")
+	for n := range 2 {
+		e.startRouter(fmt.Sprintf("front-z-%d", n+1), "z", loopback(n))
+	}
+	for _, r := range e.routers {
+		r.waitReady()
+	}
+	covered := func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return first.to-first.from+second.to-second.from == 80
+	}
+	for i := 0; !covered(); i++ {
+		if i > 300 {
+			must(fmt.Errorf("the layers were not placed"))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond) // records and directory have settled
+	results := make(chan streamResult, 2*streamsPerVM)
+	var wg sync.WaitGroup
+	for i := range 2 * streamsPerVM {
+		wg.Go(func() { results <- e.consume(e.routers[i%2], fmt.Sprintf("q-%d", i)) })
+	}
+	stopAt := time.Time{}
+	if trouble {
+		time.Sleep(time.Second)
+		// The last stage: the new replica starts first, the old one drains.
+		old := second
+		if first.from > 0 {
+			old = first
+		}
+		g.start("i-third", "z")
+		go old.leave(2*time.Second, 3200*time.Millisecond)
+		time.Sleep(4200 * time.Millisecond)
+		stopAt = time.Now()
+		e.logf("SIGTERM to %s", e.routers[0].name)
+		_ = e.routers[0].cmd.Process.Signal(syscall.SIGTERM)
+	}
+	wg.Wait()
+	close(results)
+	return e.judgeStreams(g, results, stopAt, 2*streamsPerVM)
+}
+
+func (e *env) consume(vm *router, id string) streamResult {
+	s := streamResult{id: id, vm: vm, sentAt: time.Now(), lastAt: time.Now()}
+	req, err := http.NewRequest("POST", "http://"+vm.front()+"/draft/x", strings.NewReader(strings.Repeat("p", 700)))
+	must(err)
+	req.Host = "h.example"
+	for k, v := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "20000", "X-Token-Usage": "700,560", "X-Model": "m0", "X-Prompt-Prefix": "5c1e07a2:40," + fmt.Sprintf("%x", len(id)*7919) + id[2:] + ":660"} {
+		req.Header.Set(k, v)
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	defer tr.CloseIdleConnections()
+	e.logf("request %s sent to %s", id, vm.name)
+	resp, err := (&http.Client{Transport: tr}).Do(req)
+	if err != nil {
+		s.endedAt = time.Now()
+		return s
+	}
+	defer resp.Body.Close()
+	s.status = resp.StatusCode
+	abandon := time.AfterFunc(patience, func() { s.gaveUp = true; _ = resp.Body.Close() })
+	defer abandon.Stop()
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		if strings.HasPrefix(sc.Text(), "id: ") {
+			s.events++
+			s.lastAt = time.Now()
+			abandon.Reset(patience)
+		}
+	}
+	s.endedAt = time.Now()
+	s.whole = sc.Err() == nil && s.events == streamEvents
+	return s
+}
+
+// modelManifest has one streaming route to a model of 80 layers, of which a replica holds 40 at most.
+func modelManifest(service string, slots int) m {
+	return m{"version": 3, "routes": []m{{"name": "draft", "host": "h.example", "prefix": "/draft/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 1000, "priority": 1,
+		"service": service, "attempts": 2, "public": true, "stickySessions": true, "streamResume": true, "gapAimMs": 250}},
+		"services": []m{{"name": service, "healthPath": "/healthz", "maxConnections": 1058, "protocol": "h1", "tls": false, "engine": m{"slots": slots, "kvCapacityTokens": 100000, "kvTokenBytes": 590000,
+			"linkMbps": 400000.0, "stride": 4, "models": []m{{"name": "m0", "pace": 1.0, "loadS": 14.0, "warmS": 1.0}}, "step_ms": 1.02, "per_seq_ms": 0.00459, "context_per_k": 0.00615, "read_per_s": 164000.0,
+			"pairs_per_m": 0.199, "chunk": 512, "report_lag_ms": 200.0, "loads_at_once": 6, "delays": []m{{"from": "a", "target": "b", "delay_ms": 0.75}}, "usual": m{"prompt": 774, "answer": 210}, "layers": 80, "layerMb": 1750.0, "actBytes": 29500,
+			"pipeMbps": 19000.0, "kinds": []m{{"name": "big", "mb": 120500.0, "pace": 2.4, "readX": 3.2}}}}},
+		"limits": m{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
+}
+
+// judgeStreams judges the streams of the first VM by LOST, around its SIGTERM.
+func (e *env) judgeStreams(g *model, results <-chan streamResult, stopAt time.Time, sent int) int {
+	broken, served := 0, 0
+	for s := range results {
+		g.mu.Lock()
+		by, runEnd := g.endedBy[s.id], g.ended[s.id]
+		g.mu.Unlock()
+		verdict := "whole"
+		switch {
+		case s.whole:
+			served++
+		case !stopAt.IsZero() && s.vm == e.routers[0] && s.status == 200 && !s.gaveUp && s.endedAt.After(stopAt) && s.endedAt.Before(stopAt.Add(grace+time.Second)) &&
+			by == "caller" && runEnd.Before(stopAt.Add(grace*5/6)): // in the last sixth it is excused
+			verdict = fmt.Sprintf("LOST: the VM ended the run %.2f s before it closed the channel, %.2f s after the last event; the replica had not broken off", s.endedAt.Sub(runEnd).Seconds(), s.endedAt.Sub(s.lastAt).Seconds())
+			broken++
+		case s.gaveUp:
+			verdict = "the consumer gave up"
+		default:
+			verdict = "not whole, not counted (run ended by the " + by + ")"
+		}
+		e.logf("request %s at %s: status %d, %d of %d events: %s", s.id, s.vm.name, s.status, s.events, streamEvents, verdict)
+	}
+	e.logf("served %d, lost under planned work %d", served, broken)
+	fmt.Printf("served %d, lost under planned work %d\n", served, broken)
+	switch {
+	case broken > 0:
+		return 1
+	case stopAt.IsZero() && served < sent:
+		return 2
+	}
+	return 0
+}
