--- a/review/standin-2/env.go
+++ b/review/standin-2/env.go
@@ -63,7 +63,8 @@
 	must(err)
 	rec, err := os.Create(recordFile)
 	must(err)
-	return &env{dir: dir, store: st, record: rec, began: time.Now()}
+	current = &env{dir: dir, store: st, record: rec, began: time.Now()}
+	return current
 }
 
 // recordFile is where a case writes what was sent, answered and run.
@@ -82,9 +83,15 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 10+n)
 }
 
+// current is the case in progress, so that a failed setup ends what was started.
+var current *env
+
 func must(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "setup:", err)
+		if current != nil {
+			current.close()
+		}
 		os.Exit(2)
 	}
 }
