--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -47,12 +47,7 @@
 	for _, r := range e.routers {
 		r.waitReady()
 	}
-	covered := func() bool {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return first.to-first.from+second.to-second.from == 80
-	}
-	for i := 0; !covered(); i++ {
+	for i := 0; !g.covered(first, second); i++ {
 		if i > 300 {
 			must(fmt.Errorf("the layers were not placed"))
 		}
--- a/review/standin-2/engines.go
+++ b/review/standin-2/engines.go
@@ -19,13 +19,18 @@
 	service string
 	layers  int
 	slots   int
-	loadS   float64
-	stall   time.Duration
-	mu      sync.Mutex
-	begun   bool // the first request has arrived
-	byAddr  map[string]*modelReplica
+	// kind and mb are those of its replicas, layerMB is the size of a layer.
+	kind        string
+	mb, layerMB float64
+	loadS       float64
+	stall       time.Duration
+	mu          sync.Mutex
+	begun       bool // the first request has arrived
+	byAddr      map[string]*modelReplica
 	// endedBy is who ended a run first, by request id: "replica" or "caller".
 	endedBy map[string]string
+	// overloaded lists the orders to hold more than the replica's mb holds.
+	overloaded []string
 	// ended is when a run ended, by request id.
 	ended map[string]time.Time
 }
@@ -50,11 +55,25 @@
 }
 
 func (e *env) newModel(service string, layers int, loadS float64, stall time.Duration) *model {
-	return &model{env: e, service: service, layers: layers, loadS: loadS, stall: stall, byAddr: map[string]*modelReplica{}, slots: 192, endedBy: map[string]string{}, ended: map[string]time.Time{}}
+	return &model{env: e, service: service, layers: layers, loadS: loadS, stall: stall, byAddr: map[string]*modelReplica{}, slots: 192, kind: "big", mb: 120500, layerMB: 1750, endedBy: map[string]string{}, ended: map[string]time.Time{}}
 }
 
 func (g *model) start(id, zone string) *modelReplica {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	r := g.listen(id, zone, "127.0.0.1:0")
+	go r.beat(0)
+	return r
+}
+
+// beat writes the replica's record after a while, and again each heartbeat.
+func (r *modelReplica) beat(after time.Duration) {
+	for time.Sleep(after); !r.isGone(); time.Sleep(1200 * time.Millisecond) {
+		r.register()
+	}
+}
+
+// listen starts a replica at an address, without a record.
+func (g *model) listen(id, zone, addr string) *modelReplica {
+	l, err := net.Listen("tcp4", addr)
 	must(err)
 	r := &modelReplica{model: g, id: id, addr: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), listener: l, state: "ready", paths: map[string]string{}, stalled: map[string]string{}}
 	r.srv = &http.Server{Handler: http.HandlerFunc(r.serve)}
@@ -62,15 +81,18 @@
 	g.byAddr[r.addr] = r
 	g.mu.Unlock()
 	go r.srv.Serve(l)
-	go func() { // heartbeats
-		for !r.isGone() {
-			r.register()
-			time.Sleep(1200 * time.Millisecond)
-		}
-	}()
 	return r
 }
 
+// crash ends the replica without a word.
+func (r *modelReplica) crash() {
+	r.model.mu.Lock()
+	r.gone = true
+	r.model.mu.Unlock()
+	_ = r.srv.Close()
+	r.model.env.logf("replica %s crashes", r.id)
+}
+
 func (r *modelReplica) isGone() bool {
 	r.model.mu.Lock()
 	defer r.model.mu.Unlock()
@@ -83,8 +105,8 @@
 	if r.gone {
 		return
 	}
-	r.model.env.store.Put("servers/"+r.id, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":192,"state":%q,"coldRemainingMs":0,"kind":"big","born":%d,"layers":{"from":%d,"target":%d,"version":1},"sequence":%d}`,
-		r.model.service, r.addr, r.zone, r.state, r.born, r.from, r.to, r.sequence)))
+	r.model.env.store.Put("servers/"+r.id, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":192,"state":%q,"coldRemainingMs":0,"kind":%q,"born":%d,"layers":{"from":%d,"target":%d,"version":1},"sequence":%d}`,
+		r.model.service, r.addr, r.zone, r.state, r.model.kind, r.born, r.from, r.to, r.sequence)))
 }
 
 // leave reports draining, serves on for drain and a little longer, and exits.
@@ -135,6 +157,10 @@
 		w.WriteHeader(400)
 		return
 	}
+	if x := req.Header.Get("X-Expect-Instance"); x != "" && x != r.id { // as for requests
+		w.WriteHeader(421)
+		return
+	}
 	g := r.model
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -163,6 +189,11 @@
 			w.WriteHeader(200)
 			return
 		}
+		go g.env.logf("replica %s (%s, %s with %.0f MB) takes the order to hold layers %d to %d, expected sequence %d", r.id, g.service, g.kind, g.mb, o.From, o.Target, r.sequence)
+		if float64(o.Target-o.From)*g.layerMB > g.mb { // it crashes
+			g.overloaded = append(g.overloaded, r.id)
+			go r.crash()
+		}
 		r.sequence++
 		r.relFrom, r.relTo = r.from, r.to
 		r.busy, r.from, r.to = true, 0, 0
@@ -177,6 +208,9 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 			time.Sleep(load)
+			if r.isGone() {
+				return
+			}
 			g.mu.Lock()
 			r.busy, r.from, r.to, r.relFrom, r.relTo = false, o.From, o.Target, 0, 0
 			g.mu.Unlock()
@@ -322,3 +356,29 @@
 	who = "replica"
 	g.env.logf("run of request %s at %s: complete", id, r.id)
 }
+
+// covered reports whether two replicas hold all layers.
+func (g *model) covered(a, b *modelReplica) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return a.to-a.from+b.to-b.from == g.layers
+}
+
+// holding returns the number of replicas that hold layers.
+func (g *model) holding() (n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.byAddr {
+		if r.to > r.from {
+			n++
+		}
+	}
+	return n
+}
+
+// begin ends the time in which loads take a tenth: the first request arrives.
+func (g *model) begin() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.begun = true
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,8 @@
 	switch os.Args[1] {
 	case "case7":
 		os.Exit(case7(trouble))
+	case "case8":
+		os.Exit(case8(trouble))
 	case "case6":
 		os.Exit(case6(trouble))
 	}
