--- a/review/standin-2/case8.go
+++ b/review/standin-2/denied.go
@@ -12,9 +12,9 @@
 	"time"
 )
 
-// case8: consumers that write the names of headers in lower case, as HTTP/1.1 allows, must be
+// playDenied: consumers that write the names of headers in lower case, as HTTP/1.1 allows, must be
 // served like others.
-func case8(trouble bool) int {
+func playDenied(trouble bool) int {
 	e := newEnv()
 	defer e.close()
 	route := func(name, kind string, public bool) m {
--- a/review/standin-2/case7.go
+++ b/review/standin-2/limit.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// case7: a replica that was added crashes at once, and its address is used again by a replica of
+// playLimit: a replica that was added crashes at once, and its address is used again by a replica of
 // another service. No order that was meant for the first may reach the second.
-func case7(trouble bool) int {
+func playLimit(trouble bool) int {
 	e := newEnv()
 	defer e.close()
 	big := e.newModel("llm-big", 80, 14, 3*time.Second)
--- a/review/standin-2/case6.go
+++ b/review/standin-2/lost.go
@@ -32,9 +32,9 @@
 	firstBad string
 }
 
-// case6: a replica in the middle of the path is replaced as planned, and the VM that serves the
+// playLost: a replica in the middle of the path is replaced as planned, and the VM that serves the
 // streams gets SIGTERM. The VM must not end answers that their replicas have not ended.
-func case6(trouble bool) int {
+func playLost(trouble bool) int {
 	e := newEnv()
 	defer e.close()
 	const service = "llm"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,12 +15,14 @@
 	recordFile = os.Args[2]
 	trouble := os.Getenv("TROUBLE") != "0"
 	switch os.Args[1] {
-	case "case7":
-		os.Exit(case7(trouble))
-	case "case8":
-		os.Exit(case8(trouble))
-	case "case6":
-		os.Exit(case6(trouble))
+	case "limit":
+		os.Exit(playLimit(trouble))
+	case "denied":
+		os.Exit(playDenied(trouble))
+	case "recover":
+		os.Exit(playRecover(trouble))
+	case "lost":
+		os.Exit(playLost(trouble))
 	}
 	fmt.Fprintln(os.Stderr, "no such case")
 	os.Exit(2)
