review: the stand-ins take the platform's names from its package

The test of the names (platform/names_test.go) reads files behind build constraints too and failed on them.

--- a/review/standin-2/engines.go
+++ b/review/standin-2/engines.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/catkinstair/catkinstair/platform"
 )
 
 // model holds the model replicas of a case. They read each other's state, as replicas on a path do.
@@ -130,7 +132,7 @@
 	switch req.URL.Path {
 	case "/healthz":
 		w.Header().Set("X-Instance-Id", r.id)
-	case "/catkinstair/report":
+	case platform.ReportURI:
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		stalled := []m{}
@@ -140,7 +142,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(m{"stage": "both", "born": r.born, "models": []m{}, "layers": m{"from": r.from, "target": r.to, "version": 1}, "busy": r.busy, "sequence": r.sequence,
 			"queued": 0, "running": len(r.paths), "kvUsed": 0, "kvTotal": 90000, "handles": 0, "pace": 1, "stalled": stalled})
-	case "/catkinstair/order":
+	case platform.OrderURI:
 		r.order(w, req)
 	default:
 		r.stream(w, req)
@@ -157,7 +159,7 @@
 		w.WriteHeader(400)
 		return
 	}
-	if x := req.Header.Get("X-Expect-Instance"); x != "" && x != r.id { // as for requests
+	if x := req.Header.Get(platform.HeaderServerID); x != "" && x != r.id { // as for requests
 		w.WriteHeader(421)
 		return
 	}
@@ -281,9 +283,9 @@
 
 func (r *modelReplica) stream(w http.ResponseWriter, req *http.Request) {
 	g := r.model
-	id, path := req.Header.Get("X-Request-Id"), req.Header.Get("X-Hop-Count")
-	w.Header().Set("X-Request-Id", id)
-	if x := req.Header.Get("X-Expect-Instance"); x != "" && x != r.id {
+	id, path := req.Header.Get(platform.HeaderRequestID), req.Header.Get(platform.HeaderPath)
+	w.Header().Set(platform.HeaderRequestID, id)
+	if x := req.Header.Get(platform.HeaderServerID); x != "" && x != r.id {
 		w.WriteHeader(421)
 		return
 	}
@@ -299,13 +301,13 @@
 	g.mu.Unlock()
 	if full {
 		g.env.logf("replica %s is full and does not run request %s", r.id, id)
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(503)
 		return
 	}
 	if at != "" {
-		w.Header().Set("At-Server", at)
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(platform.HeaderFailedServer, at)
+		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(503)
 		return
 	}
@@ -320,7 +322,7 @@
 		g.mu.Unlock()
 	}()
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Response-Signature", "sig-"+r.id)
+	w.Header().Set(platform.HeaderSignature, "sig-"+r.id)
 	w.Header().Set("X-Weight-Versions", "1")
 	flusher := w.(http.Flusher)
 	stalledSince := time.Time{}
--- a/review/standin-2/env.go
+++ b/review/standin-2/env.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/catkinstair/catkinstair/platform/standin"
+
+	"github.com/catkinstair/catkinstair/platform"
 )
 
 type run struct {
@@ -125,25 +127,25 @@
 			break
 		}
 	}
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	if x := r.Header.Get("X-Expect-Instance"); x != "" && x != rp.id {
+	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+	if x := r.Header.Get(platform.HeaderServerID); x != "" && x != rp.id {
 		w.WriteHeader(421)
 		return
 	}
-	if r.Header.Get("X-Request-Id") == "" {
-		w.Header().Set("X-Not-Executed", "1")
+	if r.Header.Get(platform.HeaderRequestID) == "" {
+		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(400)
 		return
 	}
 	rp.env.mu.Lock()
-	rp.env.runs = append(rp.env.runs, run{ID: r.Header.Get("X-Request-Id"), Server: rp.id, Path: r.RequestURI, Body: string(buf), Header: r.Header.Clone(), At: time.Now()})
+	rp.env.runs = append(rp.env.runs, run{ID: r.Header.Get(platform.HeaderRequestID), Server: rp.id, Path: r.RequestURI, Body: string(buf), Header: r.Header.Clone(), At: time.Now()})
 	rp.env.mu.Unlock()
-	w.Header().Set("X-Response-Signature", "sig-"+rp.id)
+	w.Header().Set(platform.HeaderSignature, "sig-"+rp.id)
 	if rp.handler != nil {
 		rp.handler(w, r, buf)
 		return
 	}
-	fmt.Fprintf(w, "done %s by %s", r.Header.Get("X-Request-Id"), rp.id)
+	fmt.Fprintf(w, "done %s by %s", r.Header.Get(platform.HeaderRequestID), rp.id)
 }
 
 func (e *env) startRouter(name, zone, ip string) *router {
@@ -199,7 +201,7 @@
 	log, err := os.OpenFile(filepath.Join(r.env.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
 	r.cmd = exec.Command("target/catkin-router", "--metrics-port", "9464")
-	r.cmd.Env = []string{"CATKINSTAIR_BOOT=" + r.file, "PATH=" + os.Getenv("PATH"), "HOME=" + r.env.dir}
+	r.cmd.Env = []string{platform.SettingsVariable + "=" + r.file, "PATH=" + os.Getenv("PATH"), "HOME=" + r.env.dir}
 	r.cmd.Stdout, r.cmd.Stderr = log, log
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must(r.cmd.Start())
@@ -207,7 +209,7 @@
 
 func (r *router) waitReady() {
 	for i := 0; i < 200; i++ {
-		resp, err := http.Get("http://" + r.ready() + "/catkinstair/ready")
+		resp, err := http.Get("http://" + r.ready() + platform.ReadyURI)
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == 200 {
@@ -240,7 +242,7 @@
 func (e *env) putConfig(v any) {
 	b, err := json.Marshal(v)
 	must(err)
-	e.store.Put("op/config", b)
+	e.store.Put(platform.ConfigKey, b)
 }
 
 func (e *env) runsOf(id string) (out []run) {
--- a/review/standin-2/limit.go
+++ b/review/standin-2/limit.go
@@ -15,8 +15,8 @@
 	big := e.newModel("llm-big", 80, 14, 3*time.Second)
 	small := e.newModel("llm-small", 80, 14, 3*time.Second)
 	small.kind, small.mb = "small", 14400
-	manifest := modelManifest(big.service, 192)
-	other := modelManifest(small.service, 192)["services"].([]m)[0]
+	manifest := modelManifest(big.service)
+	other := modelManifest(small.service)["services"].([]m)[0]
 	other["engine"].(m)["kinds"] = []m{{"name": "small", "mb": 14400.0, "pace": 5.3, "readX": 7.9}}
 	manifest["services"] = append(manifest["services"].([]m), other)
 	e.putConfig(manifest)
--- a/review/standin-2/lost.go
+++ b/review/standin-2/lost.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/catkinstair/catkinstair/platform"
 )
 
 const (
@@ -39,7 +41,7 @@
 	defer e.close()
 	const service = "llm"
 	g := e.newModel(service, 80, 14, 3*time.Second)
-	e.putConfig(modelManifest(service, 192))
+	e.putConfig(modelManifest(service))
 	first, second := g.start("i-first", "z"), g.start("i-second", "z")
 	for n := range 2 {
 		e.startRouter(fmt.Sprintf("front-z-%d", n+1), "z", loopback(n))
@@ -84,7 +86,7 @@
 	req, err := http.NewRequest("POST", "http://"+vm.front()+"/draft/x", strings.NewReader(strings.Repeat("p", 700)))
 	must(err)
 	req.Host = "h.example"
-	for k, v := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "20000", "X-Token-Usage": "700,560", "X-Model": "m0", "X-Prompt-Prefix": "5c1e07a2:40," + fmt.Sprintf("%x", len(id)*7919) + id[2:] + ":660"} {
+	for k, v := range map[string]string{platform.HeaderRequestID: id, platform.HeaderTimeLeft: "20000", platform.HeaderTokens: "700,560", "X-Model": "m0", "X-Prompt-Prefix": "5c1e07a2:40," + fmt.Sprintf("%x", len(id)*7919) + id[2:] + ":660"} {
 		req.Header.Set(k, v)
 	}
 	tr := &http.Transport{DisableKeepAlives: true}
@@ -112,17 +114,6 @@
 	return s
 }
 
-// modelManifest has one streaming route to a model of 80 layers, of which a replica holds 40 at most.
-func modelManifest(service string, slots int) m {
-	return m{"version": 3, "routes": []m{{"name": "draft", "host": "h.example", "prefix": "/draft/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 1000, "priority": 1,
-		"service": service, "attempts": 2, "public": true, "stickySessions": true, "streamResume": true, "gapAimMs": 250}},
-		"services": []m{{"name": service, "healthPath": "/healthz", "maxConnections": 1058, "protocol": "h1", "tls": false, "engine": m{"slots": slots, "kvCapacityTokens": 100000, "kvTokenBytes": 590000,
-			"linkMbps": 400000.0, "stride": 4, "models": []m{{"name": "m0", "pace": 1.0, "loadS": 14.0, "warmS": 1.0}}, "step_ms": 1.02, "per_seq_ms": 0.00459, "context_per_k": 0.00615, "read_per_s": 164000.0,
-			"pairs_per_m": 0.199, "chunk": 512, "report_lag_ms": 200.0, "loads_at_once": 6, "delays": []m{{"from": "a", "target": "b", "delay_ms": 0.75}}, "usual": m{"prompt": 774, "answer": 210}, "layers": 80, "layerMb": 1750.0, "actBytes": 29500,
-			"pipeMbps": 19000.0, "kinds": []m{{"name": "big", "mb": 120500.0, "pace": 2.4, "readX": 3.2}}}}},
-		"limits": m{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
-}
-
 // judgeStreams judges the streams of the first VM by LOST, around its SIGTERM.
 func (e *env) judgeStreams(g *model, results <-chan streamResult, stopAt time.Time, sent int) int {
 	broken, served := 0, 0
--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/catkinstair/catkinstair/platform"
 )
 
 // playRecover: a replica of the large model crashes and comes back empty, all VMs are killed and start
@@ -21,12 +23,12 @@
 	big := e.newModel("llm-big", 80, 14, 3*time.Second)
 	small := e.newModel("llm-small", 4, 14, 3*time.Second)
 	small.kind, small.mb = "small", 14400
-	manifest := modelManifest(big.service, 192)
-	other := modelManifest(small.service, 192)["services"].([]m)[0]
+	manifest := modelManifest(big.service)
+	other := modelManifest(small.service)["services"].([]m)[0]
 	engine := other["engine"].(m)
 	engine["layers"], engine["kvTokenBytes"], engine["kinds"] = 4, 29500, []m{{"name": "small", "mb": 20000.0, "pace": 5.3, "readX": 7.9}}
 	small.mb = 20000
-	route := modelManifest(small.service, 192)["routes"].([]m)[0]
+	route := modelManifest(small.service)["routes"].([]m)[0]
 	route["name"], route["prefix"] = "title", "/title/"
 	manifest["routes"] = append(manifest["routes"].([]m), route)
 	manifest["services"] = append(manifest["services"].([]m), other)
@@ -141,7 +143,7 @@
 		req, err := http.NewRequest("POST", "http://"+vm.front()+path, strings.NewReader("prompt"))
 		must(err)
 		req.Host = "h.example"
-		for k, v := range map[string]string{"X-Request-Id": fmt.Sprintf("%s-%d", id, try), "X-Deadline-Ms": "20000", "X-Token-Usage": "700,560", "X-Model": "m0", "X-Prompt-Prefix": "5c1e07a2:40,a" + id[2:] + ":660"} {
+		for k, v := range map[string]string{platform.HeaderRequestID: fmt.Sprintf("%s-%d", id, try), platform.HeaderTimeLeft: "20000", platform.HeaderTokens: "700,560", "X-Model": "m0", "X-Prompt-Prefix": "5c1e07a2:40,a" + id[2:] + ":660"} {
 			req.Header.Set(k, v)
 		}
 		tr := &http.Transport{DisableKeepAlives: true}
