--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -84,17 +84,9 @@
 			e.logf("replica i-big-3 starts in place of i-big-2")
 		})
 		time.Sleep(500 * time.Millisecond)
-		e.logf("final fault: all processes are killed")
 		fault = time.Now()
-		for _, r := range e.routers {
-			r.kill()
-		}
-		time.Sleep(time.Second)
-		for _, r := range e.routers {
-			r.start()
-		}
-		for _, r := range e.routers {
-			r.waitReady()
+		if os.Getenv("KEEP_VMS") == "" {
+			e.restartAll()
 		}
 	}
 	back := time.Now()
@@ -135,6 +127,21 @@
 	return 0
 }
 
+// restartAll kills all VMs and starts them again.
+func (e *env) restartAll() {
+	e.logf("final fault: all processes are killed")
+	for _, r := range e.routers {
+		r.kill()
+	}
+	time.Sleep(time.Second)
+	for _, r := range e.routers {
+		r.start()
+	}
+	for _, r := range e.routers {
+		r.waitReady()
+	}
+}
+
 // firstEvent sends a streamed request and returns its status, 200 only if an event came; a 503 is tried
 // again once, as it asks.
 func (e *env) firstEvent(vm *router, path, id string) int {
