router: a lost server of a path is known by its incarnation, not by its address

When the record of a stream's lost server had gone, the first server was taken for the one at fault and left out of the next run; when another server used the address by then, that one was.

Cause: the address was looked up among today's records. StageAt gives the server that the path had there.

TestLostServerIsNotMistakenForAnother fails before in both cases (layers held by nobody; the next user in the list of servers to avoid).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -216,6 +216,17 @@
 // Target returns the first stage, to which the request is sent.
 func (ch *Choice) Target() paths.Stage { return ch.Stages[0] }
 
+// StageAt returns the stage of the server at addr, false if the path does not include it. A server's
+// address outlives it: the record may be gone by now, or be that of another one.
+func (ch *Choice) StageAt(addr string) (paths.Stage, bool) {
+	for _, stage := range ch.Stages {
+		if stage.Addr == addr {
+			return stage, true
+		}
+	}
+	return paths.Stage{}, false
+}
+
 // RequestArrived counts a caller's request, which raises the retry budget of its service.
 func (c *Core) RequestArrived(now time.Duration, service string) { c.budget(service).CountRequest(now) }
 
--- a/internal/router/keptrun_test.go
+++ b/internal/router/keptrun_test.go
@@ -7,7 +7,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/paths"
+	"github.com/catkinstair/catkinstair/internal/verdict"
+	"github.com/catkinstair/catkinstair/platform"
+	"github.com/catkinstair/catkinstair/platform/standin"
 )
 
 // avoidAllBut keeps all servers but those of a path from being chosen by a VM for a time.
@@ -55,3 +59,51 @@
 		})
 	}
 }
+
+// Guards against a sound first server that is left out of a stream's next run, because the record of the
+// lost server is gone or its address belongs to another one by now.
+func TestLostServerIsNotMistakenForAnother(t *testing.T) {
+	for name, reused := range map[string]bool{"record gone": false, "address used again": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			v := s.vm("a1")
+			s.configure(7)
+			engines := s.engines(v, 400, 10*time.Millisecond)
+			v.awaitReady(t)
+			require.Equal(t, http.StatusOK, v.call(t, http.MethodPost, streamURI, "left").StatusCode)
+			path := v.pathOf("left")
+			lost := serverAt(engines, path[1].Addr)
+			streams := v.streams.through(lost.Addr)
+			require.Len(t, streams, 1)
+			x, ch := streams[0].x, streams[0].choice()
+			s.store.Put(platform.ServersPrefix+lost.ID, nil)
+			user := standin.ServerConfig{ID: "next-user", Service: "wuno96b", Domain: "bergen-a"}
+			if reused {
+				user.AdvertiseAddr = func(string) string { return lost.Addr }
+				s.server(user)
+			}
+			require.Eventually(t, func() (known bool) {
+				v.locked(func() {
+					now := v.core.Backends.ByAddr(lost.Addr)
+					known = reused && now != nil && string(now.ID) == user.ID || !reused && now == nil
+				})
+				return known
+			}, waitTimeout, 5*time.Millisecond)
+			v.locked(func() {
+				for _, other := range v.core.Backends.ByService("huvo11a") {
+					if other.Held.From == 0 && other.ID != path[0].Instance.ID {
+						v.core.Backends.Avoid(v.clock.now(), other.Instance(), waitTimeout)
+					}
+				}
+			})
+			next, refusal := x.chooseSuccessor(ch, lost.Addr)
+			require.Nil(t, refusal)
+			require.Equal(t, path[0].Instance, next.Target().Instance)
+			x.release(next)
+			x.recordFailure(&sendResult{choice: ch, faultAddr: lost.Addr, err: errUnsigned, outcome: verdict.MayHaveRun})
+			require.NotContains(t, x.req.Avoid, backend.ID(user.ID))
+			require.NotContains(t, x.req.Avoid, path[0].Instance.ID)
+		})
+	}
+}
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -174,10 +174,7 @@
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
 	now := x.r.clock.now()
-	server := x.r.core.Backends.ByAddr(s.faultAddr)
-	if s.faultAddr == "" {
-		server = x.r.core.Backends.Get(s.choice.Target().Instance.ID)
-	}
+	server := x.r.serverAtFault(s)
 	if server == nil {
 		return
 	}
@@ -193,6 +190,22 @@
 	}
 }
 
+// serverAtFault returns the server that caused a failure, nil if it is not known any more. The caller
+// holds mu.
+func (r *Router) serverAtFault(s *sendResult) *backend.Server {
+	if s.faultAddr == "" {
+		return r.core.Backends.Get(s.choice.Target().Instance.ID)
+	}
+	stage, onPath := s.choice.StageAt(s.faultAddr)
+	if !onPath {
+		return r.core.Backends.ByAddr(s.faultAddr)
+	}
+	if server := r.core.Backends.Get(stage.Instance.ID); server != nil && server.Instance() == stage.Instance {
+		return server
+	}
+	return nil
+}
+
 // avoidServer excludes the server at addr for this request. It reports false if the server
 // is unknown or already excluded.
 func (x *exchange) avoidServer(addr string) bool {
@@ -286,8 +299,8 @@
 		return nil, &verdict.Refusal{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBackendLost, Detail: "no further send is allowed"}
 	}
 	var fault backend.ID
-	if s := x.r.core.Backends.ByAddr(faultAddr); s != nil {
-		fault = s.ID
+	if stage, onPath := ch.StageAt(faultAddr); onPath {
+		fault = stage.Instance.ID
 	}
 	now := x.r.clock.now()
 	next, refusal := x.r.core.ChooseSuccessor(now, &x.req, ch, fault)
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -294,12 +294,8 @@
 
 // usesServer reports whether the path of ch includes the server at addr.
 func usesServer(ch *dispatch.Choice, addr string) bool {
-	for _, stage := range ch.Stages {
-		if stage.Addr == addr {
-			return true
-		}
-	}
-	return false
+	_, uses := ch.StageAt(addr)
+	return uses
 }
 
 // orderRepath orders the first server of a path to continue a request over that path.
