router: a stream waits for capacity until its deadline or until its caller leaves

A stream whose run was cut by its engine after a wait of 3 s was closed at once when no other path had room, although its caller still waited.

Cause: the wait for capacity ended 1.5 s after the last event, by a guess of when callers give up. They close the connection, so the VM need not guess.

TestStreamWhoseKeptRunWasCutWaitsForAnother: unexpected EOF before, complete after two runs now.

--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -70,9 +70,6 @@
 	// PeerStallTimeout is how long a stream that was passed on may be silent before it is
 	// resumed through another VM. Default 1.2 s.
 	PeerStallTimeout time.Duration
-	// ResumeWait is how long after its last event a stream in progress waits for capacity to be
-	// resumed. Callers give a stream up after two seconds without an event. Default 1.5 s.
-	ResumeWait time.Duration
 	// PartialEventTimeout is how long an event may take to arrive completely. Engines write
 	// events whole, so a longer one comes from a server that will not complete it. Default
 	// 1 s.
@@ -132,7 +129,7 @@
 		Detector:     detector.DefaultConfig(),
 		WatchTimeout: 1500 * time.Millisecond, WatchPause: 250 * time.Millisecond, StoreTimeout: 700 * time.Millisecond, ReadAllTimeout: 5 * time.Second, StateWait: 1500 * time.Millisecond,
 		StoreRetryDelay: 200 * time.Millisecond, MaxStoreRetryDelay: 600 * time.Millisecond, OwnTryInterval: 2 * time.Second, SettleTime: 1200 * time.Millisecond, PlanInterval: 100 * time.Millisecond,
-		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PeerStallTimeout: 1200 * time.Millisecond, ResumeWait: 1500 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, SuspectWait: 800 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
+		MaxConcurrentOrders: 64, OrderTimeout: time.Second, StallTimeout: 300 * time.Millisecond, PeerStallTimeout: 1200 * time.Millisecond, PartialEventTimeout: time.Second, MaxReportAge: 200 * time.Millisecond, SlowdownThreshold: 3, ClearanceTimeout: 300 * time.Millisecond, SuspectWait: 800 * time.Millisecond, DialTimeout: 500 * time.Millisecond,
 		ConnReuseTimeout: time.Second, Shutdown: shutdown.DefaultConfig(),
 		ReceiveTimeout: 30 * time.Second, AddressLifetime: 2 * time.Second, SettingsInterval: 5 * time.Second, LogLevel: "info", Workers: 64,
 	}
--- a/internal/router/keptrun_test.go
+++ b/internal/router/keptrun_test.go
@@ -60,6 +60,25 @@
 	}
 }
 
+// Guards against a stream that is closed at once when its engine has cut the kept run, although its caller
+// and its deadline still allow another one (LOST).
+func TestStreamWhoseKeptRunWasCutWaitsForAnother(t *testing.T) {
+	const events, without = 60, 5 * time.Second // longer than the engine waits
+	t.Parallel()
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, events, 10*time.Millisecond)
+	v.awaitReady(t)
+	resp := v.call(t, http.MethodPost, streamURI, "cut")
+	path := v.pathOf("cut")
+	require.Greater(t, len(path), 2)
+	v.avoidAllBut(path, without)
+	serverAt(engines, path[1].Addr).Hang()
+	requireCompleteStream(t, resp.Body, events)
+	require.Equal(t, 2, s.backends.Runs("cut"))
+}
+
 // Guards against a sound first server that is left out of a stream's next run, because the record of the
 // lost server is gone or its address belongs to another one by now.
 func TestLostServerIsNotMistakenForAnother(t *testing.T) {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -336,25 +336,25 @@
 	}
 }
 
-// resumeRetryInterval is the interval at which a stream in progress looks for capacity.
-const resumeRetryInterval = 100 * time.Millisecond
-
-// awaitResume waits for capacity to resume a stream in progress, until ResumeWait after its last
-// event: a late answer serves its caller, a broken one does not.
+// awaitResume waits for capacity to resume a stream in progress until its deadline, unless its caller
+// leaves: a late answer serves its caller, a broken one does not.
 func (st *stream) awaitResume(refusal *verdict.Refusal) (*dispatch.Choice, *verdict.Refusal) {
 	x := st.x
-	tick := time.NewTicker(resumeRetryInterval)
-	defer tick.Stop()
-	for x.timeLeft() > 0 && time.Since(st.lastEventAt) < x.r.cfg.ResumeWait {
+	interval := moveRetryInterval
+	retry := time.NewTimer(interval)
+	defer retry.Stop()
+	for x.timeLeft() > 0 {
 		select {
 		case <-x.callerCtx.Done():
 			return nil, refusal
-		case <-tick.C:
+		case <-retry.C:
 		}
 		var ch *dispatch.Choice
 		if ch, refusal = x.choose(); refusal == nil || !lacksServers(refusal.Cause) {
 			return ch, refusal
 		}
+		interval = min(2*interval, maxMoveRetryInterval)
+		retry.Reset(interval)
 	}
 	return nil, refusal
 }
