httpcall: a response without a defined status is no answer

Operators saw a client get an answer whose status was 000. Here, a whole response inside the body of a 000 or 099 became the caller's answer, 600 and 999 were passed to callers, and an order, a report or a page of the store with status 000 counted as a success.

Cause: Open took all statuses below 200 for interim ones and did not read their bodies; fasthttp's zero status reads as 200. One function now decides for both which statuses are final and which interim; 101 and interim responses that announce a body are malformed.

--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -200,6 +200,12 @@
 	if err != nil {
 		return &Error{Kind: kindOf(err), Sent: MayHaveArrived, Err: err}
 	}
+	cn.limitHead, cn.headBytesLeft = true, cfg.MaxHeadBytes
+	err = skipInterim(cn.r)
+	cn.limitHead = false
+	if err != nil {
+		return &Error{Kind: kindOf(err), Sent: MayHaveArrived, Err: err}
+	}
 	resp.SkipBody = req.Header.IsHead()
 	if resp.StreamBody {
 		cn.held = nil // the body is passed on as it arrives
@@ -217,6 +223,8 @@
 		return KindTimeout
 	}
 	switch {
+	case errors.Is(err, errInvalidStatus), errors.Is(err, errFramedInterim), errors.Is(err, errInvalidVersion):
+		return KindMalformed
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return KindTimeout
 	case errors.Is(err, errHeadTooLong), errors.Is(err, errMemoryBudget), errors.Is(err, errBodyTooLong), errors.Is(err, fasthttp.ErrBodyTooLarge):
--- a/internal/adapter/httpcall/errors.go
+++ b/internal/adapter/httpcall/errors.go
@@ -58,7 +58,7 @@
 	KindClosed Kind = "closed"
 	// KindStatus: the response had an unsuccessful status.
 	KindStatus Kind = "status"
-	// KindMalformed: the response body could not be decoded.
+	// KindMalformed: the response is no valid HTTP, or its body could not be decoded.
 	KindMalformed Kind = "malformed-answer"
 )
 
--- a/internal/adapter/httpcall/exchange.go
+++ b/internal/adapter/httpcall/exchange.go
@@ -117,7 +117,14 @@
 		if err := checkFraming(method, resp); err != nil {
 			return &Error{Kind: KindMalformed, Sent: MayHaveArrived, Err: err}
 		}
-		if resp.StatusCode >= 200 {
+		final, err := isFinal(resp.StatusCode)
+		if err == nil && !final {
+			err = checkInterim(resp)
+		}
+		if err != nil {
+			return &Error{Kind: KindMalformed, Sent: MayHaveArrived, Err: err}
+		}
+		if final {
 			x.Response = resp
 			return nil
 		}
