httpcall: connections to servers have small receive buffers

A VM's kernel held megabytes of each response that was not read as fast as it arrived; the platform counts them as memory of the process.

TestUnreadResponseHoldsLittle: 2.9 MB of one connection unread before, 256 KiB allowed and held now.

--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -7,10 +7,12 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -166,7 +168,7 @@
 		p.release()
 		return nil, &Error{Kind: KindDial, Sent: NotSent, Err: errors.New("deadline passed before dialing")}
 	}
-	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: c.cfg.KeepAlive}
+	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: c.cfg.KeepAlive, Control: limitReceiveBuffer}
 	if c.cfg.LocalIP != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: c.cfg.LocalIP}
 	}
@@ -184,6 +186,22 @@
 	return cn, nil
 }
 
+// receiveBuffer is the kernel's buffer for bytes of a connection that were not read, in bytes. The kernel
+// would let it grow to megabytes, and a server can fill it with a response that is not read as fast as
+// it arrives.
+const receiveBuffer = 64 << 10
+
+// limitReceiveBuffer sets the size of a socket's receive buffer before it connects.
+func limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	var err error
+	if controlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+	}); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // roundTrip writes req and reads resp. Once writing has begun, every failure is
 // MayHaveArrived.
 func roundTrip(cn *conn, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, cfg Config, held *reservation) *Error {
--- a/internal/adapter/httpcall/endless_test.go
+++ b/internal/adapter/httpcall/endless_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // endless are responses that continue until the client closes the connection.
@@ -167,3 +168,33 @@
 	}, time.Second, time.Millisecond)
 	require.NoError(t, get(c, addr, Within(time.Second)), "the late copy was taken for the answer")
 }
+
+// Guards against memory that the kernel takes for the bytes of a response that is not read, such as a
+// stream of events without end whose caller has stopped reading (LOST).
+func TestUnreadResponseHoldsLittle(t *testing.T) {
+	const most = 256 << 10
+	addr := listen(t, func(_ int64, c net.Conn) { serveEndless(c, "HTTP/1.1 200 OK\r\n\r\n", "bbbbbbbbbbbbbbbb") })
+	c := NewDefault()
+	x, err := c.Open(context.Background(), addr, "GET", []byte("GET /x HTTP/1.1\r\nHost: x\r\n\r\n"), nil, Within(20*time.Second))
+	require.NoError(t, err)
+	defer x.Close()
+	body := make([]byte, 64<<10)
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); { // the kernel lets the buffer grow for a fast reader
+		_, err := x.Read(body)
+		require.NoError(t, err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	require.LessOrEqual(t, unreadBytes(t, x.conn), most)
+}
+
+// unreadBytes returns the bytes of a connection that the kernel holds.
+func unreadBytes(t *testing.T, c *conn) int {
+	t.Helper()
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	n := 0
+	var ioctlErr error
+	require.NoError(t, raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }))
+	require.NoError(t, ioctlErr)
+	return n
+}
