router: a passed-on run stays with a silent VM that responds

A stream that was passed on was closed when its path lost a server and nothing could take over for 1.2 s: the first VM took the silent one for stopped, and a third refused the stream.

Cause: silence was taken for the end of the VM. It is now called on a new connection; its run is left only if it does not respond or says that it is cut off from the servers.

TestPassedOnStreamOutlastsALostServer: unexpected EOF before, whole now. The case of two lost servers in TestRunIsKeptUntilAnotherServerCanTakeOver is new; the others still allow one run. That nobody can take over is logged once a run, no longer at each attempt.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -132,6 +132,11 @@
 	}
 }
 
+// PeerCutOff reports whether another VM says that it is cut off from the servers of a service.
+func (c *Core) PeerCutOff(now time.Duration, vm, service string) bool {
+	return c.peerLinks.CutOff(now, vm, service)
+}
+
 // PeerOlder reports whether another VM gets no requests because its configuration is older.
 func (c *Core) PeerOlder(now time.Duration, vm string) bool {
 	return now < c.peerStates[vm].olderUntil
--- a/internal/router/keptrun_test.go
+++ b/internal/router/keptrun_test.go
@@ -33,8 +33,16 @@
 // first server keeps it until one can (LOST).
 func TestRunIsKeptUntilAnotherServerCanTakeOver(t *testing.T) {
 	const events, without = 60, 2 * time.Second
-	for name, stop := range map[string]bool{"VM goes on": false, "VM stops": true} {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lost int // servers of the path
+		stop bool
+	}{
+		{"VM goes on", 1, false},
+		{"VM stops", 1, true},
+		{"two servers are lost, VM stops", 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t)
 			vms := []*vm{s.vm("a1"), s.vm("a2")}
@@ -50,16 +58,40 @@
 			for _, v := range vms {
 				v.avoidAllBut(path, without)
 			}
-			serverAt(engines, path[1].Addr).Hang()
-			if stop {
+			for _, stage := range path[1 : 1+c.lost] {
+				serverAt(engines, stage.Addr).Hang()
+			}
+			if c.stop {
 				vms[0].stop()
 			}
 			requireCompleteStream(t, resp.Body, events)
-			require.Equal(t, 1, s.backends.Runs("kept"), "the path should change within the same run")
+			require.LessOrEqual(t, s.backends.Runs("kept"), c.lost, "the path should change within the same run; after the second loss another one may begin")
 		})
 	}
 }
 
+// Guards against a stream that was passed on and ends because the VM that keeps its run is silent until
+// a server can take over (LOST).
+func TestPassedOnStreamOutlastsALostServer(t *testing.T) {
+	const events, without = 100, 2 * time.Second
+	t.Parallel()
+	s, vms := partitionedSite(t, 3, events, standin.LinkReset)
+	resp := vms[0].call(t, http.MethodPost, streamURI, "passed-on")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	var path []paths.Stage
+	for _, v := range vms[1:] {
+		if p := v.pathOf("passed-on"); p != nil {
+			path = p
+		}
+	}
+	require.Greater(t, len(path), 2)
+	for _, v := range vms[1:] {
+		v.avoidAllBut(path, without)
+	}
+	s.backends.At(path[1].Addr).Hang()
+	requireCompleteStream(t, resp.Body, events)
+}
+
 // Guards against a stream that is closed at once when its engine has cut the kept run, although its caller
 // and its deadline still allow another one (LOST).
 func TestStreamWhoseKeptRunWasCutWaitsForAnother(t *testing.T) {
--- a/internal/router/reports.go
+++ b/internal/router/reports.go
@@ -11,51 +11,57 @@
 	"github.com/catkinstair/catkinstair/platform"
 )
 
-// reportCache keeps each server's last report for MaxReportAge: streams that fall silent
-// together need the same report, and each report request has a cost. A report is already
-// some hundred milliseconds old when it arrives.
-type reportCache struct {
+// resultCache keeps the last result of a call to each address for MaxReportAge, an error as well: streams
+// that fall silent together need the same one, and each call has a cost.
+type resultCache[T any] struct {
 	mu      sync.Mutex
-	entries map[string]*reportEntry
+	entries map[string]*cachedResult[T]
 }
 
-type reportEntry struct {
-	mu        sync.Mutex // held during the call, so that others wait for its result
-	fetchedAt time.Time
-	report    platform.Report
-	err       error
+type cachedResult[T any] struct {
+	mu     sync.Mutex // held during the call, so that others wait for its result
+	at     time.Time
+	result T
+	err    error
 }
 
-// maxReports bounds the cached servers, far above the number of servers on any path.
-const maxReports = 4096
+// maxResults bounds the cached addresses, far above the number of servers on any path.
+const maxResults = 4096
 
-func newReportCache() *reportCache { return &reportCache{entries: map[string]*reportEntry{}} }
+func newResultCache[T any]() *resultCache[T] {
+	return &resultCache[T]{entries: map[string]*cachedResult[T]{}}
+}
 
-func (c *reportCache) entry(addr string) *reportEntry {
+func (c *resultCache[T]) entry(addr string) *cachedResult[T] {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.entries[addr]
 	if e == nil {
-		if len(c.entries) >= maxReports {
+		if len(c.entries) >= maxResults {
 			clear(c.entries)
 		}
-		e = &reportEntry{}
+		e = &cachedResult[T]{}
 		c.entries[addr] = e
 	}
 	return e
 }
 
-// cachedReport returns a server's report, fetched at most MaxReportAge ago. An error is
-// cached as well.
-func (r *Router) cachedReport(addr string) (platform.Report, error) {
-	e := r.reportCache.entry(addr)
+// get returns the result of call for an address, or the last one if it is at most maxAge old.
+func (c *resultCache[T]) get(addr string, maxAge time.Duration, call func(addr string) (T, error)) (T, error) {
+	e := c.entry(addr)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if time.Since(e.fetchedAt) > r.cfg.MaxReportAge {
-		e.report, e.err = r.requestReport(addr)
-		e.fetchedAt = time.Now()
+	if time.Since(e.at) > maxAge {
+		e.result, e.err = call(addr)
+		e.at = time.Now()
 	}
-	return e.report, e.err
+	return e.result, e.err
+}
+
+// cachedReport returns a server's report, fetched at most MaxReportAge ago. A report is already some
+// hundred milliseconds old when it arrives.
+func (r *Router) cachedReport(addr string) (platform.Report, error) {
+	return r.reportCache.get(addr, r.cfg.MaxReportAge, r.requestReport)
 }
 
 func (r *Router) requestReport(addr string) (platform.Report, error) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,9 +91,11 @@
 	// streamDurations estimates how long a stream will last, by service; guarded by mu.
 	streamDurations map[string]*shutdown.Durations
 
-	waitQueue    *dispatch.WaitQueue
-	streams      *streamTable
-	reportCache  *reportCache
+	waitQueue   *dispatch.WaitQueue
+	streams     *streamTable
+	reportCache *resultCache[platform.Report]
+	// peerCache holds whether another VM has responded.
+	peerCache    *resultCache[struct{}]
 	detector     *failureDetector
 	sendLoadsNow chan struct{} // signals a finding to send at once
 	probeNow     chan struct{} // signals a server that failed
@@ -158,7 +160,7 @@
 		core: dispatch.New(cfg.Dispatch), election: leader.New(cfg.Leader, settings.VM),
 		members: map[string]member{}, refusedRecords: map[string]uint64{}, pendingOrders: map[backend.Instance]pendingOrder{}, storeDown: true,
 		changeLog: changefeed.NewLog[platform.Item](cfg.Changefeed), changeLogUpdated: make(chan struct{}),
-		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newReportCache(), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1), catchUpFrom: make(chan string, 1),
+		waitQueue: dispatch.NewWaitQueue(cfg.WaitQueue), streams: newStreamTable(), reportCache: newResultCache[platform.Report](), peerCache: newResultCache[struct{}](), sendLoadsNow: make(chan struct{}, 1), probeNow: make(chan struct{}, 1), catchUpFrom: make(chan string, 1),
 		current: newGate(), streamDurations: map[string]*shutdown.Durations{},
 		connLimits: connbudget.Split(settings.MaxFDs, settings.MemoryMB, callerConnBytes),
 	}
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 
+	"github.com/catkinstair/catkinstair/internal/adapter/httpcall"
 	"github.com/catkinstair/catkinstair/internal/backend"
 	"github.com/catkinstair/catkinstair/internal/detector"
 	"github.com/catkinstair/catkinstair/internal/dispatch"
@@ -66,8 +68,8 @@
 	return limit, min(limit, r.cfg.PartialEventTimeout)
 }
 
-// checkPeerStall cancels a run through another VM that has sent no event for limit. That VM
-// handles stalled servers by itself, so it is stopped or cut off.
+// checkPeerStall cancels a run through another VM that has sent no event for limit, unless that VM
+// is there and not cut off from the servers: then it waits for one of them, and moves the run itself.
 func (st *stream) checkPeerStall(addr string, limit time.Duration) (nextLimit, next time.Duration) {
 	st.mu.Lock()
 	silent := time.Since(st.lastRead)
@@ -75,10 +77,34 @@
 	if silent < limit {
 		return limit, limit - silent
 	}
+	if ch := st.choice(); ch.IsPeer() && st.x.r.keepsRuns(ch, st.x.req.Service.Name) {
+		return limit, limit
+	}
 	st.leaveRun(addr, "the VM that it was passed on to is silent")
 	return limit, limit
 }
 
+// keepsRuns reports whether another VM keeps the runs of a service that were passed on to it.
+func (r *Router) keepsRuns(ch *dispatch.Choice, service string) bool {
+	cutOff := false
+	r.locked(func() { cutOff = r.core.PeerCutOff(r.clock.now(), ch.PeerVM(), service) })
+	if cutOff {
+		return false
+	}
+	_, err := r.peerCache.get(ch.Target().Addr, r.cfg.MaxReportAge, r.callPeer)
+	return err == nil
+}
+
+// callPeer calls another VM on a new connection. Any response shows that it is there.
+func (r *Router) callPeer(addr string) (struct{}, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + "/")
+	err := r.controlClient.Do(addr, req, resp, httpcall.Within(r.cfg.Dispatch.Reach.ProbeTimeout).WithNewConnection())
+	return struct{}{}, err
+}
+
 // partialFor returns how long the stream has waited for the rest of an event, zero if it does
 // not. The caller holds st.mu.
 func (st *stream) partialFor(now time.Time) time.Duration {
@@ -142,6 +168,13 @@
 	return next
 }
 
+// isKept reports whether the run is known to be kept although it may be lost.
+func (st *stream) isKept() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.keptRun == st.runCount
+}
+
 // logKeptRun logs once for each run that it is kept although it may be lost.
 func (st *stream) logKeptRun(faultAddr, why string, silent time.Duration, refusal *verdict.Refusal) {
 	st.mu.Lock()
@@ -259,7 +292,9 @@
 	for range maxRepaths {
 		next := x.replace(old, faultAddr)
 		if next == nil {
-			log.Info().Msg("stream stays where it is: nobody else has room for its layers")
+			if !st.isKept() { // each attempt would repeat it
+				log.Info().Msg("stream stays where it is: nobody else has room for its layers")
+			}
 			return nil
 		}
 		status, refusedBy, err := x.r.orderRepath(next, x.req.ID)
