router: a stream in progress waits for other VMs as it does for capacity

A stream that was passed on was closed at once when the VM with its run stopped and the others refused it for a moment.

Cause: that no other VM takes a request did not count as a cause that passes, and a VM that had refused the request was never asked again.

TestPassedOnStreamWaitsForAnotherVM: unexpected EOF before, whole now.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"strings"
 	"time"
 
@@ -122,6 +123,13 @@
 	c.peerRefusals[peerRefusal{ch.PeerVM(), r.Service.Name}] = now + peerRefusalTTL
 }
 
+// ReadmitPeers lets a request be passed on again to the VMs that have not served it: they may have room
+// by now, or reach the servers.
+func (r *Request) ReadmitPeers() {
+	r.PeerSends = 0
+	maps.DeleteFunc(r.Avoid, func(id backend.ID, _ bool) bool { return strings.HasPrefix(string(id), peerPrefix) })
+}
+
 // RecordPeerOlder records that another VM has refused a request, sent at a time, because its
 // configuration is older. It gets none until PeerCaughtUp, or for olderPeerTTL, unless it has caught
 // up since the request was sent: the refusal may be read later than that.
--- a/internal/router/keptrun_test.go
+++ b/internal/router/keptrun_test.go
@@ -92,6 +92,24 @@
 	requireCompleteStream(t, resp.Body, events)
 }
 
+// Guards against a passed-on stream that is closed because the VM that had its run stops while the
+// others have no room for a moment (LOST).
+func TestPassedOnStreamWaitsForAnotherVM(t *testing.T) {
+	const events, without = 100, 2 * time.Second
+	t.Parallel()
+	_, vms := partitionedSite(t, 3, events, standin.LinkReset)
+	resp := vms[0].call(t, http.MethodPost, streamURI, "passed-on")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	holder, other := vms[1], vms[2]
+	if holder.pathOf("passed-on") == nil {
+		holder, other = other, holder
+	}
+	require.NotNil(t, holder.pathOf("passed-on"))
+	other.avoidAllBut(nil, without)
+	holder.giveUpRequests()
+	requireCompleteStream(t, resp.Body, events)
+}
+
 // Guards against a stream that is closed at once when its engine has cut the kept run, although its caller
 // and its deadline still allow another one (LOST).
 func TestStreamWhoseKeptRunWasCutWaitsForAnother(t *testing.T) {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -337,7 +337,7 @@
 			return false
 		}
 		ch, refusal := st.choose(x.choose)
-		if refusal != nil && lacksServers(refusal.Cause) {
+		if refusal != nil && mayPass(refusal.Cause) {
 			ch, refusal = st.awaitResume(refusal)
 		}
 		if refusal != nil {
@@ -352,6 +352,11 @@
 	}
 }
 
+// mayPass reports whether the cause of a refusal may pass while a stream in progress waits.
+func mayPass(cause verdict.Cause) bool {
+	return lacksServers(cause) || cause == verdict.CauseUnreachable
+}
+
 // awaitResume waits for capacity to resume a stream in progress until its deadline, unless its caller
 // leaves: a late answer serves its caller, a broken one does not.
 func (st *stream) awaitResume(refusal *verdict.Refusal) (*dispatch.Choice, *verdict.Refusal) {
@@ -365,8 +370,9 @@
 			return nil, refusal
 		case <-retry.C:
 		}
+		x.r.locked(x.req.ReadmitPeers)
 		var ch *dispatch.Choice
-		if ch, refusal = x.choose(); refusal == nil || !lacksServers(refusal.Cause) {
+		if ch, refusal = x.choose(); refusal == nil || !mayPass(refusal.Cause) {
 			return ch, refusal
 		}
 		interval = min(2*interval, maxMoveRetryInterval)
