router: header names have no case

Cause: fasthttp leaves names as they were written, since they are forwarded so, and then compares them with case. The headers that the router reads are renamed when a request arrives.

--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -42,8 +42,12 @@
 	if err != nil {
 		return nil, err
 	}
+	canonical := func(ctx *fasthttp.RequestCtx) {
+		platform.CanonicalizeNames(&ctx.Request.Header)
+		handler(ctx)
+	}
 	s := &fasthttp.Server{
-		Logger: httpLogger{r.log}, Handler: r.guarded(handler), NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
+		Logger: httpLogger{r.log}, Handler: r.guarded(canonical), NoDefaultServerHeader: true, NoDefaultContentType: true, DisableHeaderNamesNormalizing: true,
 		ReadBufferSize: maxHeaderBytes, StreamRequestBody: true, MaxRequestBodySize: ingress.StreamedPrefetch, ErrorHandler: ingress.RefuseUnread,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 	}
