router: an order names the server that it is for

Cause: orders were bound to an address, and any report from there counted as the end of the order. They carry the ID of their server now, as requests do, and only a report of the same incarnation ends one.

--- a/internal/router/orders.go
+++ b/internal/router/orders.go
@@ -125,7 +125,7 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if err == nil && !rep.Busy {
+		if err == nil && !rep.Busy && rep.StartedMs == inst.StartedMs {
 			r.applyReport(inst, rep)
 			delete(r.pendingOrders, inst)
 		}
@@ -152,7 +152,7 @@
 		r.log.Error().Err(err).Msg("encoding an order failed")
 		return
 	}
-	status, _, err := r.sendOrderAsLeader(o.addr, body)
+	status, _, err := r.sendOrderAsLeader(o.Instance.ID, o.addr, body)
 	event := r.log.Info()
 	switch {
 	case err == nil && status == platform.StatusOrderAccepted:
@@ -180,8 +180,8 @@
 // written: the connection may take long to open, and the process may be paused meanwhile.
 // What reaches the server later all the same carries the count of accepted orders that it
 // expects, which the first order of a successor changes.
-func (r *Router) sendOrderAsLeader(addr string, body []byte) (status int, faultAddr string, err error) {
-	return r.postOrder(addr, body, r.checkLeader)
+func (r *Router) sendOrderAsLeader(to backend.ID, addr string, body []byte) (status int, faultAddr string, err error) {
+	return r.postOrder(to, addr, body, r.checkLeader)
 }
 
 func (r *Router) checkLeader() error {
@@ -193,15 +193,17 @@
 	return nil
 }
 
-// postOrder posts an order on a new connection, unless beforeSend returns an error.
-// faultAddr is the server that a refusal names as its cause, if any.
-func (r *Router) postOrder(addr string, body []byte, beforeSend func() error) (status int, faultAddr string, err error) {
+// postOrder posts an order on a new connection, unless beforeSend returns an error. Another server
+// than to, which uses the address by now, refuses it. faultAddr is the server that a refusal names as
+// its cause, if any.
+func (r *Router) postOrder(to backend.ID, addr string, body []byte, beforeSend func() error) (status int, faultAddr string, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + addr + platform.OrderURI)
 	req.Header.SetContentType("application/json")
+	req.Header.Set(platform.HeaderServerID, string(to))
 	req.SetBodyRaw(body)
 	opt := httpcall.Within(r.cfg.OrderTimeout).WithNewConnection()
 	opt.BeforeSend = beforeSend
@@ -222,7 +224,7 @@
 	defer r.mu.Unlock()
 	if pending, ok := r.pendingOrders[o.Instance]; ok {
 		pending.checkAt = r.clock.now() + orderRetryDelay
-		if err == nil && rep.Busy {
+		if err == nil && rep.Busy && rep.StartedMs == o.Instance.StartedMs {
 			pending.layers = backend.Layers{}
 		}
 		r.pendingOrders[o.Instance] = pending
--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -90,7 +90,7 @@
 	v.locked(func() { v.election.ClaimObserved(v.clock.now(), "a2", 99, 1000) })
 	body, err := platform.EncodePlaceOrder(backend.Layers{From: 0, To: 5}, 1, 0)
 	require.NoError(t, err)
-	_, _, err = v.sendOrderAsLeader(engine.Addr, body)
+	_, _, err = v.sendOrderAsLeader(backend.ID(engine.ID), engine.Addr, body)
 	require.ErrorIs(t, err, errNotLeader)
 	require.Zero(t, engine.Held())
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -180,7 +180,7 @@
 	wanted := backend.Layers{From: 0, To: 5}
 	body, err := platform.EncodePlaceOrder(wanted, 1, 1)
 	require.NoError(t, err)
-	status, _, err := v.postOrder(server.Addr, body, nil)
+	status, _, err := v.postOrder(backend.ID(server.ID), server.Addr, body, nil)
 	require.NoError(t, err)
 	require.Equal(t, platform.StatusOrderAccepted, status)
 	require.Eventually(t, func() bool { return server.Held() == wanted }, 2*time.Second, 5*time.Millisecond, "the stream was not moved off the released layers")
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -342,7 +342,7 @@
 	if err != nil {
 		return 0, "", err
 	}
-	status, faultAddr, err = r.postOrder(ch.Target().Addr, body, nil)
+	status, faultAddr, err = r.postOrder(ch.Target().Instance.ID, ch.Target().Addr, body, nil)
 	switch how, isFailure := failureOf(err); {
 	case err == nil && faultAddr != "":
 		r.suspect(faultAddr, detector.Refusal)
