router: a run is left only for a server on its path

Several goroutines find the loss of a server at once. After one had left the run, another cancelled the next run for a server that it does not use: a send too many, and an end without cause (LOST).

Cause: the doubt was not compared with the path of the run in progress; a server off the path counted as the one that the request went to.

--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -19,9 +19,7 @@
 	if refusal := c.refuseBlocked(now, next); refusal != nil {
 		return nil, refusal
 	}
-	c.Release(ch) // its room is free once the run has ended
-	successor, refusal := c.findSuccessor(now, next)
-	c.addLoad(ch)
+	successor, refusal := c.findWithout(now, next, ch)
 	if refusal == nil {
 		refusal = c.spendRetry(now, next)
 	}
@@ -33,6 +31,16 @@
 	return successor, nil
 }
 
+// findWithout is findSuccessor with the room of a run over ch, which is free once that has ended.
+func (c *Core) findWithout(now time.Duration, r *Request, ch *Choice) (*Choice, *verdict.Refusal) {
+	if ch.IsPeer() {
+		return c.findSuccessor(now, r)
+	}
+	c.Release(ch)
+	defer c.addLoad(ch)
+	return c.findSuccessor(now, r)
+}
+
 // afterRun returns r as it is once its run over ch has failed because of a server.
 func (c *Core) afterRun(r *Request, ch *Choice, fault backend.ID) *Request {
 	next := *r
--- a/internal/router/keptrun_test.go
+++ b/internal/router/keptrun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,11 +19,7 @@
 func (v *vm) avoidAllBut(path []paths.Stage, within time.Duration) {
 	v.locked(func() {
 		for _, id := range v.core.Backends.IDs() {
-			onPath := false
-			for _, stage := range path {
-				onPath = onPath || stage.Instance.ID == id
-			}
-			if !onPath {
+			if !slices.ContainsFunc(path, func(stage paths.Stage) bool { return stage.Instance.ID == id }) {
 				v.core.Backends.Avoid(v.clock.now(), v.core.Backends.Get(id).Instance(), within)
 			}
 		}
@@ -129,6 +126,29 @@
 	require.Equal(t, 2, s.backends.Runs("cut"))
 }
 
+// Guards against a second run that is given up for the loss of a server of the first one's path, which
+// several goroutines find at the same time.
+func TestRunIsNotLeftForAServerOffItsPath(t *testing.T) {
+	const events = 60
+	t.Parallel()
+	s := newSite(t)
+	v := s.vm("a1")
+	s.configure(7)
+	engines := s.engines(v, events, 10*time.Millisecond)
+	v.awaitReady(t)
+	resp := v.call(t, http.MethodPost, streamURI, "stays")
+	path := v.pathOf("stays")
+	streams := v.streams.through(path[0].Addr)
+	require.Len(t, streams, 1)
+	for _, e := range engines {
+		if !slices.ContainsFunc(path, func(stage paths.Stage) bool { return stage.Addr == e.Addr }) {
+			streams[0].leaveRun(e.Addr, "a server of its path is lost")
+		}
+	}
+	requireCompleteStream(t, resp.Body, events)
+	require.Equal(t, 1, s.backends.Runs("stays"))
+}
+
 // Guards against a sound first server that is left out of a stream's next run, because the record of the
 // lost server is gone or its address belongs to another one by now.
 func TestLostServerIsNotMistakenForAnother(t *testing.T) {
--- a/internal/router/stall.go
+++ b/internal/router/stall.go
@@ -120,8 +120,8 @@
 	x := st.x
 	silent := st.silentFor()
 	run, ch := st.currentRun()
-	if ch == nil {
-		return true
+	if ch == nil || !usesServer(ch, faultAddr) {
+		return true // the doubt was of an earlier run, or of an earlier path
 	}
 	next, refusal := x.chooseSuccessor(ch, faultAddr)
 	if refusal != nil {
