--- a/review/standin-3/attempts.go
+++ b/review/standin-3/attempts.go
@@ -51,7 +51,7 @@
 	}
 	zones := []string{"bergen-a", "bergen-b", "stord", "stord"}
 	for i, zone := range zones {
-		if _, err := w.startReplica(fmt.Sprintf("i-%d", i), "ordrebok", zone, run); err != nil {
+		if _, err := w.startReplica(fmt.Sprintf("i-%d", i), "ordrebok", zone, 6, run); err != nil {
 			return failed, err
 		}
 	}
--- a/review/standin-3/cutwatch.go
+++ b/review/standin-3/cutwatch.go
@@ -90,7 +90,7 @@
 	w.putManifest(3, route{Name: "stock-check", Host: host, Prefix: "/lohu930/2f/", Kind: "idempotent", Service: "ordrebok", TimeoutMs: 1500, TargetLatencyMs: 300, Attempts: 2})
 	zones := []string{"bergen-a", "bergen-b", "stord"}
 	for i := range leaving + 3 {
-		if _, err := w.startReplica(fmt.Sprintf("i-%d", i), "ordrebok", zones[i%3], func(s *replica, rw http.ResponseWriter, req *http.Request, _ []byte) {
+		if _, err := w.startReplica(fmt.Sprintf("i-%d", i), "ordrebok", zones[i%3], 6, func(s *replica, rw http.ResponseWriter, req *http.Request, _ []byte) {
 			time.Sleep(30 * time.Millisecond)
 			answer(s, rw, req.Header.Get("X-Request-Id"))
 		}); err != nil {
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -22,10 +22,14 @@
 	zone    string
 	addr    string
 	born    int64
+	slots   int
 	// run, if not nil, is called for each request that the replica begins to run, with the number of
 	// the run, and writes the answer.
 	run func(s *replica, rw http.ResponseWriter, req *http.Request, body []byte)
 
+	connsMu sync.Mutex
+	conns   map[net.Conn]struct{}
+
 	server *http.Server
 	stop   chan struct{}
 
@@ -45,13 +49,13 @@
 	header http.Header
 }
 
-func (w *world) startReplica(id, service, zone string, run func(*replica, http.ResponseWriter, *http.Request, []byte)) (*replica, error) {
+func (w *world) startReplica(id, service, zone string, slots int, run func(*replica, http.ResponseWriter, *http.Request, []byte)) (*replica, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &replica{w: w, id: id, service: service, zone: zone, addr: l.Addr().String(), born: time.Now().UnixMilli(), run: run, stop: make(chan struct{}), state: "ready"}
-	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
+	s := &replica{w: w, id: id, service: service, zone: zone, addr: l.Addr().String(), born: time.Now().UnixMilli(), slots: slots, run: run, stop: make(chan struct{}), state: "ready", conns: map[net.Conn]struct{}{}}
+	s.server = &http.Server{Handler: http.HandlerFunc(s.serve), ConnState: s.trackConn}
 	go func() { _ = s.server.Serve(l) }()
 	s.beat()
 	go s.heartbeat()
@@ -62,6 +66,17 @@
 	return s, nil
 }
 
+func (s *replica) trackConn(c net.Conn, state http.ConnState) {
+	s.connsMu.Lock()
+	defer s.connsMu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	}
+}
+
 func (s *replica) close() { _ = s.server.Close() }
 
 func (s *replica) heartbeat() {
@@ -85,7 +100,7 @@
 		return
 	}
 	s.sequence++
-	value, _ := json.Marshal(map[string]any{"service": s.service, "address": s.addr, "zone": s.zone, "version": "1", "slots": 6, "state": s.state, "coldRemainingMs": 0, "sequence": s.sequence, "born": s.born})
+	value, _ := json.Marshal(map[string]any{"service": s.service, "address": s.addr, "zone": s.zone, "version": "1", "slots": s.slots, "state": s.state, "coldRemainingMs": 0, "sequence": s.sequence, "born": s.born})
 	s.w.store.Put(platform.ServersPrefix+s.id, value)
 }
 
@@ -112,6 +127,21 @@
 	return at
 }
 
+// crash ends the replica and resets its channels. Its entry is removed after three heartbeats of
+// silence.
+func (s *replica) crash() {
+	s.mu.Lock()
+	s.state = ""
+	s.mu.Unlock()
+	s.connsMu.Lock()
+	for c := range s.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	s.connsMu.Unlock()
+	s.close()
+	time.AfterFunc(3*heartbeatEvery, func() { s.removeEntry() })
+}
+
 // leave ends a replica that has drained.
 func (s *replica) leave() {
 	s.removeEntry()
@@ -123,7 +153,7 @@
 	if err != nil {
 		return
 	}
-	rw.Header().Set("X-Server-Load", "0,0,6")
+	rw.Header().Set("X-Server-Load", fmt.Sprintf("0,0,%d", s.slots))
 	if req.URL.Path == "/catkinstair/report" {
 		rw.WriteHeader(404)
 		return
