--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -95,33 +95,62 @@
 
 func (v *vm) front() string { return fmt.Sprintf("%s:%d", v.ip, v.w.ports.front) }
 
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return 0, err
+// metricsPort is the port of the metrics in the deploy file.
+const metricsPort = 9464
+
+// freeBlock returns a number of loopback addresses, 127.77.N.1 and on, that no other run uses.
+func freeBlock() (int, error) {
+	for n := range 250 {
+		block := 1 + (os.Getpid()+n)%250
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.77.%d.1:%d", block, metricsPort))
+		if err != nil {
+			continue
+		}
+		return block, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, fmt.Errorf("no free loopback addresses")
 }
 
-// choosePorts chooses ports that are free on the first VM's address. No other VM's address is used
-// by anything else.
+// Ports of a VM from the first one on, and how many there are.
+const (
+	firstPort    = 20000
+	lastPort     = 30000 // below those that the kernel gives out
+	portsOfVM    = 20
+	internalPort = 3 // the first of the internal ones
+)
+
+// choosePorts chooses ports that are free together on the first VM's address. No other VM's address is
+// used by anything else.
 func (w *world) choosePorts(ip string) error {
-	for _, p := range []*int{&w.ports.front, &w.ports.ready, &w.ports.directory, &w.ports.internal} {
-		n, err := freePort(ip)
+	for base := firstPort + os.Getpid()%1000; base < lastPort; base += portsOfVM {
+		if !areFree(ip, base) {
+			continue
+		}
+		w.ports = ports{front: base, ready: base + 1, directory: base + 2, internal: base + internalPort, metrics: metricsPort}
+		return nil
+	}
+	return fmt.Errorf("no free ports")
+}
+
+// areFree reports whether all ports of a VM are free from base on.
+func areFree(ip string, base int) bool {
+	for port := base; port < base+portsOfVM; port++ {
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
-			return err
+			return false
 		}
-		*p = n
+		_ = l.Close()
 	}
-	w.ports.metrics = 9464 // of the deploy file
-	return nil
+	return true
 }
 
 // startVMs starts n processes with the deploy file's command. storeAddr is the address of the
 // store for the VM with an index.
 func (w *world) startVMs(n int, storeAddr func(i int) string) error {
-	block := 1 + os.Getpid()%200
+	block, err := freeBlock()
+	if err != nil {
+		return err
+	}
 	for i := range n {
 		zone := w.zones[i%len(w.zones)]
 		v := &vm{w: w, name: fmt.Sprintf("front-%s-%d", zone, i/len(w.zones)+1), ip: fmt.Sprintf("127.77.%d.%d", block, i+1), zone: zone}
