--- a/review/standin-3/cutwatch.go
+++ b/review/standin-3/cutwatch.go
@@ -78,7 +78,7 @@
 // requests that reach a replica later than drainMs after the store has removed its entry.
 func cutwatch(w *world, trouble bool) (int, error) {
 	const (
-		cutAfter  = 200 * time.Millisecond
+		cutAfter  = 60 * time.Millisecond
 		perSecond = 60
 		leaving   = 8
 		every     = 5500 * time.Millisecond
